Docs: Describe the design, base libraries and configuration types

Cause: the repository was empty; the parts need one page of interfaces before they can be built side by side.

--- /dev/null
+++ b/libraries/base/json.cpp
@@ -0,0 +1,154 @@
+#include "base/json.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/ParseHandler.h>
+#include <Poco/JSON/Parser.h>
+
+#include <sstream>
+
+namespace jasminepier::base
+{
+namespace
+{
+
+template <class T>
+result<T> convert(json_object const& object, std::string const& name, bool accepted,
+                  std::string_view expected)
+{
+    if (!accepted)
+        return fail(error_kind::bad_request, "member '" + name + "' must be " + std::string(expected));
+    try
+    {
+        return object->getValue<T>(name);
+    }
+    catch (Poco::Exception const&)
+    {
+        return fail(error_kind::bad_request, "member '" + name + "' is out of range");
+    }
+}
+
+bool has_value(json_object const& object, std::string const& name)
+{
+    return object->has(name) && !object->isNull(name);
+}
+
+boost::leaf::error_id missing(std::string const& name)
+{
+    return fail(error_kind::bad_request, "member '" + name + "' is missing");
+}
+
+bool is_plain_number(Poco::Dynamic::Var const& value)
+{
+    return value.isNumeric() && !value.isBoolean() && !value.isString();
+}
+
+} // namespace
+
+result<json_object> parse_json_object(std::string_view text)
+{
+    try
+    {
+        Poco::JSON::Parser parser(new Poco::JSON::ParseHandler);
+        parser.setDepth(maximum_json_depth);
+        auto document = parser.parse(std::string(text));
+        if (document.type() != typeid(json_object))
+            return fail(error_kind::bad_request, "the body must be a JSON object");
+        return document.extract<json_object>();
+    }
+    catch (Poco::Exception const& failure)
+    {
+        return fail(error_kind::bad_request, "invalid JSON: " + failure.message());
+    }
+    catch (std::exception const& failure)
+    {
+        return fail(error_kind::bad_request, std::string("invalid JSON: ") + failure.what());
+    }
+}
+
+std::string write_json(json_object const& object)
+{
+    std::ostringstream out;
+    object->stringify(out);
+    return out.str();
+}
+
+result<std::string> read_string(json_object const& object, std::string const& name)
+{
+    if (!has_value(object, name))
+        return missing(name);
+    return convert<std::string>(object, name, object->get(name).isString(), "a string");
+}
+
+result<std::int64_t> read_integer(json_object const& object, std::string const& name)
+{
+    if (!has_value(object, name))
+        return missing(name);
+    auto value = object->get(name);
+    return convert<Poco::Int64>(object, name, value.isInteger() && !value.isBoolean(), "an integer");
+}
+
+result<double> read_number(json_object const& object, std::string const& name)
+{
+    if (!has_value(object, name))
+        return missing(name);
+    return convert<double>(object, name, is_plain_number(object->get(name)), "a number");
+}
+
+result<json_object> read_object(json_object const& object, std::string const& name)
+{
+    if (!has_value(object, name))
+        return missing(name);
+    auto member = object->getObject(name);
+    if (!member)
+        return fail(error_kind::bad_request, "member '" + name + "' must be an object");
+    return member;
+}
+
+result<std::string> read_string_or(json_object const& object, std::string const& name,
+                                   std::string fallback)
+{
+    if (!has_value(object, name))
+        return fallback;
+    return read_string(object, name);
+}
+
+result<std::int64_t> read_integer_or(json_object const& object, std::string const& name,
+                                     std::int64_t fallback)
+{
+    if (!has_value(object, name))
+        return fallback;
+    return read_integer(object, name);
+}
+
+result<double> read_number_or(json_object const& object, std::string const& name, double fallback)
+{
+    if (!has_value(object, name))
+        return fallback;
+    return read_number(object, name);
+}
+
+result<bool> read_bool_or(json_object const& object, std::string const& name, bool fallback)
+{
+    if (!has_value(object, name))
+        return fallback;
+    return convert<bool>(object, name, object->get(name).isBoolean(), "true or false");
+}
+
+result<std::vector<std::string>> read_strings(json_object const& object, std::string const& name)
+{
+    std::vector<std::string> values;
+    if (!has_value(object, name))
+        return values;
+    auto array = object->getArray(name);
+    if (!array)
+        return fail(error_kind::bad_request, "member '" + name + "' must be a list of strings");
+    for (auto const& item : *array)
+    {
+        if (!item.isString())
+            return fail(error_kind::bad_request, "member '" + name + "' must be a list of strings");
+        values.push_back(item.convert<std::string>());
+    }
+    return values;
+}
+
+} // namespace jasminepier::base
--- /dev/null
+++ b/libraries/configuration/versioned_store.cpp
@@ -0,0 +1,41 @@
+#include "configuration/versioned_store.hpp"
+
+#include <algorithm>
+
+namespace jasminepier::configuration
+{
+
+bool versioned_store::merge(std::span<platform::object const> objects)
+{
+    bool changed = false;
+    for (auto const& received : objects)
+    {
+        auto& held = m_objects[{received.kind, received.name}];
+        if (held.version >= received.version)
+            continue;
+        held = received;
+        m_revision = std::max(m_revision, received.version);
+        changed = true;
+    }
+    return changed;
+}
+
+std::vector<platform::object> versioned_store::since(std::int64_t revision) const
+{
+    std::vector<platform::object> newer;
+    for (auto const& [key, held] : m_objects)
+        if (held.version > revision)
+            newer.push_back(held);
+    return newer;
+}
+
+platform::object const* versioned_store::find(std::string const& kind,
+                                              std::string const& name) const
+{
+    auto const found = m_objects.find({kind, name});
+    if (found == m_objects.end() || found->second.deleted)
+        return nullptr;
+    return &found->second;
+}
+
+} // namespace jasminepier::configuration
--- /dev/null
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -0,0 +1,124 @@
+// Messages between jasminepier's own processes. Times are milliseconds, durations carry their unit
+// in the name. Regenerate with meta/generate_thrift.sh; the generated code is committed.
+namespace cpp jasminepier.inner_protocol
+
+enum member_state { alive = 0, suspect = 1, leaving = 2, dead = 3 }
+
+// One node as gossiped. The record with the higher incarnation wins; at equal incarnation the
+// higher state wins.
+struct member_record {
+  1: string node_id,
+  2: i64 incarnation,
+  3: member_state state,
+  4: string zone,
+  5: string host,
+  6: i32 gossip_port,
+  7: i32 control_port,
+  8: i32 entry_port,
+  9: i32 entry_peer_port,
+  10: i64 applied_revision,
+  11: bool ready,
+}
+
+// What a server last reported, condensed by its observer node.
+struct load_digest {
+  1: string server_id,
+  2: string instance,
+  3: i64 sequence,
+  4: i32 state,          // 0 cold, 1 warm, 2 leaving, 3 unreachable
+  5: i32 running,
+  6: i32 waiting,
+  7: i64 kv_used_tokens,
+  8: i64 kv_capacity_tokens,
+  9: i32 cold_capacity,
+  10: i32 max_running,
+  11: i64 preemptions,
+  12: list<string> models,
+  13: i32 age_milliseconds,
+  14: string role,
+}
+
+// One server death and the fingerprint of a request that was running there.
+struct crash_record {
+  1: i64 fingerprint,
+  2: string server_id,
+  3: string instance,
+  4: i32 age_seconds,
+}
+
+enum datagram_kind { ping = 0, acknowledgement = 1, ping_request = 2, notice = 3 }
+
+struct gossip_datagram {
+  1: datagram_kind kind,
+  2: string sender,
+  3: i64 sequence,
+  4: string target,               // ping_request: the node to ping; else the recipient
+  5: list<member_record> members,
+  6: i64 configuration_revision,
+  7: list<load_digest> loads,
+  8: list<crash_record> crashes,
+  9: i64 sender_incarnation,
+}
+
+struct configuration_object {
+  1: string kind,
+  2: string name,
+  3: i64 version,
+  4: string value_json,
+  5: bool deleted,
+}
+
+struct configuration_page {
+  1: i64 revision,
+  2: list<configuration_object> objects,
+}
+
+// What the entry process tells its control process.
+struct entry_report {
+  1: i64 applied_revision,
+  2: bool leaving,
+  3: i64 known_revision,
+  4: i64 known_load_sequence,
+  5: list<crash_record> crashes,
+  6: i32 running_streams,
+  7: bool ready,
+}
+
+// What the control process answers.
+struct control_update {
+  1: i64 revision,
+  2: list<configuration_object> objects,     // changed since known_revision
+  3: list<member_record> members,
+  4: list<load_digest> loads,                // changed since known_load_sequence
+  5: i64 load_sequence,
+  6: list<crash_record> crashes,
+  7: bool isolated,
+  8: bool ready,
+}
+
+struct node_status_reply {
+  1: string node_id,
+  2: i64 configuration_revision,
+  3: i64 applied_revision,
+  4: bool ready,
+  5: bool isolated,
+  6: list<member_record> members,
+  7: list<load_digest> loads,
+  8: bool placement_holder,
+  9: i64 fencing_number,
+  10: bool watching_platform,
+}
+
+service control_node {
+  control_update exchange(1: entry_report report),
+  configuration_page pull_configuration(1: i64 since_revision),
+  node_status_reply node_status(),
+}
+
+enum claim_progress { unknown_claim = 0, dispatched = 1, abandoned = 2, finished = 3, preparing = 4 }
+
+service entry_node {
+  // Asks the claiming node whether it may still dispatch. An answer of abandoned is a promise that
+  // this node will never dispatch the claim with this nonce.
+  claim_progress claim_status(1: string claim_name, 2: string nonce),
+}
