--- /dev/null
+++ b/libraries/backend/event_stream.hpp
@@ -0,0 +1,40 @@
+/// Reading of server-sent events.
+#pragma once
+
+#include <cstddef>
+#include <istream>
+#include <optional>
+#include <string>
+
+namespace jasminepier::backend
+{
+
+/// One server-sent event; `id` is empty when the event sets none.
+struct stream_event
+{
+    std::string type;
+    std::string id;
+    std::string data;
+};
+
+/// Reads events from a stream. Lines longer than `maximum_line` bytes end the stream.
+class event_reader
+{
+public:
+    explicit event_reader(std::istream& in, std::size_t maximum_line = 1U << 20U)
+        : m_in(in), m_maximum_line(maximum_line)
+    {
+    }
+
+    /// Returns the next event that carries data, or nothing at the end of the stream. An event that
+    /// the stream cuts off is not returned.
+    std::optional<stream_event> next();
+
+private:
+    bool read_line(std::string& line);
+
+    std::istream& m_in;
+    std::size_t m_maximum_line;
+};
+
+} // namespace jasminepier::backend
--- /dev/null
+++ b/libraries/backend/http_exchange.cpp
@@ -0,0 +1,125 @@
+#include "backend/http_exchange.hpp"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+namespace jasminepier::backend
+{
+namespace
+{
+
+using base::error_kind;
+
+Poco::Timespan to_timespan(std::chrono::milliseconds duration)
+{
+    return Poco::Timespan(duration.count() * 1000);
+}
+
+} // namespace
+
+http_exchange::http_exchange(endpoint target, exchange_timeouts timeouts)
+    : m_target(std::move(target)), m_timeouts(timeouts)
+{
+}
+
+base::result<void> http_exchange::send(backend_request const& request)
+{
+    Poco::Net::StreamSocket socket;
+    try
+    {
+        socket.connect(Poco::Net::SocketAddress(m_target.host, m_target.port),
+                       to_timespan(m_timeouts.connect));
+        socket.setNoDelay(true);
+    }
+    catch (std::exception const& failure)
+    {
+        return base::fail(error_kind::server_unreachable,
+                          std::string("cannot connect: ") + failure.what());
+    }
+    try
+    {
+        m_session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+        m_session->setTimeout(to_timespan(m_timeouts.silence));
+        m_session->setKeepAlive(false);
+        Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        for (auto const& [name, value] : request.headers)
+            head.set(name, value);
+        head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        head.setHost(m_target.host, m_target.port);
+        auto& out = m_session->sendRequest(head);
+        out << request.body;
+        out.flush();
+        return {};
+    }
+    catch (std::exception const& failure)
+    {
+        return base::fail(error_kind::server_failed,
+                          std::string("connection lost while sending: ") + failure.what());
+    }
+}
+
+base::result<int> http_exchange::receive_status()
+{
+    try
+    {
+        Poco::Net::HTTPResponse response;
+        m_body = &m_session->receiveResponse(response);
+        m_content_type = response.getContentType();
+        return static_cast<int>(response.getStatus());
+    }
+    catch (std::exception const& failure)
+    {
+        return base::fail(error_kind::server_failed, std::string("no answer: ") + failure.what());
+    }
+}
+
+base::result<std::string> http_exchange::read_body(std::size_t limit)
+{
+    std::string text;
+    try
+    {
+        char buffer[4096];
+        while (m_body->read(buffer, sizeof buffer), m_body->gcount() > 0)
+        {
+            text.append(buffer, static_cast<std::size_t>(m_body->gcount()));
+            if (text.size() > limit)
+                return base::fail(error_kind::server_failed, "answer exceeds the size limit");
+        }
+        if (m_session->networkException() != nullptr)
+            return base::fail(error_kind::server_failed, "connection lost while reading");
+        return text;
+    }
+    catch (std::exception const& failure)
+    {
+        return base::fail(error_kind::server_failed,
+                          std::string("connection lost while reading: ") + failure.what());
+    }
+}
+
+void http_exchange::abort() noexcept
+{
+    try
+    {
+        if (m_session)
+            m_session->abort();
+    }
+    catch (...)
+    {
+        // The connection is already closed; there is nothing left to stop.
+        return;
+    }
+}
+
+base::result<backend_response> call_backend(endpoint const& target, backend_request const& request,
+                                            exchange_timeouts timeouts, std::size_t limit)
+{
+    http_exchange exchange(target, timeouts);
+    BOOST_LEAF_CHECK(exchange.send(request));
+    backend_response response;
+    BOOST_LEAF_ASSIGN(response.status, exchange.receive_status());
+    BOOST_LEAF_ASSIGN(response.body, exchange.read_body(limit));
+    response.content_type = exchange.content_type();
+    return response;
+}
+
+} // namespace jasminepier::backend
--- a/libraries/base/clock.hpp
+++ b/libraries/base/clock.hpp
@@ -16,8 +16,11 @@
 
 /// A source of the current monotonic time.
 template <class T>
-concept clock_source = requires(T const& clock) {
-    { clock.now() } -> std::convertible_to<time_point>;
+concept clock_source = requires(T const& clock)
+{
+    {
+        clock.now()
+        } -> std::convertible_to<time_point>;
 };
 
 /// The machine's monotonic clock.
--- a/libraries/base/error.cpp
+++ b/libraries/base/error.cpp
@@ -55,7 +55,10 @@
 
 } // namespace
 
-std::span<answer const> answer_table() noexcept { return table; }
+std::span<answer const> answer_table() noexcept
+{
+    return table;
+}
 
 answer const& answer_for(error_kind kind) noexcept
 {
@@ -76,6 +79,9 @@
     return "unknown";
 }
 
-std::string_view to_string(error_kind kind) noexcept { return answer_for(kind).code; }
+std::string_view to_string(error_kind kind) noexcept
+{
+    return answer_for(kind).code;
+}
 
 } // namespace jasminepier::base
--- a/libraries/base/error.hpp
+++ b/libraries/base/error.hpp
@@ -95,7 +95,9 @@
 {
     return boost::leaf::try_handle_all(
         std::forward<Body>(body), [&](error const& failure) { return on_error(failure); },
-        [&] { return on_error(error{error_kind::internal, "unexpected failure"}); });
+        [&] {
+            return on_error(error{error_kind::internal, "unexpected failure"});
+        });
 }
 
 } // namespace jasminepier::base
--- a/libraries/base/json.cpp
+++ b/libraries/base/json.cpp
@@ -16,7 +16,8 @@
                   std::string_view expected)
 {
     if (!accepted)
-        return fail(error_kind::bad_request, "member '" + name + "' must be " + std::string(expected));
+        return fail(error_kind::bad_request,
+                    "member '" + name + "' must be " + std::string(expected));
     try
     {
         return object->getValue<T>(name);
@@ -84,7 +85,8 @@
     if (!has_value(object, name))
         return missing(name);
     auto value = object->get(name);
-    return convert<Poco::Int64>(object, name, value.isInteger() && !value.isBoolean(), "an integer");
+    return convert<Poco::Int64>(object, name, value.isInteger() && !value.isBoolean(),
+                                "an integer");
 }
 
 result<double> read_number(json_object const& object, std::string const& name)
--- a/libraries/base/settings.cpp
+++ b/libraries/base/settings.cpp
@@ -6,7 +6,7 @@
 namespace jasminepier::base
 {
 
-settings_parser::settings_parser(std::string description, std::string program)
+settings_parser::settings_parser(std::string description, std::string const& program)
     : m_app(std::move(description), program)
 {
     m_app.set_version_flag("--version", program + " 0.1.0");
--- a/libraries/base/settings.hpp
+++ b/libraries/base/settings.hpp
@@ -16,7 +16,7 @@
 class settings_parser
 {
 public:
-    settings_parser(std::string description, std::string program);
+    settings_parser(std::string description, std::string const& program);
 
     /// Binds flag `--name` and its environment variable to `variable`, whose value is the default.
     template <class T>
--- a/libraries/configuration/snapshot.cpp
+++ b/libraries/configuration/snapshot.cpp
@@ -37,9 +37,13 @@
     if (source.kind == "server")
         return add(target.servers, source, value, parse_server);
     if (source.kind == "active-preset" && source.name == "current")
+    {
         BOOST_LEAF_ASSIGN(target.active_preset, parse_active_preset(value));
+    }
     if (source.kind == "secret" && source.name == "event-id")
+    {
         BOOST_LEAF_ASSIGN(target.event_id_key, base::read_string(value, "key"));
+    }
     return {};
 }
 
@@ -47,9 +51,9 @@
 
 std::vector<std::string> const& distributed_kinds()
 {
-    static std::vector<std::string> const kinds{"preset", "active-preset", "zone",
-                                                "service", "customer",     "node",
-                                                "server", "placement",     "secret"};
+    static std::vector<std::string> const kinds{"preset",  "active-preset", "zone",
+                                                "service", "customer",      "node",
+                                                "server",  "placement",     "secret"};
     return kinds;
 }
 
@@ -77,16 +81,15 @@
     store.for_each(
         [&](platform::object const& source)
         {
-            base::handle(
-                [&]() -> base::result<void> { return add_object(*built, source); },
-                [&](base::error const& failure)
-                {
-                    base::log_line(base::log_level::error, "configuration_object_rejected")
-                        .field("kind", source.kind)
-                        .field("name", source.name)
-                        .field("version", source.version)
-                        .field("reason", failure.message);
-                });
+            base::handle([&]() -> base::result<void> { return add_object(*built, source); },
+                         [&](base::error const& failure)
+                         {
+                             base::log_line(base::log_level::error, "configuration_object_rejected")
+                                 .field("kind", source.kind)
+                                 .field("name", source.name)
+                                 .field("version", source.version)
+                                 .field("reason", failure.message);
+                         });
         });
     for (auto const& [name, entry] : built->customers)
         built->customers_by_key.emplace(entry.api_key_sha256, name);
--- a/libraries/configuration/types.cpp
+++ b/libraries/configuration/types.cpp
@@ -43,8 +43,8 @@
 {
     BOOST_LEAF_AUTO(value, base::read_integer_or(source, name, fallback));
     if (value < lowest || value > highest)
-        return out_of_range(name, "from " + std::to_string(lowest) + " to " +
-                                      std::to_string(highest));
+        return out_of_range(name,
+                            "from " + std::to_string(lowest) + " to " + std::to_string(highest));
     return static_cast<int>(value);
 }
 
@@ -72,8 +72,8 @@
     BOOST_LEAF_ASSIGN(limits.maximum_wait_milliseconds,
                       read_bounded(source, "maximum_wait_milliseconds",
                                    limits.maximum_wait_milliseconds, 0, 3600000));
-    BOOST_LEAF_ASSIGN(limits.maximum_queued, read_bounded(source, "maximum_queued",
-                                                          limits.maximum_queued, 0, 100000));
+    BOOST_LEAF_ASSIGN(limits.maximum_queued,
+                      read_bounded(source, "maximum_queued", limits.maximum_queued, 0, 100000));
     BOOST_LEAF_ASSIGN(limits.reserved_share,
                       read_share(source, "reserved_share", limits.reserved_share));
     return limits;
@@ -127,23 +127,22 @@
     BOOST_LEAF_ASSIGN(parsed.fill_limit, read_share(source, "fill_limit", parsed.fill_limit));
     if (parsed.fill_limit < 0.1)
         return out_of_range("fill_limit", "at least 0.1, or servers would stay idle");
-    BOOST_LEAF_ASSIGN(parsed.margin_deviations, base::read_number_or(source, "margin_deviations",
-                                                                     parsed.margin_deviations));
+    BOOST_LEAF_ASSIGN(parsed.margin_deviations,
+                      base::read_number_or(source, "margin_deviations", parsed.margin_deviations));
     if (!std::isfinite(parsed.margin_deviations) || parsed.margin_deviations < 0 ||
         parsed.margin_deviations > 10)
         return out_of_range("margin_deviations", "between 0 and 10");
     BOOST_LEAF_ASSIGN(parsed.candidates,
                       read_bounded(source, "candidates", parsed.candidates, 1, 16));
-    BOOST_LEAF_ASSIGN(parsed.maximum_output_tokens,
-                      read_bounded(source, "maximum_output_tokens", parsed.maximum_output_tokens, 1,
-                                   1000000));
+    BOOST_LEAF_ASSIGN(
+        parsed.maximum_output_tokens,
+        read_bounded(source, "maximum_output_tokens", parsed.maximum_output_tokens, 1, 1000000));
     BOOST_LEAF_ASSIGN(parsed.retry_budget, read_share(source, "retry_budget", parsed.retry_budget));
     BOOST_LEAF_ASSIGN(parsed.hedge_budget, read_share(source, "hedge_budget", parsed.hedge_budget));
     BOOST_LEAF_AUTO(delivery, base::read_string_or(source, "proposal_delivery", "held"));
     if (delivery != "held" && delivery != "streamed")
         return out_of_range("proposal_delivery", "held or streamed");
-    parsed.delivery =
-        delivery == "held" ? proposal_delivery::held : proposal_delivery::streamed;
+    parsed.delivery = delivery == "held" ? proposal_delivery::held : proposal_delivery::streamed;
     BOOST_LEAF_CHECK(parse_kinds(source, parsed));
     return parsed;
 }
@@ -190,8 +189,7 @@
 {
     base::json_object written = new Poco::JSON::Object;
     written->set("region", value.region);
-    written->set("state",
-                 value.state == zone_state::in_service ? "in_service" : "out_of_service");
+    written->set("state", value.state == zone_state::in_service ? "in_service" : "out_of_service");
     return written;
 }
 
--- /dev/null
+++ b/libraries/inner_protocol/rpc.hpp
@@ -0,0 +1,91 @@
+/// Thrift calls between our processes over TCP.
+#pragma once
+
+#include "base/error.hpp"
+#include "control_node.h"
+#include "entry_node.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+#include <thrift/transport/TSocket.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace jasminepier::inner_protocol
+{
+
+/// Longest message accepted from a peer, bytes.
+inline constexpr int maximum_message_bytes = 64 << 20;
+
+/// A client that connects on first use and reconnects after a failure. Not synchronized.
+template <class Client>
+class rpc_client
+{
+public:
+    rpc_client(std::string host, int port, std::chrono::milliseconds timeout)
+        : m_host(std::move(host)), m_port(port), m_timeout(timeout)
+    {
+    }
+
+    /// Runs `call(Client&)`. Fails with server_unreachable when the peer does not answer in time.
+    template <class Call>
+    auto call(Call&& body) -> base::result<std::invoke_result_t<Call, Client&>>
+    {
+        try
+        {
+            connect();
+            return body(*m_client);
+        }
+        catch (std::exception const& failure)
+        {
+            m_client.reset();
+            m_transport.reset();
+            return base::fail(base::error_kind::server_unreachable,
+                              std::string("peer call failed: ") + failure.what());
+        }
+    }
+
+private:
+    void connect()
+    {
+        if (m_client)
+            return;
+        auto socket = std::make_shared<apache::thrift::transport::TSocket>(m_host, m_port);
+        auto const timeout = static_cast<int>(m_timeout.count());
+        socket->setConnTimeout(timeout);
+        socket->setRecvTimeout(timeout);
+        socket->setSendTimeout(timeout);
+        m_transport = std::make_shared<apache::thrift::transport::TFramedTransport>(socket);
+        m_transport->open();
+        m_client = std::make_unique<Client>(
+            std::make_shared<apache::thrift::protocol::TCompactProtocol>(m_transport));
+    }
+
+    std::string m_host;
+    int m_port;
+    std::chrono::milliseconds m_timeout;
+    std::shared_ptr<apache::thrift::transport::TTransport> m_transport;
+    std::unique_ptr<Client> m_client;
+};
+
+/// Serves a Thrift processor on its own threads until it is destroyed.
+class rpc_server
+{
+public:
+    rpc_server(std::shared_ptr<apache::thrift::TProcessor> const& processor,
+               std::string const& host, int port);
+    rpc_server(rpc_server const&) = delete;
+    rpc_server& operator=(rpc_server const&) = delete;
+    ~rpc_server();
+
+private:
+    std::unique_ptr<apache::thrift::server::TThreadedServer> m_server;
+    std::thread m_thread;
+};
+
+} // namespace jasminepier::inner_protocol
--- a/libraries/platform/http_object_store.cpp
+++ b/libraries/platform/http_object_store.cpp
@@ -147,18 +147,16 @@
 {
     auto attempt = [&]() -> base::result<write_outcome>
     {
-        BOOST_LEAF_AUTO(received,
-                        call(method, object_path(target.kind, target.name), condition_name,
-                             condition, method == "PUT" ? target.value : "",
-                             m_settings.call_timeout));
+        BOOST_LEAF_AUTO(
+            received, call(method, object_path(target.kind, target.name), condition_name, condition,
+                           method == "PUT" ? target.value : "", m_settings.call_timeout));
         write_outcome outcome;
         if (received.status == 429 || received.status == 503)
             outcome.status = write_status::refused;
         if (received.status != 200 && received.status != 412)
             return outcome;
         BOOST_LEAF_AUTO(document, base::parse_json_object(received.body));
-        outcome.status =
-            received.status == 200 ? write_status::applied : write_status::conflict;
+        outcome.status = received.status == 200 ? write_status::applied : write_status::conflict;
         if (!document->has("kind"))
         {
             outcome.current = target;
--- a/libraries/platform/object.hpp
+++ b/libraries/platform/object.hpp
@@ -52,12 +52,24 @@
 concept object_store = requires(T& store, std::string const& text, object const& value,
                                 std::int64_t version, std::vector<std::string> const& kinds)
 {
-    { store.get(text, text) } -> std::same_as<base::result<object>>;
-    { store.list(text) } -> std::same_as<base::result<object_page>>;
-    { store.create(text, text, text) } -> std::same_as<write_outcome>;
-    { store.update(value) } -> std::same_as<write_outcome>;
-    { store.remove(value) } -> std::same_as<write_outcome>;
-    { store.watch(version, kinds) } -> std::same_as<base::result<object_page>>;
+    {
+        store.get(text, text)
+        } -> std::same_as<base::result<object>>;
+    {
+        store.list(text)
+        } -> std::same_as<base::result<object_page>>;
+    {
+        store.create(text, text, text)
+        } -> std::same_as<write_outcome>;
+    {
+        store.update(value)
+        } -> std::same_as<write_outcome>;
+    {
+        store.remove(value)
+        } -> std::same_as<write_outcome>;
+    {
+        store.watch(version, kinds)
+        } -> std::same_as<base::result<object_page>>;
 };
 
 } // namespace jasminepier::platform
--- /dev/null
+++ b/services/entry/completion_handler.hpp
@@ -0,0 +1,14 @@
+/// Serves `POST /v1/chat/completions`.
+#pragma once
+
+#include "services/entry/entry_state.hpp"
+#include "services/entry/http_answer.hpp"
+
+namespace jasminepier::entry
+{
+
+/// Serves one completion for `customer`; errors before the first byte are returned.
+base::result<void> serve_completion(entry_state& state, configuration::customer const& customer,
+                                    http_request& request, http_response& response);
+
+} // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/front_handler.cpp
@@ -0,0 +1,126 @@
+#include "services/entry/front_handler.hpp"
+
+#include "base/log.hpp"
+#include "services/entry/completion_handler.hpp"
+#include "services/entry/plain_handler.hpp"
+
+#include <Poco/URI.h>
+
+namespace jasminepier::entry
+{
+namespace
+{
+
+constexpr int address_time_to_live_seconds = 30;
+
+base::result<void> require_method(http_request const& request, std::string const& method)
+{
+    if (request.getMethod() != method)
+        return base::fail(base::error_kind::method_not_allowed, "use " + method);
+    return {};
+}
+
+base::json_object list_models(configuration::snapshot const& snapshot)
+{
+    base::json_array data = new Poco::JSON::Array;
+    for (auto const& [name, service] : snapshot.services)
+        for (auto const& model : service.models)
+        {
+            base::json_object entry = new Poco::JSON::Object;
+            entry->set("id", model);
+            entry->set("object", "model");
+            entry->set("owned_by", name);
+            data->add(entry);
+        }
+    base::json_object body = new Poco::JSON::Object;
+    body->set("object", "list");
+    body->set("data", data);
+    return body;
+}
+
+base::json_object list_addresses(configuration::snapshot const& snapshot)
+{
+    base::json_array addresses = new Poco::JSON::Array;
+    for (auto const& [name, node] : snapshot.nodes)
+    {
+        if (node.leaving)
+            continue;
+        base::json_object entry = new Poco::JSON::Object;
+        entry->set("address", node.host + ":" + std::to_string(node.entry_port));
+        entry->set("zone", node.zone);
+        addresses->add(entry);
+    }
+    base::json_object body = new Poco::JSON::Object;
+    body->set("addresses", addresses);
+    body->set("time_to_live_seconds", address_time_to_live_seconds);
+    return body;
+}
+
+} // namespace
+
+void front_handler::handleRequest(http_request& request, http_response& response)
+{
+    try
+    {
+        base::handle([&]() -> base::result<void> { return serve(request, response); },
+                     [&](base::error const& failure)
+                     {
+                         base::log_line(base::log_level::info, "request_failed")
+                             .field("request_id", response.get("X-Request-Id", ""))
+                             .field("kind", base::to_string(failure.kind))
+                             .field("reason", failure.message);
+                         if (!response.sent())
+                             send_error(response, failure);
+                     });
+    }
+    catch (std::exception const& failure)
+    {
+        base::log_line(base::log_level::info, "caller_disconnected")
+            .field("request_id", response.get("X-Request-Id", ""))
+            .field("reason", failure.what());
+    }
+}
+
+base::result<void> front_handler::serve(http_request& request, http_response& response)
+{
+    std::string const path = Poco::URI(request.getURI()).getPath();
+    std::string const service_prefix = "/v1/services/";
+    auto const snapshot = m_state.snapshot();
+    if (path == "/health")
+        return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
+    if (!m_state.ready())
+        return base::fail(base::error_kind::not_ready, "no configuration has been received");
+    if (path == "/ready")
+        return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
+    if (path == "/v1/entry-addresses")
+        return send_json(response, 200, list_addresses(*snapshot)), base::result<void>{};
+    BOOST_LEAF_AUTO(customer, authenticate(request));
+    if (path == "/v1/models")
+        return send_json(response, 200, list_models(*snapshot)), base::result<void>{};
+    if (path == "/v1/chat/completions")
+    {
+        BOOST_LEAF_CHECK(require_method(request, "POST"));
+        return serve_completion(m_state, customer, request, response);
+    }
+    if (path.starts_with(service_prefix))
+        return serve_plain_call(m_state, customer, path.substr(service_prefix.size()), request,
+                                response);
+    return base::fail(base::error_kind::not_found, "unknown path " + path);
+}
+
+base::result<configuration::customer> front_handler::authenticate(http_request const& request) const
+{
+    std::string const scheme = "Bearer ";
+    auto const credentials = request.get("Authorization", "");
+    if (!credentials.starts_with(scheme))
+        return base::fail(base::error_kind::unauthorized, "an API key is required");
+    auto const snapshot = m_state.snapshot();
+    auto const digest =
+        configuration::api_key_digest(std::string_view(credentials).substr(scheme.size()));
+    auto const found = snapshot->customers_by_key.find(digest);
+    if (found == snapshot->customers_by_key.end())
+        return base::fail(base::error_kind::unauthorized, "the API key is unknown");
+    return snapshot->customers.at(found->second);
+}
+
+} // namespace jasminepier::entry
--- /dev/null
+++ b/stand_ins/platform/memory_store.hpp
@@ -0,0 +1,113 @@
+/// An in-memory object store with versions, conditional updates, watches and faults.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jasminepier::stand_ins
+{
+
+struct stored
+{
+    std::string kind;
+    std::string name;
+    std::int64_t version = 0;
+    std::string value;
+    bool deleted = false;
+};
+
+struct write_answer
+{
+    int status = 200;
+    std::optional<stored> current;
+};
+
+/// The condition of a write: a version, or -1 for "must not exist".
+inline constexpr std::int64_t must_not_exist = -1;
+
+class memory_store
+{
+public:
+    std::optional<stored> get(std::string const& kind, std::string const& name)
+    {
+        std::lock_guard lock(m_mutex);
+        auto const found = m_objects.find({kind, name});
+        if (found == m_objects.end())
+            return std::nullopt;
+        return found->second;
+    }
+
+    std::pair<std::int64_t, std::vector<stored>> list(std::string const& kind)
+    {
+        std::lock_guard lock(m_mutex);
+        std::vector<stored> items;
+        for (auto const& [key, object] : m_objects)
+            if (key.first == kind)
+                items.push_back(object);
+        return {m_version, items};
+    }
+
+    /// Writes or, without a value, deletes.
+    write_answer write(std::string const& kind, std::string const& name, std::int64_t condition,
+                       std::optional<std::string> value)
+    {
+        std::lock_guard lock(m_mutex);
+        auto const found = m_objects.find({kind, name});
+        auto const held = found == m_objects.end() ? must_not_exist : found->second.version;
+        if (held != condition)
+        {
+            if (found == m_objects.end())
+                return {412, std::nullopt};
+            return {412, found->second};
+        }
+        stored changed{kind, name, ++m_version, value.value_or("{}"), !value.has_value()};
+        if (value)
+            m_objects[{kind, name}] = changed;
+        else
+            m_objects.erase(found);
+        m_log.push_back(changed);
+        if (m_log.size() > maximum_log)
+            m_log.pop_front();
+        m_changed.notify_all();
+        return {200, changed};
+    }
+
+    /// Waits for changes after `version`; nothing when they are no longer in the log.
+    template <class Matches>
+    std::optional<std::pair<std::int64_t, std::vector<stored>>>
+    watch(std::int64_t version, std::chrono::milliseconds timeout, Matches&& matches)
+    {
+        std::unique_lock lock(m_mutex);
+        auto const oldest = m_log.empty() ? m_version : m_log.front().version - 1;
+        if (version < oldest)
+            return std::nullopt;
+        std::vector<stored> events;
+        m_changed.wait_for(lock, timeout,
+                           [&]
+                           {
+                               events.clear();
+                               for (auto const& change : m_log)
+                                   if (change.version > version && matches(change.kind))
+                                       events.push_back(change);
+                               return !events.empty();
+                           });
+        return std::pair{m_version, events};
+    }
+
+private:
+    static constexpr std::size_t maximum_log = 10000;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::pair<std::string, std::string>, stored> m_objects;
+    std::deque<stored> m_log;
+    std::int64_t m_version = 0;
+};
+
+} // namespace jasminepier::stand_ins
--- /dev/null
+++ b/stand_ins/service/main.cpp
@@ -0,0 +1,95 @@
+/// A stand-in plain service that counts executions. `GET /stand-in/count` returns the executions
+/// per body; `POST /stand-in/faults` sets {"delay_milliseconds":N} or {"drop_answers":N}.
+#include "base/hash.hpp"
+#include "base/settings.hpp"
+#include "base/stop_signal.hpp"
+#include "stand_ins/http_program.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace jasminepier::stand_ins
+{
+namespace
+{
+
+struct service_state
+{
+    std::mutex mutex;
+    std::map<std::string, int> executions;
+    std::string instance = base::random_id();
+    std::atomic<int> running{0};
+    std::atomic<int> delay_milliseconds{0};
+    std::atomic<int> drop_answers{0};
+};
+
+void execute(service_state& state, http_request& request, http_response& response)
+{
+    auto const body = read_body(request);
+    ++state.running;
+    {
+        std::lock_guard lock(state.mutex);
+        ++state.executions[request.getURI() + "|" + body];
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(state.delay_milliseconds.load()));
+    --state.running;
+    if (state.drop_answers.load() > 0 && state.drop_answers.fetch_sub(1) > 0)
+        throw std::runtime_error("answer dropped on request");
+    auto answer = make_object("accepted", true);
+    answer->set("path", request.getURI());
+    send_json(response, 200, answer);
+}
+
+void serve(service_state& state, http_request& request, http_response& response)
+{
+    std::string const path = Poco::URI(request.getURI()).getPath();
+    if (path == "/load")
+    {
+        auto report = make_object("instance", state.instance);
+        report->set("state", "warm");
+        report->set("running", state.running.load());
+        report->set("max_running", 64);
+        return send_json(response, 200, report);
+    }
+    if (path == "/stand-in/count")
+    {
+        std::lock_guard lock(state.mutex);
+        base::json_object counts = new Poco::JSON::Object;
+        for (auto const& [call, count] : state.executions)
+            counts->set(call, count);
+        return send_json(response, 200, counts);
+    }
+    if (path == "/stand-in/faults")
+    {
+        auto const fault = parse_or_empty(read_body(request));
+        state.delay_milliseconds =
+            fault->optValue("delay_milliseconds", state.delay_milliseconds.load());
+        state.drop_answers = fault->optValue("drop_answers", state.drop_answers.load());
+        return send_json(response, 200, new Poco::JSON::Object);
+    }
+    execute(state, request, response);
+}
+
+} // namespace
+} // namespace jasminepier::stand_ins
+
+int main(int argc, char** argv)
+{
+    using namespace jasminepier;
+    base::block_stop_signals();
+    base::settings_parser parser("Stand-in plain service for tests", "stand-in-service");
+    std::string host = "127.0.0.1";
+    std::uint16_t port = 9200;
+    parser.add("host", host, "Address to listen on");
+    parser.add("port", port, "Port to listen on");
+    if (auto status = parser.try_parse(argc, argv))
+        return *status;
+    stand_ins::service_state state;
+    stand_ins::http_program const server(host, port,
+                                         [&](auto& request, auto& response)
+                                         { stand_ins::serve(state, request, response); });
+    base::wait_for_stop_signal();
+    std::_Exit(0);
+}
--- /dev/null
+++ b/tests/configuration_test.cpp
@@ -0,0 +1,41 @@
+#include "configuration/versioned_store.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace jasminepier::configuration
+{
+
+// Guards against a configuration that reverts after a stale, repeated or reordered message.
+RC_GTEST_PROP(versioned_store, merging_ends_in_the_highest_version_in_any_order, ())
+{
+    std::vector<platform::object> history;
+    auto const count = *rc::gen::inRange(1, 40);
+    for (int i = 1; i <= count; ++i)
+        history.push_back({"zone", std::to_string(*rc::gen::inRange(0, 4)), i,
+                           "{\"value\":" + std::to_string(i) + "}", *rc::gen::arbitrary<bool>()});
+    versioned_store in_order;
+    in_order.merge(history);
+    auto shuffled = history;
+    for (std::size_t i = shuffled.size(); i > 1; --i)
+        std::swap(shuffled[i - 1], shuffled[*rc::gen::inRange<std::size_t>(0, i)]);
+    versioned_store reordered;
+    for (auto const& object : shuffled)
+    {
+        std::vector<platform::object> const single{object, shuffled.front()};
+        reordered.merge(single);
+    }
+    RC_ASSERT(reordered.revision() == in_order.revision());
+    for (auto const& object : in_order.since(0))
+    {
+        auto const* held = in_order.find(object.kind, object.name);
+        auto const* other = reordered.find(object.kind, object.name);
+        RC_ASSERT((held == nullptr) == (other == nullptr));
+        if (held != nullptr)
+            RC_ASSERT(held->value == other->value);
+    }
+}
+
+} // namespace jasminepier::configuration
