Control: Merge the first platform listing as a whole

Cause: the entry process reported ready after the first listed kind; a caller with a valid key got 401.

--- a/services/control/platform_watcher.hpp
+++ b/services/control/platform_watcher.hpp
@@ -31,13 +31,16 @@
     base::result<void> list()
     {
         std::int64_t version = -1;
+        std::vector<platform::object> objects;
         for (auto const& kind : configuration::distributed_kinds())
         {
             BOOST_LEAF_AUTO(page, m_store.list(kind));
             // Watching from the oldest of the listed versions misses no change between the lists.
             version = version < 0 ? page.version : std::min(version, page.version);
-            m_state.merge(page.objects);
+            objects.insert(objects.end(), page.objects.begin(), page.objects.end());
         }
+        // Merged at once: a node that serves with some kinds missing refuses known customers.
+        m_state.merge(objects);
         m_version = version;
         m_listed = true;
         return {};
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,99 @@
+#include "tests/support/process.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace jasminepier::tests
+{
+
+process::process(std::string const& program, std::vector<std::string> const& arguments)
+{
+    std::array<char, 32> path{"/tmp/jasminepier-test-XXXXXX"};
+    int const output = mkstemp(path.data());
+    if (output < 0)
+        throw std::runtime_error("cannot create the output file");
+    m_output_path = path.data();
+    std::string const binary = std::string(JASMINEPIER_BINARY_DIRECTORY) + "/" + program;
+    std::vector<char*> raw{const_cast<char*>(binary.c_str())};
+    for (auto const& argument : arguments)
+        raw.push_back(const_cast<char*>(argument.c_str()));
+    raw.push_back(nullptr);
+    m_pid = fork();
+    if (m_pid == 0)
+    {
+        dup2(output, STDOUT_FILENO);
+        dup2(output, STDERR_FILENO);
+        execv(binary.c_str(), raw.data());
+        _exit(127);
+    }
+    close(output);
+    if (m_pid < 0)
+        throw std::runtime_error("cannot start " + binary);
+}
+
+process::process(process&& other) noexcept
+    : m_pid(other.m_pid), m_status(other.m_status), m_ended(other.m_ended),
+      m_output_path(std::move(other.m_output_path))
+{
+    other.m_pid = -1;
+    other.m_output_path.clear();
+}
+
+process::~process()
+{
+    if (m_pid > 0 && running())
+    {
+        // A stopped process does not act on other signals until it is continued.
+        kill(m_pid, SIGCONT);
+        kill(m_pid, SIGKILL);
+        waitpid(m_pid, nullptr, 0);
+    }
+    if (!m_output_path.empty())
+        unlink(m_output_path.c_str());
+}
+
+void process::send_signal(int signal) const
+{
+    if (m_pid > 0 && !m_ended)
+        kill(m_pid, signal);
+}
+
+bool process::running()
+{
+    if (m_ended || m_pid <= 0)
+        return false;
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return true;
+    m_ended = true;
+    m_status = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    return false;
+}
+
+int process::wait_for_exit(int seconds)
+{
+    auto const limit = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    while (running())
+    {
+        if (std::chrono::steady_clock::now() > limit)
+            return -1;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return m_status;
+}
+
+std::string process::output() const
+{
+    std::ifstream in(m_output_path);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+} // namespace jasminepier::tests
