--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -21,6 +21,7 @@
     process& operator=(process&&) = delete;
     ~process();
 
+    pid_t id() const noexcept { return m_pid; }
     void send_signal(int signal) const;
     /// Waits for the end; returns the exit status, 128 + signal, or -1 after `seconds`.
     int wait_for_exit(int seconds);
