Entry: Describe attempts and their progress in the entry state

Handlers state customer, model, kind and sizes of an attempt, report its tokens and its outcome. The choice of server is still the least outstanding one; the decision core replaces it.

--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -10,24 +10,27 @@
 namespace
 {
 
-/// Releases the server's outstanding count on every way out.
-class server_hold
+/// Ends the attempt on every way out.
+class attempt_hold
 {
 public:
-    server_hold(entry_state& state, std::string server)
-        : m_state(state), m_server(std::move(server))
-    {
-    }
-    server_hold(server_hold const&) = delete;
-    server_hold& operator=(server_hold const&) = delete;
-    ~server_hold() { m_state.release(m_server); }
+    attempt_hold(entry_state& state, std::uint64_t ticket) : m_state(state), m_ticket(ticket) {}
+    attempt_hold(attempt_hold const&) = delete;
+    attempt_hold& operator=(attempt_hold const&) = delete;
+    ~attempt_hold() { m_state.finish(m_ticket, m_outcome); }
+
+    /// Records one token of the stream.
+    void note_token() { m_state.note_tokens(m_ticket); }
+    void set_outcome(attempt_outcome outcome) noexcept { m_outcome = outcome; }
 
 private:
     entry_state& m_state;
-    std::string m_server;
+    std::uint64_t m_ticket;
+    attempt_outcome m_outcome = attempt_outcome::failed;
 };
 
-base::result<void> relay_stream(backend::http_exchange& exchange, http_response& response)
+base::result<void> relay_stream(backend::http_exchange& exchange, attempt_hold& hold,
+                                http_response& response)
 {
     response.setContentType("text/event-stream");
     response.set("Cache-Control", "no-cache");
@@ -42,7 +45,9 @@
         complete = event->data == "[DONE]";
         if (complete)
             break;
+        hold.note_token();
     }
+    hold.set_outcome(complete ? attempt_outcome::completed : attempt_outcome::failed);
     if (!complete)
         out << "data: "
             << base::write_json(error_body(
@@ -52,8 +57,9 @@
     return {};
 }
 
-base::result<void> relay_whole(backend::http_exchange& exchange, chat_request const& chat,
-                               std::string const& request_id, http_response& response)
+base::result<void> relay_whole(backend::http_exchange& exchange, attempt_hold& hold,
+                               chat_request const& chat, std::string const& request_id,
+                               http_response& response)
 {
     backend::event_reader events(exchange.body());
     std::string text;
@@ -78,9 +84,11 @@
             body->set("choices", choices);
             if (last && last->has("usage"))
                 body->set("usage", last->get("usage"));
+            hold.set_outcome(attempt_outcome::completed);
             send_json(response, 200, body);
             return {};
         }
+        hold.note_token();
         BOOST_LEAF_ASSIGN(last, base::parse_json_object(event->data));
         auto choices = last->getArray("choices");
         auto choice = choices ? choices->getObject(0) : nullptr;
@@ -107,21 +115,26 @@
                         "Jasminepier-Work-Kind", std::string(to_string(customer.default_kind)))));
     auto const request_id = base::random_id();
     response.set("X-Request-Id", request_id);
-    BOOST_LEAF_AUTO(server, state.acquire(service->name, request_id, {}));
-    server_hold const hold(state, server.name);
+    acquire_request wanted{service->name, chat.model, customer.name, kind, request_id};
+    // About four characters make a token.
+    wanted.prompt_tokens = static_cast<std::int64_t>(chat.prompt.size() / 4 + 1);
+    wanted.maximum_tokens = chat.maximum_tokens;
+    wanted.prefix_hash = base::stable_hash(std::string_view(chat.prompt).substr(0, 1024));
+    BOOST_LEAF_AUTO(server, state.acquire(wanted));
+    attempt_hold hold(state, server.ticket);
     backend::http_exchange exchange({server.host, server.port}, {});
     backend::backend_request forwarded{"POST", "/v1/chat/completions", {}, chat.engine_body};
     forwarded.headers["Content-Type"] = "application/json";
     forwarded.headers["X-Generation-Id"] = request_id;
-    forwarded.headers["X-Priority"] = std::to_string(snapshot->active_preset.limits(kind).rank);
+    forwarded.headers["X-Priority"] = std::to_string(server.priority);
     BOOST_LEAF_CHECK(exchange.send(forwarded));
     BOOST_LEAF_AUTO(status, exchange.receive_status());
     if (status != 200)
         return base::fail(base::error_kind::server_failed,
                           "the engine answered with status " + std::to_string(status));
     if (chat.mode == answer_mode::stream)
-        return relay_stream(exchange, response);
-    return relay_whole(exchange, chat, request_id, response);
+        return relay_stream(exchange, hold, response);
+    return relay_whole(exchange, hold, chat, request_id, response);
 }
 
 } // namespace jasminepier::entry
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -35,17 +35,15 @@
     return m_ready;
 }
 
-base::result<chosen_server> entry_state::acquire(std::string const& service,
-                                                 std::string const& request_id,
-                                                 std::set<std::string> const& excluded)
+base::result<chosen_server> entry_state::acquire(acquire_request const& request)
 {
     std::lock_guard lock(m_mutex);
     configuration::server const* best = nullptr;
     int candidates = 0;
     for (auto const& [name, server] : m_snapshot->servers)
     {
-        if (server.service != service || server.leaving || excluded.contains(name) ||
-            !m_snapshot->zone_in_service(server.zone))
+        if (server.service != request.service || server.leaving ||
+            request.excluded.contains(name) || !m_snapshot->zone_in_service(server.zone))
             continue;
         auto const load = m_loads.find(name);
         // States 2 and 3 are leaving and unreachable.
@@ -56,22 +54,38 @@
             best = &server;
     }
     if (best == nullptr)
-        return base::fail(base::error_kind::no_server, "no server of " + service + " is available");
+        return base::fail(base::error_kind::no_server,
+                          "no server of " + request.service + " is available");
     ++m_outstanding[best->name];
+    auto const ticket = m_next_ticket++;
+    m_attempts.emplace(ticket, attempt{best->name});
     base::log_line(base::log_level::info, "route")
-        .field("request_id", request_id)
-        .field("service", service)
+        .field("request_id", request.request_id)
+        .field("service", request.service)
         .field("server", best->name)
         .field("zone", best->zone)
         .field("candidates", candidates)
         .field("reason", "least_outstanding");
-    return chosen_server{best->name, best->host, best->port};
+    return chosen_server{best->name, best->host, best->port, ticket,
+                         m_snapshot->active_preset.limits(request.kind).rank};
 }
 
-void entry_state::release(std::string const& server)
+void entry_state::note_tokens(std::uint64_t, std::int64_t) {}
+
+void entry_state::finish(std::uint64_t ticket, attempt_outcome)
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_attempts.find(ticket);
+    if (found == m_attempts.end())
+        return;
+    --m_outstanding[found->second.server];
+    m_attempts.erase(found);
+}
+
+void entry_state::note_server_lost(std::string const& server)
 {
     std::lock_guard lock(m_mutex);
-    --m_outstanding[server];
+    m_loads[server].state = 3;
 }
 
 } // namespace jasminepier::entry
--- a/services/entry/entry_state.hpp
+++ b/services/entry/entry_state.hpp
@@ -1,24 +1,63 @@
 /// Tables of the entry process, shared by its workers.
 #pragma once
 
+#include "base/clock.hpp"
 #include "configuration/snapshot.hpp"
 #include "inner_protocol/conversion.hpp"
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace jasminepier::entry
 {
 
+/// What the decision core needs to know about one attempt.
+struct acquire_request
+{
+    std::string service;
+    /// Empty for a call to a plain service.
+    std::string model;
+    std::string customer;
+    configuration::work_kind kind = configuration::work_kind::question;
+    std::string request_id;
+    std::int64_t prompt_tokens = 0;
+    /// The caller's limit on output tokens; 0 leaves the preset's limit.
+    std::int64_t maximum_tokens = 0;
+    /// Hash of the prompt prefix that requests share; 0 when there is none.
+    std::uint64_t prefix_hash = 0;
+    /// Longest wait for dispatch; 0 leaves the preset's limit for the kind.
+    base::milliseconds maximum_wait{0};
+    /// Servers that must not be chosen, for example because an attempt failed there.
+    std::set<std::string> excluded{};
+};
+
 /// A server chosen for one attempt.
 struct chosen_server
 {
     std::string name;
     std::string host;
     std::uint16_t port = 0;
+    /// Identifies the attempt in the calls below.
+    std::uint64_t ticket = 0;
+    /// Value for the engine's X-Priority header; 0 is the most urgent.
+    int priority = 0;
+};
+
+/// How an attempt ended.
+enum class attempt_outcome
+{
+    /// The answer is complete; its length teaches the estimates.
+    completed,
+    /// The caller left or the attempt was abandoned; the server is not at fault.
+    cancelled,
+    /// The server broke the attempt off.
+    failed,
 };
 
 class entry_state
@@ -30,18 +69,31 @@
     std::int64_t load_sequence() const;
     bool ready() const;
 
-    /// Chooses the eligible server with the fewest outstanding requests and counts the request on
-    /// it. Fails with no_server.
-    base::result<chosen_server> acquire(std::string const& service, std::string const& request_id,
-                                        std::set<std::string> const& excluded);
-    void release(std::string const& server);
+    /// Waits in the queue until a server is chosen, the deadline passes or the request is refused.
+    /// Eligibility is checked at dispatch. Fails with no_server, overloaded or deadline_exceeded;
+    /// in all three cases nothing was sent. The attempt ends with `finish`.
+    base::result<chosen_server> acquire(acquire_request const& request);
+    /// Records `count` tokens of the attempt; the first call counts as its first token.
+    void note_tokens(std::uint64_t ticket, std::int64_t count = 1);
+    /// Ends the attempt and frees what it held. Unknown tickets are ignored.
+    void finish(std::uint64_t ticket, attempt_outcome outcome);
+    /// Excludes `server` until a report of it arrives that was made later; the callers of its
+    /// attempts still call `finish` for each of them.
+    void note_server_lost(std::string const& server);
 
 private:
+    struct attempt
+    {
+        std::string server;
+    };
+
     mutable std::mutex m_mutex;
     configuration::versioned_store m_store;
     configuration::snapshot_ptr m_snapshot = std::make_shared<configuration::snapshot>();
     std::map<std::string, inner_protocol::load_digest> m_loads;
     std::map<std::string, int> m_outstanding;
+    std::unordered_map<std::uint64_t, attempt> m_attempts;
+    std::uint64_t m_next_ticket = 1;
     std::int64_t m_load_sequence = 0;
     bool m_ready = false;
 };
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -21,12 +21,13 @@
     BOOST_LEAF_AUTO(body, read_body(request));
     auto const request_id = base::random_id();
     response.set("X-Request-Id", request_id);
-    BOOST_LEAF_AUTO(server, state.acquire(service, request_id, {}));
+    BOOST_LEAF_AUTO(server, state.acquire({service, "", customer.name,
+                                           configuration::work_kind::lookup, request_id}));
     backend::backend_request forwarded{request.getMethod(), path, {}, body};
     forwarded.headers["Content-Type"] = request.getContentType();
     forwarded.headers["X-Customer"] = customer.name;
     auto answer = backend::call_backend({server.host, server.port}, forwarded, {});
-    state.release(server.name);
+    state.finish(server.ticket, answer ? attempt_outcome::completed : attempt_outcome::failed);
     if (!answer)
         return answer.error();
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer->status));
