Configuration, Membership: Distribute the configuration between peers

Cause: every node watched the platform, and the highest merged version was taken for complete knowledge.

--- a/libraries/configuration/versioned_store.hpp
+++ b/libraries/configuration/versioned_store.hpp
@@ -37,6 +37,14 @@
                 visit(held);
     }
 
+    /// Calls `visit(object const&)` for every object, deletions included.
+    template <class Visit>
+    void for_each_with_deleted(Visit&& visit) const
+    {
+        for (auto const& [key, held] : m_objects)
+            visit(held);
+    }
+
 private:
     std::map<std::pair<std::string, std::string>, platform::object> m_objects;
     std::int64_t m_revision = 0;
--- /dev/null
+++ b/tests/support/virtual_fleet.hpp
@@ -0,0 +1,97 @@
+/// Configuration distribution over a virtual network, with a platform that fails and lags.
+#pragma once
+
+#include "configuration/replica.hpp"
+#include "membership/revision_sync.hpp"
+#include "membership/selection.hpp"
+#include "tests/support/virtual_network.hpp"
+
+#include <map>
+
+namespace jasminepier::tests
+{
+
+/// A store with one kind of object, read as the platform's object API allows.
+class virtual_platform
+{
+public:
+    std::int64_t put(std::string const& name, bool deleted = false);
+    /// Everything as of `lag` versions ago.
+    platform::object_page list(std::int64_t lag) const;
+    platform::object_page watch(std::int64_t from, std::int64_t lag) const;
+    std::int64_t version() const noexcept { return m_version; }
+
+    bool outage = false;
+    /// Versions by which reads may lag; a lag is chosen for each read.
+    std::int64_t longest_lag = 0;
+    std::uint64_t calls = 0;
+
+private:
+    std::vector<platform::object> m_log;
+    std::int64_t m_version = 0;
+};
+
+struct fleet_settings
+{
+    /// Every n-th node answers pulls only after the callers have given up; 0 for none.
+    int slow_every = 0;
+    /// Lets tests show what peers are worth.
+    bool use_pulls = true;
+};
+
+class virtual_fleet
+{
+public:
+    virtual_fleet(int nodes, int regions, network_settings settings, std::uint64_t seed,
+                  fleet_settings fleet = {});
+
+    void run(base::milliseconds duration)
+    {
+        network.run(duration, [this] { step(); });
+    }
+    /// Runs until all running nodes confirm `revision`; returns the time, or nothing after `limit`.
+    std::optional<base::milliseconds> run_until_confirmed(std::int64_t revision,
+                                                          base::milliseconds limit);
+    bool confirmed(std::int64_t revision);
+    /// Replaces the node by one that knows nothing.
+    void restart(int node);
+    configuration::replica const& replica_of(int node) const
+    {
+        return m_nodes.at(std::size_t(node)).copy;
+    }
+    int watchers();
+    /// Times that an object went back to an older version on any node.
+    int reverts() const noexcept { return m_reverts; }
+
+    virtual_network network;
+    virtual_platform store;
+
+private:
+    struct pull
+    {
+        base::time_point ends;
+        int peer;
+        bool succeeds;
+    };
+    struct state
+    {
+        configuration::replica copy;
+        membership::revision_sync sync;
+        membership::watch_backoff backoff;
+        bool listed = false;
+        base::time_point next_watch;
+        std::vector<pull> pulls;
+        std::map<std::string, std::int64_t> highest;
+    };
+    void step();
+    void read_platform(int node, state& own);
+    void pull_from_peers(int node, state& own);
+    void check_reverts(state& own);
+
+    fleet_settings m_settings;
+    base::random_source m_random;
+    std::vector<state> m_nodes;
+    int m_reverts = 0;
+};
+
+} // namespace jasminepier::tests
--- a/tests/support/virtual_network.cpp
+++ b/tests/support/virtual_network.cpp
@@ -67,7 +67,7 @@
         m_largest = std::max(m_largest, bytes);
         m_bytes += bytes + packet_header_bytes;
         ++m_sent;
-        if ((m_cut && m_cut(from, to)) || chance(m_random) < m_settings.loss)
+        if (to >= size() || (m_cut && m_cut(from, to)) || chance(m_random) < m_settings.loss)
             continue;
         auto const message =
             std::make_shared<membership::gossip_datagram const>(std::move(sent.message));
@@ -86,6 +86,8 @@
         m_events.pop();
         m_now = next.at;
         auto& target = m_nodes.at(index(next.to));
+        if (target.running && m_on_delivery)
+            m_on_delivery(next.to, *next.message);
         if (target.running)
             post(next.to, target.detector->receive(m_now, *next.message));
     }
--- a/tests/support/virtual_network.hpp
+++ b/tests/support/virtual_network.hpp
@@ -43,6 +43,13 @@
     void restart(int node, std::vector<int> const& seeds);
     /// Drops datagrams for which the function returns true.
     void set_cut(std::function<bool(int from, int to)> cut) { m_cut = std::move(cut); }
+    /// Called for each datagram that a running node receives.
+    void set_on_delivery(std::function<void(int to, membership::gossip_datagram const&)> observer)
+    {
+        m_on_delivery = std::move(observer);
+    }
+    bool running(int node) const { return m_nodes.at(index(node)).running; }
+    bool cut(int from, int to) const { return m_cut && m_cut(from, to); }
     void set_loss(double loss) { m_settings.loss = loss; }
 
     membership::failure_detector& node(int number) { return *m_nodes.at(index(number)).detector; }
@@ -97,6 +104,7 @@
     std::vector<member> m_nodes;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     std::function<bool(int, int)> m_cut;
+    std::function<void(int, membership::gossip_datagram const&)> m_on_delivery;
     base::time_point m_now{};
     std::uint64_t m_order = 0;
     std::int64_t m_incarnation = 1;
