Ctl: Add commands for presets, zones, fleet, customers and waiting

Cause: operators had only a raw put; a lost store answer was reported as a failure although the write may have taken effect, and nothing told racing operators what is in force. Change: one file per group of commands. Writes are conditional and are sent again under the same condition while their outcome is unknown, then read back.

--- a/libraries/base/settings.cpp
+++ b/libraries/base/settings.cpp
@@ -1,18 +1,100 @@
 #include "base/settings.hpp"
 
+#include <arpa/inet.h>
 #include <cctype>
 #include <iostream>
 
 namespace jasminepier::base
 {
+namespace
+{
+
+/// A line break in a message would split the one line that names a bad setting.
+std::string one_line(std::string text)
+{
+    for (char& c : text)
+        if (static_cast<unsigned char>(c) < 0x20)
+            c = ' ';
+    return text;
+}
+
+std::string allowed_text(CLI::Option const& option)
+{
+    // CLI11 joins the type and the descriptions of the checks with colons.
+    std::string text;
+    for (char c : option.get_type_name())
+        text += c == ':' ? std::string(", ") : std::string(1, c);
+    return text;
+}
+
+std::string cell(std::string const& text)
+{
+    std::string escaped;
+    for (char c : text)
+        escaped += c == '|' ? std::string("\\|") : std::string(1, c);
+    return escaped;
+}
+
+} // namespace
+
+CLI::Validator ip_address()
+{
+    return CLI::Validator(
+        [](std::string& text)
+        {
+            unsigned char parsed[sizeof(in6_addr)];
+            bool const valid = inet_pton(AF_INET, text.c_str(), parsed) == 1 ||
+                               inet_pton(AF_INET6, text.c_str(), parsed) == 1;
+            return valid ? std::string{} : "'" + text + "' is not allowed; use an IP address";
+        },
+        "IP address");
+}
 
 settings_parser::settings_parser(std::string description, std::string const& program)
-    : m_app(std::move(description), program)
+    : m_app(std::move(description), program), m_program(program)
 {
     m_app.set_version_flag("--version", program + " 0.1.0");
-    m_app.add_flag("--check-settings", m_check_only, "Check the settings and exit");
+    m_app.add_flag("--check-settings", m_check_only,
+                   "Check the settings and the rules between them, and exit");
+    m_app.add_flag_callback(
+        "--print-settings",
+        [this]
+        {
+            m_print_only = true;
+            throw CLI::Success();
+        },
+        "Print the table of settings in Markdown and exit");
     add("log-level", m_log_level, "Lowest level that is logged")
-        ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+        ->check(CLI::Validator(
+            [](std::string& text)
+            {
+                bool const known =
+                    text == "debug" || text == "info" || text == "warning" || text == "error";
+                return known ? std::string{}
+                             : "'" + text + "' is not allowed; use debug, info, warning or error";
+            },
+            "debug, info, warning or error"));
+}
+
+CLI::Option* settings_parser::add_port(std::string const& name, std::uint16_t& variable,
+                                       std::string const& help)
+{
+    return add(name, variable, help)->check(in_range<std::int64_t>(1, 65535));
+}
+
+void settings_parser::require_distinct_ports(
+    std::vector<std::pair<std::string, std::uint16_t const*>> ports)
+{
+    add_rule(
+        [ports = std::move(ports)]() -> std::optional<std::string>
+        {
+            for (std::size_t i = 0; i < ports.size(); ++i)
+                for (std::size_t j = i + 1; j < ports.size(); ++j)
+                    if (*ports[i].second == *ports[j].second)
+                        return "--" + ports[i].first + " and --" + ports[j].first + " are both " +
+                               std::to_string(*ports[i].second) + "; use different ports";
+            return std::nullopt;
+        });
 }
 
 std::optional<int> settings_parser::try_parse(int argc, char const* const* argv)
@@ -23,7 +105,20 @@
     }
     catch (CLI::ParseError const& failure)
     {
-        return m_app.exit(failure) == 0 ? 0 : 2;
+        if (m_print_only)
+        {
+            write_table(std::cout);
+            return 0;
+        }
+        if (failure.get_exit_code() == 0)
+            return m_app.exit(failure);
+        std::cerr << m_program << ": invalid setting " << one_line(failure.what()) << '\n';
+        return 2;
+    }
+    if (auto const broken = first_broken_rule())
+    {
+        std::cerr << m_program << ": invalid settings: " << one_line(*broken) << '\n';
+        return 2;
     }
     if (m_check_only)
     {
@@ -33,6 +128,28 @@
     return std::nullopt;
 }
 
+std::optional<std::string> settings_parser::first_broken_rule() const
+{
+    for (auto const& rule : m_rules)
+        if (auto broken = rule())
+            return broken;
+    return std::nullopt;
+}
+
+void settings_parser::write_table(std::ostream& out) const
+{
+    out << "## " << m_program << "\n\n| Flag | Environment variable | Default | Allowed | Meaning "
+        << "|\n|---|---|---|---|---|\n";
+    for (auto const& name : m_names)
+    {
+        auto const* option = m_app.get_option("--" + name);
+        auto const initial = option->get_default_str();
+        out << "| `--" << name << "` | `" << environment_name(name) << "` | "
+            << (initial.empty() ? "(none)" : "`" + cell(initial) + "`") << " | "
+            << cell(allowed_text(*option)) << " | " << cell(option->get_description()) << " |\n";
+    }
+}
+
 log_level settings_parser::level() const
 {
     if (m_log_level == "debug")
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -19,10 +19,11 @@
     platform::http_object_store_settings platform_settings;
     platform_settings.port = 9000;
     parser.add("node-id", node_id, "Name of this entry VM, unique among entry VMs");
-    parser.add("host", host, "IP address of this entry VM");
-    parser.add("control-port", control_port, "Port for peers and the local entry process");
-    parser.add("platform-host", platform_settings.host, "IP address of the platform's object API");
-    parser.add("platform-port", platform_settings.port, "Port of the platform's object API");
+    parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
+    parser.add_port("control-port", control_port, "Port for peers and the local entry process");
+    parser.add("platform-host", platform_settings.host, "IP address of the platform's object API")
+        ->check(base::ip_address());
+    parser.add_port("platform-port", platform_settings.port, "Port of the platform's object API");
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -51,10 +51,12 @@
     std::uint16_t entry_port = 7001;
     std::uint16_t control_port = 7002;
     int workers = 1024;
-    parser.add("host", host, "IP address of this entry VM");
-    parser.add("entry-port", entry_port, "Port for callers");
-    parser.add("control-port", control_port, "Port of the control process on this VM");
-    parser.add("workers", workers, "Most connections served at once")->check(CLI::Range(2, 20000));
+    parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
+    parser.add_port("entry-port", entry_port, "Port for callers");
+    parser.add_port("control-port", control_port, "Port of the control process on this VM");
+    parser.add("workers", workers, "Most connections served at once")
+        ->check(base::in_range<std::int64_t>(2, 20000));
+    parser.require_distinct_ports({{"entry-port", &entry_port}, {"control-port", &control_port}});
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
--- a/utilities/ctl/main.cpp
+++ b/utilities/ctl/main.cpp
@@ -1,84 +1,62 @@
 /// The operator command line.
 #include "base/settings.hpp"
-#include "base/stop_signal.hpp"
-#include "configuration/types.hpp"
-#include "platform/http_object_store.hpp"
+#include "utilities/ctl/command_line.hpp"
 
+#include <csignal>
 #include <iostream>
-#include <iterator>
 
 namespace
 {
 
 using namespace jasminepier;
 
-enum exit_status
+void add_settings(base::settings_parser& parser, ctl::context& current, std::string& format)
 {
-    exit_done = 0,
-    exit_failed = 1,
-    exit_usage = 2,
-    exit_conflict = 3,
-};
-
-int report(platform::write_outcome const& outcome)
-{
-    switch (outcome.status)
-    {
-    case platform::write_status::applied:
-        std::cout << "applied at version " << outcome.current.version << '\n';
-        return exit_done;
-    case platform::write_status::conflict:
-        std::cerr << "conflict: version " << outcome.current.version << " is in the store\n";
-        return exit_conflict;
-    case platform::write_status::refused:
-        std::cerr << "refused by the platform; nothing was written\n";
-        return exit_failed;
-    case platform::write_status::unknown:
-        break;
-    }
-    std::cerr << "no answer from the platform; the write may have taken effect\n";
-    return exit_failed;
-}
-
-int put(platform::http_object_store& store, std::string const& kind, std::string const& name)
-{
-    std::string const value(std::istreambuf_iterator<char>(std::cin), {});
-    auto const held =
-        base::handle([&]() -> base::result<platform::object> { return store.get(kind, name); },
-                     [](base::error const&) { return platform::object{}; });
-    if (held.version == 0)
-        return report(store.create(kind, name, value));
-    return report(store.update({kind, name, held.version, value, false}));
+    parser.add("platform-host", current.platform.host, "IP address of the platform's object API")
+        ->check(base::ip_address());
+    parser.add_port("platform-port", current.platform.port, "Port of the platform's object API");
+    parser.add("output", format, "Form of lists and results on standard output")
+        ->check(CLI::Validator(
+            [](std::string& text)
+            {
+                bool const known = text == "table" || text == "json";
+                return known ? std::string{} : "'" + text + "' is not allowed; use table or json";
+            },
+            "table or json"));
+    parser.add("api-key", current.api_key, "API key of the customer, for request show");
+    parser
+        .add("node-timeout-milliseconds", current.node_timeout_milliseconds,
+             "Longest wait for the answer of one entry VM, milliseconds")
+        ->check(base::in_range<std::int64_t>(50, 60000));
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    base::block_stop_signals();
+    // An operator's interrupt ends the tool at once; a closed pipe is reported by the stream.
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
     base::settings_parser parser("Operator tool of jasminepier", "jasminepierctl");
-    platform::http_object_store_settings settings;
-    settings.port = 9000;
-    std::string kind;
-    std::string name;
-    std::string api_key;
-    parser.add("platform-host", settings.host, "IP address of the platform's object API");
-    parser.add("platform-port", settings.port, "Port of the platform's object API");
-    auto* put_command =
-        parser.app().add_subcommand("put", "Write an object read from standard input");
-    put_command->add_option("kind", kind)->required();
-    put_command->add_option("name", name)->required();
-    auto* digest_command =
-        parser.app().add_subcommand("key-digest", "Print the digest of an API key");
-    digest_command->add_option("api-key", api_key)->required();
-    parser.app().require_subcommand(1);
+    ctl::context current;
+    current.platform.port = 9000;
+    std::string format = "table";
+    add_settings(parser, current, format);
+    ctl::command_line line{parser.app(), {}};
+    ctl::add_preset_commands(line);
+    ctl::add_zone_commands(line);
+    ctl::add_node_commands(line);
+    ctl::add_customer_commands(line);
+    ctl::add_request_commands(line);
+    ctl::add_wait_command(line);
+    ctl::add_object_commands(line);
     if (auto status = parser.try_parse(argc, argv))
         return *status;
-    if (digest_command->parsed())
+    if (!line.chosen)
     {
-        std::cout << configuration::api_key_digest(api_key) << '\n';
-        return exit_done;
+        std::cerr << "jasminepierctl: a command is required; see --help\n";
+        return ctl::exit_usage;
     }
-    platform::http_object_store store(settings);
-    return put(store, kind, name);
+    base::configure_logging(parser.level());
+    current.format = format == "json" ? ctl::output_format::json : ctl::output_format::table;
+    return line.chosen(current);
 }
--- /dev/null
+++ b/utilities/ctl/table.hpp
@@ -0,0 +1,26 @@
+/// Output of lists as aligned columns or as JSON.
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace jasminepier::ctl
+{
+
+enum class output_format
+{
+    table,
+    json,
+};
+
+struct table
+{
+    std::vector<std::string> columns;
+    std::vector<std::vector<std::string>> rows;
+};
+
+/// Writes `content`; in JSON it is {"items":[{column: value}]}.
+void write(std::ostream& out, output_format format, table const& content);
+
+} // namespace jasminepier::ctl
