--- /dev/null
+++ b/benchmarks/metrics_cost.cpp
@@ -0,0 +1,88 @@
+/// Nanoseconds per observation: the histogram of libraries/metrics and, in the same run, a mutex
+/// around a plain histogram. Rounds alternate between the two; the median of the rounds is printed.
+#include "metrics/instruments.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace
+{
+
+using namespace jasminepier;
+
+constexpr std::array bounds{0.005, 0.01, 0.02, 0.03, 0.038, 0.05, 0.075, 0.1, 0.152, 0.3, 1.0, 5.0};
+constexpr int observations = 200000;
+constexpr int rounds = 15;
+
+/// What the library is compared with: one lock per observation.
+class locked_histogram
+{
+public:
+    void observe(std::chrono::microseconds value)
+    {
+        std::lock_guard lock(m_mutex);
+        auto const seconds = static_cast<double>(value.count()) / 1e6;
+        auto const at = std::lower_bound(bounds.begin(), bounds.end(), seconds) - bounds.begin();
+        ++m_counts[static_cast<std::size_t>(at)];
+        m_sum += seconds;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::array<std::uint64_t, bounds.size() + 1> m_counts{};
+    double m_sum = 0;
+};
+
+template <class Histogram>
+double nanoseconds_per_observation(Histogram& target, int threads)
+{
+    auto const start = std::chrono::steady_clock::now();
+    std::vector<std::thread> workers;
+    for (int worker = 0; worker < threads; ++worker)
+        workers.emplace_back(
+            [&target, worker]
+            {
+                for (int i = 0; i < observations; ++i)
+                    target.observe(std::chrono::microseconds((i * 37 + worker) % 200000));
+            });
+    for (auto& worker : workers)
+        worker.join();
+    auto const elapsed = std::chrono::steady_clock::now() - start;
+    return std::chrono::duration<double, std::nano>(elapsed).count() / observations;
+}
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+void compare(int threads)
+{
+    std::vector<double> atomic_times;
+    std::vector<double> locked_times;
+    for (int round = 0; round < rounds; ++round)
+    {
+        metrics::duration_histogram atomic_histogram(bounds);
+        locked_histogram locked;
+        atomic_times.push_back(nanoseconds_per_observation(atomic_histogram, threads));
+        locked_times.push_back(nanoseconds_per_observation(locked, threads));
+    }
+    std::printf("threads=%d atomic_ns=%.1f mutex_ns=%.1f\n", threads, median(atomic_times),
+                median(locked_times));
+}
+
+} // namespace
+
+int main()
+{
+    for (int const threads : {1, 2, 4, 8})
+        compare(threads);
+    // A token costs two observations at most: its gap and, at the end of the request, its share.
+    std::printf("tokens per second at full size: 13500\n");
+}
