Metrics: Divide histograms into shards by thread

Cause: with 8 threads on one series an observation took 922 ns, because all threads wrote to the same cache lines.

--- a/libraries/metrics/instruments.cpp
+++ b/libraries/metrics/instruments.cpp
@@ -4,8 +4,9 @@
 {
 
 duration_histogram::duration_histogram(std::span<double const> bounds)
-    : m_counts(std::tuple(bound_axis(edges(bounds))))
 {
+    for (auto& target : m_shards)
+        target.counts = decltype(target.counts)(std::tuple(bound_axis(edges(bounds))));
 }
 
 std::vector<double> duration_histogram::edges(std::span<double const> bounds)
@@ -19,13 +20,21 @@
 
 std::vector<std::uint64_t> duration_histogram::counts() const
 {
-    std::vector<std::uint64_t> counts;
-    auto const bins = m_counts.axis().size();
-    counts.reserve(static_cast<std::size_t>(bins) + 1);
+    auto const bins = m_shards.front().counts.axis().size();
+    std::vector<std::uint64_t> counts(static_cast<std::size_t>(bins) + 1);
     // Index `bins` is the overflow bin.
-    for (int i = 0; i <= bins; ++i)
-        counts.push_back(m_counts.at(i).value());
+    for (auto const& source : m_shards)
+        for (int i = 0; i <= bins; ++i)
+            counts[static_cast<std::size_t>(i)] += source.counts.at(i).value();
     return counts;
 }
 
+double duration_histogram::sum_seconds() const noexcept
+{
+    std::int64_t microseconds_total = 0;
+    for (auto const& source : m_shards)
+        microseconds_total += source.sum.load(std::memory_order_relaxed);
+    return static_cast<double>(microseconds_total) / 1e6;
+}
+
 } // namespace jasminepier::metrics
