Control: Run membership, distribution and load collection

Cause: every control process watched the platform and polled every server; nothing noticed a dead node, and an entry process served on without its control process. Change: gossip agent, pulls, member list exchange, platform reading by watchers, one observer per server with parallel polls, leaving gossiped before exit; entry control_link stops admission after 10 s without control or when isolated, and address answers list live and ready members.

--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -87,6 +87,11 @@
 
 } // namespace
 
+bool valid_record(member_record const& record)
+{
+    return valid(record);
+}
+
 std::string encode_datagram(gossip_datagram const& message)
 {
     auto const buffer = std::make_shared<TMemoryBuffer>();
--- a/libraries/inner_protocol/datagram.hpp
+++ b/libraries/inner_protocol/datagram.hpp
@@ -26,6 +26,9 @@
 /// are empty or too long, and hosts that are not IP addresses.
 base::result<gossip_datagram> decode_datagram(std::string_view bytes);
 
+/// Checks a record that came over a call instead of a datagram.
+bool valid_record(member_record const& record);
+
 /// A bound UDP socket for datagrams. Sending and receiving may happen on different threads.
 class datagram_socket
 {
--- a/libraries/membership/failure_detector.cpp
+++ b/libraries/membership/failure_detector.cpp
@@ -87,7 +87,7 @@
     {
         m_next_dead_probe = now + m_settings.dead_probe_interval;
         if (m_settings.use_dead_probes)
-            probe_dead(now, out);
+            probe_dead(out);
         forget(now);
     }
     auto const target = next_target();
@@ -183,7 +183,7 @@
     }
 }
 
-void failure_detector::probe_dead(base::time_point, std::vector<outgoing>& out)
+void failure_detector::probe_dead(std::vector<outgoing>& out)
 {
     std::vector<member_record const*> dead;
     for (auto const& [id, known] : m_table)
@@ -255,6 +255,12 @@
     raise_incarnation(m_self.incarnation);
 }
 
+void failure_detector::stay()
+{
+    m_self.state = member_state::alive;
+    raise_incarnation(m_self.incarnation);
+}
+
 void failure_detector::set_ready(bool ready)
 {
     if (m_self.ready == ready)
--- a/libraries/membership/failure_detector.hpp
+++ b/libraries/membership/failure_detector.hpp
@@ -80,6 +80,8 @@
     void set_contacts(std::vector<contact> contacts);
     /// Announces that this node stops; the state is kept until the process ends.
     void leave();
+    /// Takes an announced stop back, for an entry process that was replaced without its VM.
+    void stay();
     void set_ready(bool ready);
     void set_applied_revision(std::int64_t revision);
     void set_configuration_revision(std::int64_t revision);
@@ -98,6 +100,10 @@
     std::optional<base::time_point> last_contact() const noexcept { return m_last_contact; }
     /// Peers taken for live when a peer last answered.
     std::size_t live_at_last_contact() const noexcept { return m_live_at_contact; }
+    /// True when the last datagram came from a peer with the same member list.
+    bool settled() const noexcept { return m_last_contact && !m_differs_since; }
+    /// Returns an empty notice for `to`, to which the caller adds load digests.
+    outgoing make_notice(member_record const& to) const;
     std::size_t pending_updates() const noexcept { return m_queue.size(); }
     std::int64_t pauses() const noexcept { return m_pauses; }
 
@@ -133,7 +139,7 @@
     void accuse(base::time_point now, std::string const& target, std::vector<outgoing>& out);
     void expire_suspicions(base::time_point now);
     void probe_contacts(std::vector<outgoing>& out);
-    void probe_dead(base::time_point now, std::vector<outgoing>& out);
+    void probe_dead(std::vector<outgoing>& out);
     void announce(base::time_point now, std::vector<outgoing>& out);
     void forget(base::time_point now);
     void check_claims(base::time_point now, std::vector<outgoing>& out);
--- a/libraries/membership/failure_detector_messages.cpp
+++ b/libraries/membership/failure_detector_messages.cpp
@@ -183,16 +183,25 @@
                             std::int64_t sequence, std::vector<outgoing>& out,
                             std::string const& target)
 {
-    gossip_datagram message;
-    message.kind = kind;
-    message.sender = m_self.node_id;
-    message.sequence = sequence;
-    message.target = kind == datagram_kind::ping_request ? target : to.node_id;
-    message.configuration_revision = m_configuration_revision;
-    message.sender_incarnation = m_self.incarnation;
-    message.members_hash = members_hash();
-    fill(message, to);
-    out.push_back({to.host, to.gossip_port, std::move(message)});
+    auto sent = make_notice(to);
+    sent.message.kind = kind;
+    sent.message.sequence = sequence;
+    if (kind == datagram_kind::ping_request)
+        sent.message.target = target;
+    fill(sent.message, to);
+    out.push_back(std::move(sent));
+}
+
+outgoing failure_detector::make_notice(member_record const& to) const
+{
+    outgoing made{to.host, to.gossip_port, {}};
+    made.message.kind = datagram_kind::notice;
+    made.message.sender = m_self.node_id;
+    made.message.target = to.node_id;
+    made.message.configuration_revision = m_configuration_revision;
+    made.message.sender_incarnation = m_self.incarnation;
+    made.message.members_hash = members_hash();
+    return made;
 }
 
 void failure_detector::fill(gossip_datagram& message, member_record const& to)
--- a/libraries/membership/revision_sync.cpp
+++ b/libraries/membership/revision_sync.cpp
@@ -60,7 +60,7 @@
 {
     if (!seen.configuration_merged)
         return false;
-    return !seen.peers_named || seen.last_peer_contact || now - seen.started >= peer_answer_wait;
+    return !seen.peers_listed || seen.last_peer_contact || now - seen.started >= peer_answer_wait;
 }
 
 bool node_isolated(base::time_point now, reach const& seen) noexcept
--- a/libraries/membership/revision_sync.hpp
+++ b/libraries/membership/revision_sync.hpp
@@ -64,8 +64,10 @@
 struct reach
 {
     base::time_point started;
-    /// Peers known from the node list or the seeds, this node excluded.
+    /// The node list or the seeds name peers.
     bool peers_named = false;
+    /// The node list names peers, so that the configuration may be in force elsewhere.
+    bool peers_listed = false;
     bool configuration_merged = false;
     /// A peer has answered since the start.
     std::optional<base::time_point> last_peer_contact;
--- a/meta/demo.sh
+++ b/meta/demo.sh
@@ -43,7 +43,7 @@
     put node "node-$i" "{\"zone\":\"$zone\",\"host\":\"127.0.0.1\",\"gossip_port\":$((base + 300 + i)),\"control_port\":$((base + 400 + i)),\"entry_port\":$((base + 500 + i)),\"entry_peer_port\":$((base + 600 + i))}"
 done
 for i in 1 2 3; do
-    start "control-$i" "$build/jasminepier-control" --node-id "node-$i" --control-port $((base + 400 + i)) --platform-port "$base"
+    start "control-$i" "$build/jasminepier-control" --node-id "node-$i" --zone "${zones[$((i - 1))]}" --gossip-port $((base + 300 + i)) --control-port $((base + 400 + i)) --entry-port $((base + 500 + i)) --entry-peer-port $((base + 600 + i)) --seeds "127.0.0.1:$((base + 301)),127.0.0.1:$((base + 302))" --platform-port "$base"
     start "entry-$i" "$build/jasminepier-entry" --entry-port $((base + 500 + i)) --control-port $((base + 400 + i))
 done
 for i in 1 2 3; do
--- a/services/control/control_handler.cpp
+++ b/services/control/control_handler.cpp
@@ -1,19 +1,43 @@
 #include "services/control/control_handler.hpp"
 
+#include <algorithm>
+
 namespace jasminepier::control
 {
+namespace
+{
+
+// The entry process reports every 200 ms; after this silence it has ended.
+constexpr base::milliseconds entry_silence{2000};
+// A list longer than twice the largest fleet is not one of ours.
+constexpr std::size_t maximum_members = 4096;
+
+base::time_point now()
+{
+    return base::steady_clock_source{}.now();
+}
+
+} // namespace
 
 void control_handler::exchange(inner_protocol::control_update& update,
                                inner_protocol::entry_report const& report)
 {
+    m_last_report = now();
+    m_entry_leaving = report.leaving;
     m_state.set_applied_revision(report.applied_revision);
+    m_agent.set_leaving(m_stopping || report.leaving);
+    m_agent.add_crashes(report.crashes);
+    // Read before the objects: an object merged in between is sent again, never missed.
     update.revision = m_state.revision();
     for (auto const& changed : m_state.objects_since(report.known_revision))
         update.objects.push_back(inner_protocol::to_thrift(changed));
     auto [sequence, loads] = m_state.loads_since(report.known_load_sequence);
     update.load_sequence = sequence;
     update.loads = std::move(loads);
-    update.ready = update.revision > 0;
+    update.members = m_agent.members();
+    update.crashes = m_agent.crashes();
+    update.isolated = m_agent.isolated();
+    update.ready = m_agent.ready();
 }
 
 void control_handler::pull_configuration(inner_protocol::configuration_page& page,
@@ -26,16 +50,27 @@
 
 void control_handler::node_status(inner_protocol::node_status_reply& reply)
 {
-    reply.node_id = m_node_id;
+    reply.node_id = m_agent.self().node_id;
     reply.configuration_revision = m_state.revision();
     reply.applied_revision = m_state.applied_revision();
-    reply.ready = reply.configuration_revision > 0;
+    reply.ready = m_agent.ready();
+    reply.isolated = m_agent.isolated();
+    reply.members = m_agent.members();
     reply.loads = m_state.loads_since(0).second;
+    reply.watching_platform = m_state.watching_platform();
+}
+
+void control_handler::exchange_members(std::vector<inner_protocol::member_record>& known,
+                                       std::vector<inner_protocol::member_record> const& received)
+{
+    if (received.size() <= maximum_members &&
+        std::all_of(received.begin(), received.end(), inner_protocol::valid_record))
+        known = m_agent.exchange(received);
 }
 
-void control_handler::exchange_members(std::vector<inner_protocol::member_record>&,
-                                       std::vector<inner_protocol::member_record> const&)
+bool control_handler::entry_draining() const noexcept
 {
+    return m_entry_leaving && now() - m_last_report.load() < entry_silence;
 }
 
 } // namespace jasminepier::control
--- a/services/control/control_handler.hpp
+++ b/services/control/control_handler.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "inner_protocol/rpc.hpp"
-#include "services/control/control_state.hpp"
+#include "services/control/node_agent.hpp"
+
+#include <atomic>
 
 namespace jasminepier::control
 {
@@ -10,10 +12,7 @@
 class control_handler : public inner_protocol::control_nodeIf
 {
 public:
-    control_handler(control_state& state, std::string node_id)
-        : m_state(state), m_node_id(std::move(node_id))
-    {
-    }
+    control_handler(control_state& state, node_agent& agent) : m_state(state), m_agent(agent) {}
 
     void exchange(inner_protocol::control_update& update,
                   inner_protocol::entry_report const& report) override;
@@ -23,9 +22,17 @@
     void exchange_members(std::vector<inner_protocol::member_record>& known,
                           std::vector<inner_protocol::member_record> const& received) override;
 
+    /// Set once this process was asked to stop: the node stays leaving whatever the entry says.
+    void set_stopping() noexcept { m_stopping = true; }
+    /// True while a leaving entry process still reports, so that its streams may need this process.
+    bool entry_draining() const noexcept;
+
 private:
     control_state& m_state;
-    std::string m_node_id;
+    node_agent& m_agent;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_entry_leaving{false};
+    std::atomic<base::time_point> m_last_report{base::time_point{}};
 };
 
 } // namespace jasminepier::control
--- a/services/control/control_state.cpp
+++ b/services/control/control_state.cpp
@@ -2,12 +2,40 @@
 
 namespace jasminepier::control
 {
+namespace
+{
+
+// Observers report every second; a digest this old comes from an observer that has stopped.
+constexpr base::milliseconds digest_lifetime{5000};
+
+} // namespace
 
-void control_state::merge(std::span<platform::object const> objects)
+void control_state::merge_listing(std::vector<configuration::kind_listing> const& listings)
 {
     std::lock_guard lock(m_mutex);
-    if (m_store.merge(objects))
-        m_snapshot = configuration::build_snapshot(m_store, m_snapshot.get());
+    if (m_replica.merge_listing(listings))
+        rebuild();
+}
+
+void control_state::merge_watch(std::int64_t from, platform::object_page const& page)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_replica.merge_watch(from, page))
+        rebuild();
+}
+
+void control_state::merge_peer(std::int64_t since, inner_protocol::configuration_page const& page)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_replica.merge_peer(since, page.revision, inner_protocol::from_thrift(page.objects)))
+        rebuild();
+}
+
+void control_state::rebuild()
+{
+    m_snapshot = configuration::build_snapshot(m_replica.store(), m_snapshot.get());
+    std::erase_if(m_loads,
+                  [this](auto const& entry) { return !m_snapshot->servers.contains(entry.first); });
 }
 
 configuration::snapshot_ptr control_state::snapshot() const
@@ -19,30 +47,48 @@
 std::int64_t control_state::revision() const
 {
     std::lock_guard lock(m_mutex);
-    return m_store.revision();
+    return m_replica.confirmed_revision();
 }
 
 std::vector<platform::object> control_state::objects_since(std::int64_t revision) const
 {
     std::lock_guard lock(m_mutex);
-    return m_store.since(revision);
+    return m_replica.since(revision);
+}
+
+std::int64_t control_state::complete_through() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica.complete_through();
 }
 
 void control_state::set_load(inner_protocol::load_digest const& digest)
 {
+    auto const now = base::steady_clock_source{}.now();
     std::lock_guard lock(m_mutex);
-    auto& entry = m_loads[digest.server_id];
-    entry = {++m_load_sequence, digest};
+    auto& held = m_loads[digest.server_id];
+    // Sequences are wall-clock times of the observer. A new observer's clock may be behind, so an
+    // old digest gives way to any.
+    if (held.order > 0 && digest.sequence <= held.digest.sequence &&
+        now - held.received < digest_lifetime)
+        return;
+    held = {++m_load_sequence, now - base::milliseconds(digest.age_milliseconds), digest};
 }
 
 std::pair<std::int64_t, std::vector<inner_protocol::load_digest>>
 control_state::loads_since(std::int64_t sequence) const
 {
+    auto const now = base::steady_clock_source{}.now();
     std::lock_guard lock(m_mutex);
     std::vector<inner_protocol::load_digest> newer;
-    for (auto const& [server, entry] : m_loads)
-        if (entry.first > sequence)
-            newer.push_back(entry.second);
+    for (auto const& [server, held] : m_loads)
+    {
+        if (held.order <= sequence)
+            continue;
+        newer.push_back(held.digest);
+        newer.back().age_milliseconds = static_cast<std::int32_t>(
+            std::chrono::duration_cast<base::milliseconds>(now - held.received).count());
+    }
     return {m_load_sequence, newer};
 }
 
@@ -58,4 +104,28 @@
     return m_applied_revision;
 }
 
+void control_state::note_platform_contact(base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    m_platform_contact = now;
+}
+
+std::optional<base::time_point> control_state::last_platform_contact() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_platform_contact;
+}
+
+void control_state::set_watching_platform(bool watching)
+{
+    std::lock_guard lock(m_mutex);
+    m_watching_platform = watching;
+}
+
+bool control_state::watching_platform() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_watching_platform;
+}
+
 } // namespace jasminepier::control
--- a/services/control/control_state.hpp
+++ b/services/control/control_state.hpp
@@ -1,11 +1,14 @@
 /// Tables of the control process, shared by its threads.
 #pragma once
 
+#include "base/clock.hpp"
+#include "configuration/replica.hpp"
 #include "configuration/snapshot.hpp"
 #include "inner_protocol/conversion.hpp"
 
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace jasminepier::control
 {
@@ -15,27 +18,48 @@
 class control_state
 {
 public:
-    /// Merges objects; the snapshot is rebuilt when any was newer.
-    void merge(std::span<platform::object const> objects);
+    /// Each merge rebuilds the snapshot when anything was newer.
+    void merge_listing(std::vector<configuration::kind_listing> const& listings);
+    void merge_watch(std::int64_t from, platform::object_page const& page);
+    void merge_peer(std::int64_t since, inner_protocol::configuration_page const& page);
     configuration::snapshot_ptr snapshot() const;
+    /// The revision through which the configuration is complete; peers compare this one.
     std::int64_t revision() const;
+    /// The version from which the platform may be watched.
+    std::int64_t complete_through() const;
     std::vector<platform::object> objects_since(std::int64_t revision) const;
 
+    /// Stores a digest unless a newer one of the server is held.
     void set_load(inner_protocol::load_digest const& digest);
-    /// Returns the digests stored after `sequence`, and the latest sequence.
+    /// Returns the digests stored after `sequence`, with their present age, and the latest
+    /// sequence.
     std::pair<std::int64_t, std::vector<inner_protocol::load_digest>>
     loads_since(std::int64_t sequence) const;
 
     void set_applied_revision(std::int64_t revision);
     std::int64_t applied_revision() const;
+    void note_platform_contact(base::time_point now);
+    std::optional<base::time_point> last_platform_contact() const;
+    void set_watching_platform(bool watching);
+    bool watching_platform() const;
 
 private:
+    struct held_load
+    {
+        std::int64_t order = 0;
+        base::time_point received;
+        inner_protocol::load_digest digest;
+    };
+    void rebuild();
+
     mutable std::mutex m_mutex;
-    configuration::versioned_store m_store;
+    configuration::replica m_replica;
     configuration::snapshot_ptr m_snapshot = std::make_shared<configuration::snapshot>();
-    std::map<std::string, std::pair<std::int64_t, inner_protocol::load_digest>> m_loads;
+    std::map<std::string, held_load> m_loads;
     std::int64_t m_load_sequence = 0;
     std::int64_t m_applied_revision = 0;
+    std::optional<base::time_point> m_platform_contact;
+    bool m_watching_platform = false;
 };
 
 } // namespace jasminepier::control
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -5,39 +5,158 @@
 #include "platform/http_object_store.hpp"
 #include "services/control/control_handler.hpp"
 #include "services/control/load_collector.hpp"
+#include "services/control/peer_exchange.hpp"
 #include "services/control/platform_watcher.hpp"
 
-int main(int argc, char** argv)
+#include <Poco/Net/IPAddress.h>
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+
+#include <thread>
+
+namespace
+{
+
+using namespace jasminepier;
+
+// Time in which a leaving state reaches every node: each round takes a second, and announcements
+// spread to 400 nodes in less than three.
+constexpr std::chrono::milliseconds leaving_gossip_time{3000};
+// One long poll; a success shows that the platform is in reach, and an isolated node must notice
+// the loss of both peers and platform within 10 s.
+constexpr std::chrono::milliseconds watch_time{5000};
+
+struct control_settings
 {
-    using namespace jasminepier;
-    base::block_stop_signals();
-    base::settings_parser parser("Control process of a jasminepier entry VM",
-                                 "jasminepier-control");
     std::string node_id = "node-1";
     std::string host = "127.0.0.1";
+    std::string region = "local";
+    std::string zone = "zone-a";
+    std::uint16_t gossip_port = 7000;
     std::uint16_t control_port = 7002;
-    platform::http_object_store_settings platform_settings;
-    platform_settings.port = 9000;
-    parser.add("node-id", node_id, "Name of this entry VM, unique among entry VMs");
-    parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
-    parser.add_port("control-port", control_port, "Port for peers and the local entry process");
-    parser.add("platform-host", platform_settings.host, "IP address of the platform's object API")
+    std::uint16_t entry_port = 7001;
+    std::uint16_t entry_peer_port = 7003;
+    std::string seeds;
+    platform::http_object_store_settings platform;
+};
+
+/// Parses addresses separated by commas. Fails with invalid_setting and names the bad one.
+base::result<std::vector<membership::contact>> parse_seeds(std::string const& text)
+{
+    std::vector<membership::contact> seeds;
+    for (auto const& part : Poco::StringTokenizer(
+             text, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY))
+    {
+        auto const colon = part.rfind(':');
+        Poco::Net::IPAddress address;
+        unsigned port = 0;
+        if (colon == std::string::npos ||
+            !Poco::Net::IPAddress::tryParse(part.substr(0, colon), address) ||
+            !Poco::NumberParser::tryParseUnsigned(part.substr(colon + 1), port) || port < 1 ||
+            port > 65535)
+            return base::fail(base::error_kind::invalid_setting,
+                              "'" + part + "' is not allowed; use IP-ADDRESS:PORT");
+        seeds.push_back({"", address.toString(), static_cast<int>(port)});
+    }
+    return seeds;
+}
+
+std::string check_seeds(std::string const& text)
+{
+    return base::handle(
+        [&]() -> base::result<std::string>
+        {
+            BOOST_LEAF_CHECK(parse_seeds(text));
+            return std::string();
+        },
+        [](base::error const& failure) { return failure.message; });
+}
+
+void define(base::settings_parser& parser, control_settings& settings)
+{
+    parser.add("node-id", settings.node_id, "Name of this entry VM, unique among entry VMs");
+    parser.add("host", settings.host, "IP address of this entry VM")->check(base::ip_address());
+    parser.add("region", settings.region, "Region of this entry VM");
+    parser.add("zone", settings.zone, "Availability zone of this entry VM");
+    parser.add_port("gossip-port", settings.gossip_port, "UDP port for other control processes");
+    parser.add_port("control-port", settings.control_port,
+                    "Port for peers and the local entry process");
+    parser.add_port("entry-port", settings.entry_port, "Port of the entry process for callers");
+    parser.add_port("entry-peer-port", settings.entry_peer_port,
+                    "Port of the entry process for other entry processes");
+    parser
+        .add("seeds", settings.seeds,
+             "Gossip addresses (IP:PORT) of entry VMs to join, separated by commas")
+        ->check(CLI::Validator(check_seeds, ""));
+    parser.add("platform-host", settings.platform.host, "IP address of the platform's object API")
         ->check(base::ip_address());
-    parser.add_port("platform-port", platform_settings.port, "Port of the platform's object API");
+    parser.add_port("platform-port", settings.platform.port, "Port of the platform's object API");
+    parser.require_distinct_ports({{"control-port", &settings.control_port},
+                                   {"entry-port", &settings.entry_port},
+                                   {"entry-peer-port", &settings.entry_peer_port}});
+}
+
+inner_protocol::member_record own_record(control_settings const& settings)
+{
+    inner_protocol::member_record self;
+    self.node_id = settings.node_id;
+    // Wall-clock seconds put each life of a node above the previous one.
+    self.incarnation = base::unix_seconds();
+    self.region = settings.region;
+    self.zone = settings.zone;
+    self.host = settings.host;
+    self.gossip_port = settings.gossip_port;
+    self.control_port = settings.control_port;
+    self.entry_port = settings.entry_port;
+    self.entry_peer_port = settings.entry_peer_port;
+    return self;
+}
+
+std::vector<membership::contact> seeds_of(control_settings const& settings)
+{
+    return base::handle([&] { return parse_seeds(settings.seeds); },
+                        [](base::error const&) { return std::vector<membership::contact>(); });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    base::block_stop_signals();
+    base::settings_parser parser("Control process of a jasminepier entry VM",
+                                 "jasminepier-control");
+    control_settings settings;
+    settings.platform.port = 9000;
+    settings.platform.watch_timeout = watch_time;
+    define(parser, settings);
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
 
-    platform::http_object_store store(platform_settings);
+    platform::http_object_store store(settings.platform);
     control::control_state state;
-    control::platform_watcher watcher(store, state);
+    control::node_agent agent(state, own_record(settings), seeds_of(settings));
+    control::platform_watcher watcher(store, state, agent);
+    control::load_collector collector(state, agent);
+    auto const handler = std::make_shared<control::control_handler>(state, agent);
     inner_protocol::rpc_server const server(
-        std::make_shared<inner_protocol::control_nodeProcessor>(
-            std::make_shared<control::control_handler>(state, node_id)),
-        host, control_port);
-    base::background_thread const watching(std::chrono::milliseconds(200), [&] { watcher.step(); });
-    base::background_thread const collecting(std::chrono::milliseconds(1000),
-                                             [&] { control::collect_loads(state); });
+        std::make_shared<inner_protocol::control_nodeProcessor>(handler), settings.host,
+        settings.control_port);
+    using thread = base::background_thread;
+    using std::chrono::milliseconds;
+    thread const gossiping(milliseconds(0), [&] { agent.step(); });
+    thread const watching(milliseconds(100), [&] { watcher.step(); });
+    thread const pulling(milliseconds(50), [&] { control::pull_configuration_step(agent, state); });
+    thread const hedging(milliseconds(100),
+                         [&] { control::pull_configuration_step(agent, state); });
+    thread const exchanging(milliseconds(200), [&] { control::exchange_members_step(agent); });
+    thread const collecting(milliseconds(1000), [&] { collector.step(); });
     base::wait_for_stop_signal();
+    handler->set_stopping();
+    agent.set_leaving(true);
+    std::this_thread::sleep_for(leaving_gossip_time);
+    // The entry process needs this one until its last stream has ended.
+    while (handler->entry_draining())
+        std::this_thread::sleep_for(milliseconds(100));
     std::_Exit(0);
 }
--- a/services/control/platform_watcher.hpp
+++ b/services/control/platform_watcher.hpp
@@ -1,8 +1,11 @@
-/// Keeps the control process's configuration up to date from the platform.
+/// Reads the configuration from the platform while this node is to do so.
 #pragma once
 
 #include "base/log.hpp"
-#include "services/control/control_state.hpp"
+#include "membership/revision_sync.hpp"
+#include "services/control/node_agent.hpp"
+
+#include <random>
 
 namespace jasminepier::control
 {
@@ -11,52 +14,68 @@
 class platform_watcher
 {
 public:
-    platform_watcher(Store& store, control_state& state) : m_store(store), m_state(state) {}
+    platform_watcher(Store& store, control_state& state, node_agent& agent)
+        : m_store(store), m_state(state), m_agent(agent), m_random(std::random_device{}())
+    {
+    }
 
-    /// Lists everything once, then waits for changes. Called again and again.
+    /// Lists everything once, then waits for changes. Called again and again by one thread.
     void step()
     {
-        base::handle([this]() -> base::result<void> { return m_listed ? watch() : list(); },
-                     [this](base::error const& failure)
-                     {
-                         // A version that is too old to watch from needs a new list.
-                         m_listed = m_listed && failure.kind != base::error_kind::conflict;
-                         base::log_line(base::log_level::warning, "platform_read_failed")
-                             .field("kind", base::to_string(failure.kind))
-                             .field("reason", failure.message);
-                     });
+        bool const reads = m_agent.reads_platform();
+        m_state.set_watching_platform(reads);
+        if (!reads || !m_backoff.may_call(clock.now()))
+            return;
+        base::handle(
+            [this]() -> base::result<void>
+            {
+                BOOST_LEAF_CHECK(m_listed ? watch() : list());
+                m_backoff.succeeded();
+                m_state.note_platform_contact(clock.now());
+                return {};
+            },
+            [this](base::error const& failure)
+            {
+                m_backoff.failed(clock.now(), m_random);
+                // A version that is too old to watch from needs a new list.
+                m_listed = m_listed && failure.kind != base::error_kind::conflict;
+                base::log_line(base::log_level::warning, "platform_read_failed")
+                    .field("kind", base::to_string(failure.kind))
+                    .field("reason", failure.message);
+            });
     }
 
 private:
+    static constexpr base::steady_clock_source clock{};
+
     base::result<void> list()
     {
-        std::int64_t version = -1;
-        std::vector<platform::object> objects;
+        std::vector<configuration::kind_listing> listings;
         for (auto const& kind : configuration::distributed_kinds())
         {
             BOOST_LEAF_AUTO(page, m_store.list(kind));
-            // Watching from the oldest of the listed versions misses no change between the lists.
-            version = version < 0 ? page.version : std::min(version, page.version);
-            objects.insert(objects.end(), page.objects.begin(), page.objects.end());
+            listings.push_back({kind, std::move(page)});
         }
         // Merged at once: a node that serves with some kinds missing refuses known customers.
-        m_state.merge(objects);
-        m_version = version;
+        m_state.merge_listing(listings);
         m_listed = true;
         return {};
     }
 
     base::result<void> watch()
     {
-        BOOST_LEAF_AUTO(page, m_store.watch(m_version, configuration::distributed_kinds()));
-        m_state.merge(page.objects);
-        m_version = std::max(m_version, page.version);
+        // A node that becomes a watcher again continues from what peers have brought since.
+        auto const from = m_state.complete_through();
+        BOOST_LEAF_AUTO(page, m_store.watch(from, configuration::distributed_kinds()));
+        m_state.merge_watch(from, page);
         return {};
     }
 
     Store& m_store;
     control_state& m_state;
-    std::int64_t m_version = 0;
+    node_agent& m_agent;
+    base::random_source m_random;
+    membership::watch_backoff m_backoff;
     bool m_listed = false;
 };
 
--- /dev/null
+++ b/services/entry/control_link.cpp
@@ -0,0 +1,121 @@
+#include "services/entry/control_link.hpp"
+
+#include "base/log.hpp"
+
+namespace jasminepier::entry
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds call_timeout{1000};
+
+base::time_point now()
+{
+    return base::steady_clock_source{}.now();
+}
+
+} // namespace
+
+control_link::control_link(entry_state& state, std::string host, std::uint16_t control_port)
+    : m_state(state), m_control(std::move(host), control_port, call_timeout)
+{
+}
+
+void control_link::exchange()
+{
+    auto const report = make_report();
+    base::handle(
+        [&]() -> base::result<void>
+        {
+            BOOST_LEAF_AUTO(update, m_control.call(
+                                        [&](inner_protocol::control_nodeClient& client)
+                                        {
+                                            inner_protocol::control_update received;
+                                            client.exchange(received, report);
+                                            return received;
+                                        }));
+            apply(update, report.crashes.size());
+            return {};
+        },
+        [](base::error const& failure)
+        {
+            base::log_line(base::log_level::warning, "control_unreachable")
+                .field("reason", failure.message);
+        });
+}
+
+inner_protocol::entry_report control_link::make_report() const
+{
+    std::lock_guard lock(m_mutex);
+    inner_protocol::entry_report report;
+    report.applied_revision = m_known_revision;
+    report.known_revision = m_known_revision;
+    report.known_load_sequence = m_known_load_sequence;
+    report.leaving = m_leaving;
+    report.running_streams = m_running_streams;
+    report.crashes = m_unreported;
+    report.ready = m_state.ready();
+    return report;
+}
+
+void control_link::apply(inner_protocol::control_update const& update, std::size_t reported_crashes)
+{
+    m_state.apply(update);
+    std::lock_guard lock(m_mutex);
+    // The revision is the one through which the control process is complete. The highest version
+    // received says nothing about gaps below it. A control process that has restarted may be
+    // behind.
+    m_known_revision = std::max(m_known_revision, update.revision);
+    // Load sequences start over with the control process.
+    m_known_load_sequence = update.load_sequence;
+    m_members = update.members;
+    m_crashes = update.crashes;
+    m_isolated = update.isolated;
+    m_unreported.erase(m_unreported.begin(),
+                       m_unreported.begin() + static_cast<std::ptrdiff_t>(reported_crashes));
+    m_last_answer = now();
+}
+
+base::result<void> control_link::check_admission() const
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_last_answer || now() - *m_last_answer >= control_loss_limit)
+        return base::fail(base::error_kind::node_isolated,
+                          "the control process of this node does not answer");
+    if (m_isolated)
+        return base::fail(base::error_kind::node_isolated,
+                          "this node reaches neither the platform nor other nodes");
+    return {};
+}
+
+std::vector<inner_protocol::member_record> control_link::members() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_members;
+}
+
+std::vector<inner_protocol::crash_record> control_link::crashes() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_crashes;
+}
+
+void control_link::set_leaving(bool leaving)
+{
+    std::lock_guard lock(m_mutex);
+    m_leaving = leaving;
+}
+
+void control_link::set_running_streams(int count)
+{
+    std::lock_guard lock(m_mutex);
+    m_running_streams = count;
+}
+
+void control_link::add_crash(inner_protocol::crash_record const& record)
+{
+    std::lock_guard lock(m_mutex);
+    m_unreported.push_back(record);
+}
+
+} // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/control_link.hpp
@@ -0,0 +1,63 @@
+/// The entry process's connection to its control process.
+#pragma once
+
+#include "base/clock.hpp"
+#include "inner_protocol/rpc.hpp"
+#include "services/entry/entry_state.hpp"
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jasminepier::entry
+{
+
+/// Without its control process for this long, the entry process cannot know of zones that were
+/// taken out of service and admits no new work.
+inline constexpr base::milliseconds control_loss_limit{10000};
+
+/// Exchanges reports and updates with the control process. `exchange` is called by one thread; all
+/// other functions may be called by any.
+class control_link
+{
+public:
+    control_link(entry_state& state, std::string host, std::uint16_t control_port);
+
+    /// Sends a report and applies the answer. Failures are logged and counted as silence.
+    void exchange();
+
+    /// Fails with node_isolated while new work must not be admitted: the control process has been
+    /// silent for too long, or says that this node is isolated.
+    base::result<void> check_admission() const;
+
+    /// All nodes as the control process sees them, this one first; empty before the first answer.
+    std::vector<inner_protocol::member_record> members() const;
+    /// The crash records of all nodes that have not expired.
+    std::vector<inner_protocol::crash_record> crashes() const;
+
+    /// Says whether this node is leaving; gossiped from the next exchange on.
+    void set_leaving(bool leaving);
+    void set_running_streams(int count);
+    /// Reports a crash; it is sent with the next exchange that succeeds.
+    void add_crash(inner_protocol::crash_record const& record);
+
+private:
+    inner_protocol::entry_report make_report() const;
+    void apply(inner_protocol::control_update const& update, std::size_t reported_crashes);
+
+    entry_state& m_state;
+    inner_protocol::rpc_client<inner_protocol::control_nodeClient> m_control;
+    mutable std::mutex m_mutex;
+    std::vector<inner_protocol::member_record> m_members;
+    std::vector<inner_protocol::crash_record> m_crashes;
+    std::vector<inner_protocol::crash_record> m_unreported;
+    std::optional<base::time_point> m_last_answer;
+    std::int64_t m_known_revision = 0;
+    std::int64_t m_known_load_sequence = 0;
+    int m_running_streams = 0;
+    bool m_isolated = false;
+    bool m_leaving = false;
+};
+
+} // namespace jasminepier::entry
--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -6,12 +6,17 @@
 
 #include <Poco/URI.h>
 
+#include <algorithm>
+#include <random>
+#include <span>
+
 namespace jasminepier::entry
 {
 namespace
 {
 
 constexpr int address_time_to_live_seconds = 30;
+constexpr std::size_t most_addresses = 8;
 
 base::result<void> require_method(http_request const& request, std::string const& method)
 {
@@ -38,16 +43,28 @@
     return body;
 }
 
-base::json_object list_addresses(configuration::snapshot const& snapshot)
+/// Lists live, ready nodes that do not leave: those of the own zone first, then those of the own
+/// region, in an order that differs between callers so that they spread.
+base::json_object list_addresses(std::vector<inner_protocol::member_record> members)
 {
+    auto const self = members.empty() ? inner_protocol::member_record{} : members.front();
+    std::erase_if(members,
+                  [](inner_protocol::member_record const& record) {
+                      return record.state > inner_protocol::member_state::suspect || !record.ready;
+                  });
+    std::shuffle(members.begin(), members.end(), base::random_source(std::random_device{}()));
+    auto const distance = [&](inner_protocol::member_record const& record) {
+        return record.zone == self.zone ? 0 : record.region == self.region ? 1 : 2;
+    };
+    std::stable_sort(members.begin(), members.end(),
+                     [&](auto const& left, auto const& right)
+                     { return distance(left) < distance(right); });
     base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& [name, node] : snapshot.nodes)
+    for (auto const& record : std::span(members).first(std::min(members.size(), most_addresses)))
     {
-        if (node.leaving)
-            continue;
         base::json_object entry = new Poco::JSON::Object;
-        entry->set("address", node.host + ":" + std::to_string(node.entry_port));
-        entry->set("zone", node.zone);
+        entry->set("address", record.host + ":" + std::to_string(record.entry_port));
+        entry->set("zone", record.zone);
         addresses->add(entry);
     }
     base::json_object body = new Poco::JSON::Object;
@@ -93,18 +110,22 @@
     if (path == "/ready")
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (path == "/v1/entry-addresses")
-        return send_json(response, 200, list_addresses(*snapshot)), base::result<void>{};
+        return send_json(response, 200, list_addresses(m_link.members())), base::result<void>{};
     BOOST_LEAF_AUTO(customer, authenticate(request));
     if (path == "/v1/models")
         return send_json(response, 200, list_models(*snapshot)), base::result<void>{};
     if (path == "/v1/chat/completions")
     {
         BOOST_LEAF_CHECK(require_method(request, "POST"));
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return serve_completion(m_state, customer, request, response);
     }
     if (path.starts_with(service_prefix))
+    {
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return serve_plain_call(m_state, customer, path.substr(service_prefix.size()), request,
                                 response);
+    }
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -3,48 +3,15 @@
 #include "base/log.hpp"
 #include "base/settings.hpp"
 #include "base/stop_signal.hpp"
-#include "inner_protocol/rpc.hpp"
+#include "services/entry/control_link.hpp"
 #include "services/entry/front_handler.hpp"
 
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/ThreadPool.h>
 
-namespace
-{
-
-using namespace jasminepier;
-
-void exchange_with_control(inner_protocol::rpc_client<inner_protocol::control_nodeClient>& control,
-                           entry::entry_state& state)
-{
-    inner_protocol::entry_report report;
-    report.applied_revision = state.snapshot()->revision;
-    report.known_revision = report.applied_revision;
-    report.known_load_sequence = state.load_sequence();
-    base::handle(
-        [&]() -> base::result<void>
-        {
-            BOOST_LEAF_AUTO(update, control.call(
-                                        [&](inner_protocol::control_nodeClient& client)
-                                        {
-                                            inner_protocol::control_update received;
-                                            client.exchange(received, report);
-                                            return received;
-                                        }));
-            state.apply(update);
-            return {};
-        },
-        [](base::error const& failure)
-        {
-            base::log_line(base::log_level::warning, "control_unreachable")
-                .field("reason", failure.message);
-        });
-}
-
-} // namespace
-
 int main(int argc, char** argv)
 {
+    using namespace jasminepier;
     base::block_stop_signals();
     base::settings_parser parser("Serves callers on a jasminepier entry VM", "jasminepier-entry");
     std::string host = "127.0.0.1";
@@ -62,16 +29,16 @@
     base::configure_logging(parser.level());
 
     entry::entry_state state;
-    inner_protocol::rpc_client<inner_protocol::control_nodeClient> control(
-        host, control_port, std::chrono::milliseconds(1000));
+    entry::control_link link(state, host, control_port);
     base::background_thread const exchanging(std::chrono::milliseconds(200),
-                                             [&] { exchange_with_control(control, state); });
+                                             [&] { link.exchange(); });
     Poco::ThreadPool pool(16, workers);
     auto* parameters = new Poco::Net::HTTPServerParams;
     parameters->setMaxThreads(workers);
     parameters->setMaxQueued(workers);
     Poco::Net::ServerSocket const socket(Poco::Net::SocketAddress(host, entry_port), 1024);
-    Poco::Net::HTTPServer server(new entry::front_handler_factory(state), pool, socket, parameters);
+    Poco::Net::HTTPServer server(new entry::front_handler_factory(state, link), pool, socket,
+                                 parameters);
     server.start();
     base::wait_for_stop_signal();
     server.stopAll(false);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -22,6 +22,13 @@
     return std::to_string(port);
 }
 
+/// The gossip addresses of the first two nodes, as a deployment's settings name them.
+std::string seeds(std::string const& host)
+{
+    return host + ":" + port_text(gossip_port_base + 1) + "," + host + ":" +
+           port_text(gossip_port_base + 2);
+}
+
 } // namespace
 
 bool wait_until(std::function<bool()> const& condition, std::chrono::milliseconds limit)
@@ -85,10 +92,26 @@
             R"(,"entry_port":)" + port_text(entry_port_base + number) + R"(,"entry_peer_port":)" +
             port_text(entry_peer_port_base + number) + "}");
     m_processes["control-" + std::to_string(number)] = std::make_unique<process>(
-        "jasminepier-control",
-        std::vector<std::string>{"--node-id", name, "--host", m_host, "--control-port",
-                                 control_port, "--platform-host", m_host, "--platform-port",
-                                 port_text(platform_port)});
+        "jasminepier-control", std::vector<std::string>{"--node-id",
+                                                        name,
+                                                        "--host",
+                                                        m_host,
+                                                        "--zone",
+                                                        zone_of(number),
+                                                        "--gossip-port",
+                                                        port_text(gossip_port_base + number),
+                                                        "--control-port",
+                                                        control_port,
+                                                        "--entry-port",
+                                                        port_text(entry_port_base + number),
+                                                        "--entry-peer-port",
+                                                        port_text(entry_peer_port_base + number),
+                                                        "--seeds",
+                                                        seeds(m_host),
+                                                        "--platform-host",
+                                                        m_host,
+                                                        "--platform-port",
+                                                        port_text(platform_port)});
     m_processes["entry-" + std::to_string(number)] = std::make_unique<process>(
         "jasminepier-entry", std::vector<std::string>{"--host", m_host, "--entry-port",
                                                       port_text(entry_port_base + number),
