--- a/tests/at_most_once_process_test.cpp
+++ b/tests/at_most_once_process_test.cpp
@@ -1,9 +1,8 @@
+#include "base/json.hpp"
 #include "tests/support/deployment.hpp"
 
 #include <gtest/gtest.h>
 
-#include <future>
-
 namespace jasminepier::tests
 {
 namespace
