Claims: Run orders at most once through conditional claim objects

Cause: two attempts with one key were both sent to the service. With a part switched off in the test, of 60 runs: store ignores conditions 60 violations, peer breaks its promise 1 (runs raised to 240 for this reason), deletions ignore versions 4. Conclusion: the check notices each missing part; the program does not use the library yet.

--- /dev/null
+++ b/libraries/claims/claim.cpp
@@ -0,0 +1,93 @@
+#include "claims/claim.hpp"
+
+#include "base/hash.hpp"
+#include "base/json.hpp"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/StreamCopier.h>
+
+#include <array>
+#include <sstream>
+
+namespace jasminepier::claims
+{
+namespace
+{
+
+constexpr std::array<std::string_view, 4> state_names{"claimed", "done", "unknown", "not_run"};
+
+base::result<claim_state> parse_state(std::string const& name)
+{
+    for (std::size_t i = 0; i < state_names.size(); ++i)
+        if (name == state_names[i])
+            return static_cast<claim_state>(i);
+    return base::fail(base::error_kind::bad_request, "unknown claim state '" + name + "'");
+}
+
+// Answers may hold any bytes, JSON strings may not.
+std::string encode(std::string const& bytes)
+{
+    std::ostringstream text;
+    Poco::Base64Encoder encoder(text);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return text.str();
+}
+
+std::string decode(std::string const& text)
+{
+    std::istringstream in(text);
+    Poco::Base64Decoder decoder(in);
+    std::string bytes;
+    Poco::StreamCopier::copyToString(decoder, bytes);
+    return bytes;
+}
+
+} // namespace
+
+base::result<claim_record> parse_claim(std::string const& text)
+{
+    BOOST_LEAF_AUTO(source, base::parse_json_object(text));
+    claim_record record;
+    BOOST_LEAF_AUTO(state, base::read_string(source, "state"));
+    BOOST_LEAF_ASSIGN(record.state, parse_state(state));
+    BOOST_LEAF_ASSIGN(record.nonce, base::read_string(source, "nonce"));
+    BOOST_LEAF_ASSIGN(record.node, base::read_string(source, "node"));
+    BOOST_LEAF_ASSIGN(record.request_hash, base::read_string(source, "request_hash"));
+    BOOST_LEAF_ASSIGN(record.time, base::read_integer(source, "time"));
+    BOOST_LEAF_AUTO(status, base::read_integer_or(source, "status", 0));
+    record.status = static_cast<int>(status);
+    BOOST_LEAF_ASSIGN(record.content_type, base::read_string_or(source, "content_type", ""));
+    BOOST_LEAF_AUTO(body, base::read_string_or(source, "body_base64", ""));
+    record.body = decode(body);
+    BOOST_LEAF_ASSIGN(record.body_omitted, base::read_bool_or(source, "body_omitted", false));
+    return record;
+}
+
+std::string write_claim(claim_record const& record)
+{
+    base::json_object written = new Poco::JSON::Object;
+    written->set("state", std::string(state_names[static_cast<std::size_t>(record.state)]));
+    written->set("nonce", record.nonce);
+    written->set("node", record.node);
+    written->set("request_hash", record.request_hash);
+    written->set("time", record.time);
+    if (record.state != claim_state::done)
+        return base::write_json(written);
+    written->set("status", record.status);
+    written->set("content_type", record.content_type);
+    if (record.body.size() > maximum_recorded_body_bytes || record.body_omitted)
+        written->set("body_omitted", true);
+    else
+        written->set("body_base64", encode(record.body));
+    return base::write_json(written);
+}
+
+std::string claim_name(std::string_view customer, std::string_view service, std::string_view key)
+{
+    return base::sha256_hex({customer, service, key});
+}
+
+} // namespace jasminepier::claims
--- /dev/null
+++ b/libraries/claims/claim_sweep.hpp
@@ -0,0 +1,136 @@
+/// Deletes claims whose retention time has passed.
+#pragma once
+
+#include "base/json.hpp"
+#include "base/log.hpp"
+#include "claims/claim_types.hpp"
+#include "platform/object.hpp"
+
+namespace jasminepier::claims
+{
+
+struct sweep_settings
+{
+    std::string node;
+    /// Outcomes are kept for 24 h. Ten minutes more cover wall clocks that differ between nodes.
+    std::int64_t retention_seconds = 24 * 3600 + 600;
+    /// A claim without an outcome is older than any request after this time; its owner is gone.
+    std::int64_t longest_open_seconds = 3600;
+    /// One node of the fleet lists the claims once per interval.
+    std::int64_t interval_seconds = 3600;
+    /// Writes of one sweep, so that a sweep cannot use up the platform's write rate.
+    int maximum_writes = 20000;
+    base::milliseconds pause_between_writes{20};
+};
+
+/// The nodes that sweep take turns through one object, so that the calls do not grow with their
+/// number. Every deletion names the version at which the claim was judged: a claim that was taken
+/// over after it was listed, or that a stale list shows, is not deleted.
+template <platform::object_store Store, waiting_clock Clock>
+class claim_sweep
+{
+public:
+    claim_sweep(Store& store, Clock& clock, sweep_settings settings)
+        : m_store(store), m_clock(clock), m_settings(std::move(settings))
+    {
+    }
+
+    /// Sweeps when this node obtains the turn. Returns the number of claims changed.
+    int step()
+    {
+        if (!take_turn())
+            return 0;
+        return base::handle([this]() -> base::result<int> { return sweep(); },
+                            [](base::error const& failure)
+                            {
+                                base::log_line(base::log_level::warning, "claim_sweep_failed")
+                                    .field("reason", failure.message);
+                                return 0;
+                            });
+    }
+
+private:
+    static constexpr char const* turn_kind = "lease";
+    static constexpr char const* turn_name = "claim-sweep";
+
+    bool take_turn()
+    {
+        auto const now = m_clock.unix_seconds();
+        base::json_object turn = new Poco::JSON::Object;
+        turn->set("node", m_settings.node);
+        turn->set("time", now);
+        auto const value = base::write_json(turn);
+        return base::handle(
+            [&]() -> base::result<bool>
+            {
+                BOOST_LEAF_AUTO(held, m_store.get(turn_kind, turn_name));
+                BOOST_LEAF_AUTO(document, base::parse_json_object(held.value));
+                BOOST_LEAF_AUTO(last, base::read_integer(document, "time"));
+                // A time in the future was written by a wrong clock and must not stop the sweeps.
+                if (last <= now && now - last < m_settings.interval_seconds)
+                    return false;
+                held.value = value;
+                return m_store.update(held).status == platform::write_status::applied;
+            },
+            [&](base::error const& failure)
+            {
+                return failure.kind == base::error_kind::not_found &&
+                       m_store.create(turn_kind, turn_name, value).status ==
+                           platform::write_status::applied;
+            });
+    }
+
+    base::result<int> sweep()
+    {
+        BOOST_LEAF_AUTO(page, m_store.list(claim_kind));
+        int writes = 0;
+        for (auto const& listed : page.objects)
+        {
+            if (writes >= m_settings.maximum_writes)
+                break;
+            if (!judge(listed))
+                continue;
+            ++writes;
+            m_clock.sleep_for(m_settings.pause_between_writes);
+        }
+        base::log_line(base::log_level::info, "claim_sweep")
+            .field("listed", page.objects.size())
+            .field("changed", writes);
+        return writes;
+    }
+
+    /// Returns true when a write was made.
+    bool judge(platform::object const& listed)
+    {
+        return base::handle(
+            [&]() -> base::result<bool>
+            {
+                BOOST_LEAF_AUTO(record, parse_claim(listed.value));
+                auto const now = m_clock.unix_seconds();
+                auto const age = now - record.time;
+                if (record.state == claim_state::claimed)
+                {
+                    if (age < m_settings.longest_open_seconds)
+                        return false;
+                    // Becomes an outcome first, which is then kept for the whole retention time.
+                    record.state = claim_state::unknown;
+                    record.time = now;
+                    auto changed = listed;
+                    changed.value = write_claim(record);
+                    m_store.update(changed);
+                    return true;
+                }
+                if (age < m_settings.retention_seconds)
+                    return false;
+                m_store.remove(listed);
+                return true;
+            },
+            [](base::error const&) { return false; });
+    }
+
+    Store& m_store;
+    Clock& m_clock;
+    sweep_settings m_settings;
+};
+
+} // namespace jasminepier::claims
--- /dev/null
+++ b/libraries/claims/claim_table.hpp
@@ -0,0 +1,89 @@
+/// The claims that this process has open.
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace jasminepier::claims
+{
+
+/// What a process knows about a nonce of its own; peers ask for it.
+enum class claim_progress
+{
+    /// This process does not know the nonce, for instance because it was restarted.
+    unknown,
+    /// The call may have been sent.
+    dispatched,
+    /// The call was not sent, and this process will never send it with this nonce.
+    abandoned,
+    /// The outcome is known but not yet recorded.
+    finished,
+    /// The call has not been sent; this process may still send it.
+    preparing,
+};
+
+/// Progress by nonce. Dispatching and abandoning are decided under one lock, so that a claim that
+/// was reported as abandoned is never dispatched.
+class claim_table
+{
+public:
+    explicit claim_table(std::size_t limit) : m_limit(limit) {}
+
+    /// Returns false when the table is full.
+    bool open(std::string const& nonce)
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_open.size() >= m_limit)
+            return false;
+        m_open[nonce] = claim_progress::preparing;
+        return true;
+    }
+
+    /// Returns false when the claim may not be dispatched (any more).
+    bool start_dispatch(std::string const& nonce)
+    {
+        std::lock_guard lock(m_mutex);
+        auto const found = m_open.find(nonce);
+        if (found == m_open.end() || found->second != claim_progress::preparing)
+            return false;
+        found->second = claim_progress::dispatched;
+        return true;
+    }
+
+    /// Called only when nothing of the call was sent.
+    void abandon(std::string const& nonce) { set(nonce, claim_progress::abandoned); }
+    void finish(std::string const& nonce) { set(nonce, claim_progress::finished); }
+
+    void forget(std::string const& nonce)
+    {
+        std::lock_guard lock(m_mutex);
+        m_open.erase(nonce);
+    }
+
+    claim_progress progress(std::string const& nonce) const
+    {
+        std::lock_guard lock(m_mutex);
+        auto const found = m_open.find(nonce);
+        return found == m_open.end() ? claim_progress::unknown : found->second;
+    }
+
+    std::size_t size() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_open.size();
+    }
+
+private:
+    void set(std::string const& nonce, claim_progress progress)
+    {
+        std::lock_guard lock(m_mutex);
+        m_open[nonce] = progress;
+    }
+
+    mutable std::mutex m_mutex;
+    std::size_t m_limit;
+    std::unordered_map<std::string, claim_progress> m_open;
+};
+
+} // namespace jasminepier::claims
--- /dev/null
+++ b/tests/support/simulated_store.hpp
@@ -0,0 +1,166 @@
+/// A simulated object store whose answers are lost, late and doubled as the simulation chooses.
+#pragma once
+
+#include "platform/object.hpp"
+#include "stand_ins/platform/memory_store.hpp"
+#include "tests/support/simulation.hpp"
+
+namespace jasminepier::tests
+{
+
+/// The faults that a run may contain.
+enum class fault
+{
+    crash,
+    cut,
+    freeze,
+    lost_answer,
+    duplicate,
+    delay,
+};
+inline constexpr int fault_count = 6;
+using fault_set = std::set<fault>;
+
+/// Whether the store honours the conditions of writes; `ignored` shows that the tests notice.
+enum class write_conditions
+{
+    checked,
+    ignored,
+    ignored_by_deletions,
+};
+
+struct store_world
+{
+    simulation& schedule;
+    fault_set faults;
+    write_conditions conditions = write_conditions::checked;
+    stand_ins::memory_store objects;
+    /// Writes that take effect later, after their callers have given up.
+    std::vector<std::function<void()>> late_writes;
+    /// What every other read of a listing returns when the store is stale.
+    std::vector<platform::object> stale_claims;
+    int calls = 0;
+
+    bool happens(fault kind, int percent)
+    {
+        return faults.contains(kind) && schedule.happens(percent);
+    }
+    void apply_late_write()
+    {
+        if (late_writes.empty())
+            return;
+        auto const chosen = schedule.choose(static_cast<int>(late_writes.size()));
+        auto const write = late_writes[static_cast<std::size_t>(chosen)];
+        late_writes.erase(late_writes.begin() + chosen);
+        write();
+    }
+};
+
+/// One node's view of the store. Satisfies `platform::object_store`.
+class simulated_store
+{
+public:
+    explicit simulated_store(store_world& world) : m_world(world) {}
+
+    base::result<platform::object> get(std::string const& kind, std::string const& name)
+    {
+        if (!begin_read())
+            return base::fail(base::error_kind::platform_unavailable, "cut");
+        auto const found = m_world.objects.get(kind, name);
+        m_world.schedule.step();
+        if (!found)
+            return base::fail(base::error_kind::not_found, "absent");
+        return convert(*found);
+    }
+
+    base::result<platform::object_page> list(std::string const& kind)
+    {
+        if (!begin_read())
+            return base::fail(base::error_kind::platform_unavailable, "cut");
+        platform::object_page page;
+        for (auto const& each : m_world.objects.list(kind).second)
+            page.objects.push_back(convert(each));
+        if (m_world.schedule.happens(50) && !m_world.stale_claims.empty())
+            page.objects.swap(m_world.stale_claims);
+        else
+            m_world.stale_claims = page.objects;
+        m_world.schedule.step();
+        return page;
+    }
+
+    platform::write_outcome create(std::string const& kind, std::string const& name,
+                                   std::string const& value)
+    {
+        return write(kind, name, stand_ins::must_not_exist, value);
+    }
+    platform::write_outcome update(platform::object const& changed)
+    {
+        return write(changed.kind, changed.name, changed.version, changed.value);
+    }
+    platform::write_outcome remove(platform::object const& existing)
+    {
+        return write(existing.kind, existing.name, existing.version, std::nullopt);
+    }
+    base::result<platform::object_page> watch(std::int64_t, std::vector<std::string> const&)
+    {
+        return base::fail(base::error_kind::platform_unavailable, "not simulated");
+    }
+
+private:
+    static platform::object convert(stand_ins::stored const& from)
+    {
+        return {from.kind, from.name, from.version, from.value, from.deleted};
+    }
+
+    bool begin_read()
+    {
+        ++m_world.calls;
+        m_world.schedule.step();
+        return !m_world.happens(fault::cut, 15);
+    }
+
+    platform::write_outcome write(std::string const& kind, std::string const& name,
+                                  std::int64_t condition, std::optional<std::string> const& value)
+    {
+        ++m_world.calls;
+        m_world.schedule.step();
+        auto apply = [&world = m_world, kind, name, condition, value]
+        {
+            auto held = condition;
+            if (!value && !world.objects.get(kind, name))
+                return stand_ins::write_answer{412, std::nullopt};
+            if (world.conditions == write_conditions::ignored ||
+                (world.conditions == write_conditions::ignored_by_deletions && !value))
+            {
+                auto const found = world.objects.get(kind, name);
+                held = found ? found->version : stand_ins::must_not_exist;
+            }
+            return world.objects.write(kind, name, held, value);
+        };
+        if (m_world.happens(fault::cut, 15))
+            return {m_world.schedule.happens(50) ? platform::write_status::refused
+                                                 : platform::write_status::unknown,
+                    {}};
+        if (m_world.happens(fault::duplicate, 20))
+            m_world.late_writes.emplace_back(apply);
+        if (m_world.happens(fault::delay, 20))
+        {
+            m_world.late_writes.emplace_back(apply);
+            return {};
+        }
+        auto const answer = apply();
+        m_world.schedule.step();
+        if (m_world.happens(fault::lost_answer, 25))
+            return {};
+        platform::write_outcome outcome;
+        outcome.status = answer.status == 200 ? platform::write_status::applied
+                                              : platform::write_status::conflict;
+        outcome.current =
+            answer.current ? convert(*answer.current) : platform::object{kind, name, 0, "", true};
+        return outcome;
+    }
+
+    store_world& m_world;
+};
+
+} // namespace jasminepier::tests
