Entry: Send plain calls at most once, retry and hedge lookups

Cause: every plain call was sent on as it came; an order sent twice with one key ran twice. The entry process answers peers about its claims. The query of a plain call is forwarded; it was dropped before.

--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.hpp"
 #include "services/entry/completion_handler.hpp"
-#include "services/entry/plain_handler.hpp"
 
 #include <Poco/URI.h>
 
@@ -103,8 +102,7 @@
         return serve_completion(m_state, customer, request, response);
     }
     if (path.starts_with(service_prefix))
-        return serve_plain_call(m_state, customer, path.substr(service_prefix.size()), request,
-                                response);
+        return m_plain.serve(customer, request, response);
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
--- a/services/entry/front_handler.hpp
+++ b/services/entry/front_handler.hpp
@@ -3,6 +3,7 @@
 
 #include "services/entry/entry_state.hpp"
 #include "services/entry/http_answer.hpp"
+#include "services/entry/plain_handler.hpp"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -13,7 +14,7 @@
 class front_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    explicit front_handler(entry_state& state) : m_state(state) {}
+    front_handler(entry_state& state, plain_calls& plain) : m_state(state), m_plain(plain) {}
     void handleRequest(http_request& request, http_response& response) override;
 
 private:
@@ -21,19 +22,23 @@
     base::result<configuration::customer> authenticate(http_request const& request) const;
 
     entry_state& m_state;
+    plain_calls& m_plain;
 };
 
 class front_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    explicit front_handler_factory(entry_state& state) : m_state(state) {}
+    front_handler_factory(entry_state& state, plain_calls& plain) : m_state(state), m_plain(plain)
+    {
+    }
     Poco::Net::HTTPRequestHandler* createRequestHandler(http_request const&) override
     {
-        return new front_handler(m_state);
+        return new front_handler(m_state, m_plain);
     }
 
 private:
     entry_state& m_state;
+    plain_calls& m_plain;
 };
 
 } // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/order_calls.cpp
@@ -0,0 +1,200 @@
+#include "services/entry/order_calls.hpp"
+
+#include "decision/retry_policy.hpp"
+#include "inner_protocol/rpc.hpp"
+
+#include <system_error>
+#include <thread>
+
+namespace jasminepier::entry
+{
+namespace
+{
+
+using base::error_kind;
+
+/// A service that has not answered an order for this long is not expected to answer any more.
+constexpr base::milliseconds longest_service_silence{300000};
+constexpr base::milliseconds peer_timeout{500};
+constexpr base::milliseconds retry_interval{200};
+constexpr base::milliseconds sweep_interval{600000};
+constexpr std::size_t sweeping_nodes = 3;
+constexpr std::size_t most_servers_tried = 3;
+constexpr std::size_t largest_answer_bytes = 8U << 20U;
+
+claims::claim_progress from_thrift(inner_protocol::claim_progress::type progress)
+{
+    using theirs = inner_protocol::claim_progress;
+    switch (progress)
+    {
+    case theirs::dispatched:
+        return claims::claim_progress::dispatched;
+    case theirs::abandoned:
+        return claims::claim_progress::abandoned;
+    case theirs::finished:
+        return claims::claim_progress::finished;
+    case theirs::preparing:
+        return claims::claim_progress::preparing;
+    case theirs::unknown_claim:
+        break;
+    }
+    return claims::claim_progress::unknown;
+}
+
+base::result<chosen_server> choose_server(entry_state& state, plain_call const& call,
+                                          std::set<std::string> const& excluded)
+{
+    acquire_request wanted;
+    wanted.service = call.service;
+    wanted.customer = call.customer;
+    wanted.kind = configuration::work_kind::action;
+    wanted.request_id = call.request_id;
+    wanted.maximum_wait = std::max(call.time_left(), base::milliseconds(1));
+    wanted.excluded = excluded;
+    return state.acquire(wanted);
+}
+
+claims::dispatch_result failed(claims::dispatch_status status, base::error const& failure)
+{
+    return {status, {}, failure};
+}
+
+/// One attempt at one server; `not_sent` only when no connection was established.
+claims::dispatch_result send_to(chosen_server const& server, plain_call const& call,
+                                base::milliseconds silence)
+{
+    backend::http_exchange exchange({server.host, server.port},
+                                    {std::chrono::milliseconds(500), silence});
+    return base::handle(
+        [&]() -> base::result<claims::dispatch_result>
+        {
+            BOOST_LEAF_CHECK(exchange.send(call.forwarded));
+            claims::dispatch_result result;
+            BOOST_LEAF_ASSIGN(result.answer.status, exchange.receive_status());
+            BOOST_LEAF_ASSIGN(result.answer.body, exchange.read_body(largest_answer_bytes));
+            result.answer.content_type = exchange.content_type();
+            result.status = claims::dispatch_status::answered;
+            return result;
+        },
+        [](base::error const& failure)
+        {
+            return failed(failure.kind == error_kind::server_unreachable
+                              ? claims::dispatch_status::not_sent
+                              : claims::dispatch_status::unknown,
+                          failure);
+        });
+}
+
+} // namespace
+
+base::result<claims::claim_progress>
+node_peers::ask(std::string const& node, std::string const& claim, std::string const& nonce) const
+{
+    auto const snapshot = m_state.snapshot();
+    auto const found = snapshot->nodes.find(node);
+    if (found == snapshot->nodes.end())
+        return base::fail(error_kind::server_unreachable, "node " + node + " is not listed");
+    inner_protocol::rpc_client<inner_protocol::entry_nodeClient> client(
+        found->second.host, found->second.entry_peer_port, peer_timeout);
+    BOOST_LEAF_AUTO(progress, client.call([&](inner_protocol::entry_nodeClient& peer)
+                                          { return peer.claim_status(claim, nonce); }));
+    return from_thrift(progress);
+}
+
+claims::dispatch_result send_once(entry_state& state, plain_call const& call,
+                                  base::milliseconds silence)
+{
+    std::set<std::string> excluded;
+    claims::dispatch_result result =
+        failed(claims::dispatch_status::not_sent, {error_kind::no_server, "no server was tried"});
+    while (excluded.size() < most_servers_tried)
+    {
+        base::error refusal;
+        auto const server = base::handle(
+            [&]() -> base::result<std::optional<chosen_server>>
+            {
+                BOOST_LEAF_AUTO(chosen, choose_server(state, call, excluded));
+                return std::optional(chosen);
+            },
+            [&](base::error const& failure)
+            {
+                refusal = failure;
+                return std::optional<chosen_server>();
+            });
+        if (!server)
+            return excluded.empty() ? failed(claims::dispatch_status::not_sent, refusal) : result;
+        result = send_to(*server, call, silence);
+        bool const answered = result.status == claims::dispatch_status::answered;
+        state.finish(server->ticket,
+                     answered ? attempt_outcome::completed : attempt_outcome::failed);
+        if (result.status != claims::dispatch_status::not_sent ||
+            decision::retry_action_for(
+                configuration::work_kind::action, decision::attempt_failure::not_connected,
+                decision::answer_progress::nothing_delivered) != decision::retry_action::rerun)
+            return result;
+        excluded.insert(server->name);
+    }
+    return result;
+}
+
+order_calls::order_calls(entry_state& state, std::string node_id,
+                         platform::http_object_store_settings const& platform)
+    : m_state(state), m_node_id(std::move(node_id)), m_store(platform), m_peers(state),
+      m_claims(m_store, m_peers, m_clock, {m_node_id}), m_sweep(m_store, m_clock, {m_node_id}),
+      m_retrying(retry_interval, [this] { m_claims.retry_background(); }),
+      m_sweeping(sweep_interval, [this] { sweep(); })
+{
+}
+
+claims::claim_answer order_calls::execute(plain_call const& call)
+{
+    auto prepared = m_claims.prepare({claims::claim_name(call.customer, call.service, call.key),
+                                      request_hash(call), call.deadline});
+    if (auto* answer = std::get_if<claims::claim_answer>(&prepared))
+        return *answer;
+    struct exchange
+    {
+        std::mutex mutex;
+        std::condition_variable ended;
+        std::optional<claims::claim_answer> answer;
+    };
+    auto shared = std::make_shared<exchange>();
+    auto run = [this, shared, call, held = std::get<claims::held_claim>(prepared)]
+    {
+        auto answer =
+            m_claims.run(held, [&] { return send_once(m_state, call, longest_service_silence); });
+        std::lock_guard lock(shared->mutex);
+        shared->answer = std::move(answer);
+        shared->ended.notify_all();
+    };
+    try
+    {
+        // The thread outlives the caller's wait when the service is late. The claim table bounds
+        // the number of such threads.
+        std::thread(run).detach();
+    }
+    catch (std::system_error const&)
+    {
+        // Without a thread the caller may wait past its deadline, but the claim is used and ended.
+        run();
+    }
+    std::unique_lock lock(shared->mutex);
+    shared->ended.wait_until(lock, call.deadline, [&] { return shared->answer.has_value(); });
+    if (!shared->answer)
+        return base::error{error_kind::in_progress, "the service has not answered yet"};
+    return *shared->answer;
+}
+
+void order_calls::sweep()
+{
+    auto const snapshot = m_state.snapshot();
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (auto const& [name, node] : snapshot->nodes)
+        ranked.emplace_back(base::rendezvous_weight("claim-sweep", name), name);
+    std::sort(ranked.rbegin(), ranked.rend());
+    for (std::size_t i = 0; i < std::min(sweeping_nodes, ranked.size()); ++i)
+        if (ranked[i].second == m_node_id)
+            m_sweep.step();
+}
+
+} // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/order_calls.hpp
@@ -0,0 +1,66 @@
+/// Plain calls that run at most once.
+#pragma once
+
+#include "base/background_thread.hpp"
+#include "claims/claim_sweep.hpp"
+#include "claims/claimant.hpp"
+#include "platform/http_object_store.hpp"
+#include "services/entry/entry_state.hpp"
+#include "services/entry/plain_call.hpp"
+
+namespace jasminepier::entry
+{
+
+/// The machine's clocks for the claim code.
+struct system_clock_source : base::steady_clock_source
+{
+    void sleep_for(base::milliseconds duration) const { std::this_thread::sleep_for(duration); }
+    std::int64_t unix_seconds() const { return base::unix_seconds(); }
+};
+
+/// Finds the node that holds a claim in the configuration snapshot and asks it.
+class node_peers
+{
+public:
+    explicit node_peers(entry_state const& state) : m_state(state) {}
+    base::result<claims::claim_progress> ask(std::string const& node, std::string const& claim,
+                                             std::string const& nonce) const;
+
+private:
+    entry_state const& m_state;
+};
+
+/// Sends a call to one server after another until a connection stands; nothing is sent twice.
+claims::dispatch_result send_once(entry_state& state, plain_call const& call,
+                                  base::milliseconds silence);
+
+class order_calls
+{
+public:
+    order_calls(entry_state& state, std::string node_id,
+                platform::http_object_store_settings const& platform);
+
+    /// Answers by the call's deadline. A service that answers later has its answer recorded.
+    claims::claim_answer execute(plain_call const& call);
+
+    claims::claim_progress progress(std::string const& nonce) const
+    {
+        return m_claims.progress(nonce);
+    }
+
+private:
+    /// Sweeps when this node is one of the few that the node list names for it.
+    void sweep();
+
+    entry_state& m_state;
+    std::string m_node_id;
+    platform::http_object_store m_store;
+    node_peers m_peers;
+    system_clock_source m_clock;
+    claims::claimant<platform::http_object_store, node_peers, system_clock_source> m_claims;
+    claims::claim_sweep<platform::http_object_store, system_clock_source> m_sweep;
+    base::background_thread m_retrying;
+    base::background_thread m_sweeping;
+};
+
+} // namespace jasminepier::entry
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -1,39 +1,57 @@
 #include "services/entry/plain_handler.hpp"
 
-#include "backend/http_exchange.hpp"
-#include "base/hash.hpp"
-
 namespace jasminepier::entry
 {
+namespace
+{
+
+/// A service that answers with an error of its own may have run the call in part.
+base::execution executed(claims::service_answer const& answer)
+{
+    return answer.status >= 500 ? base::execution::unknown : base::execution::ran;
+}
+
+void send_answer(claims::service_answer const& answer, http_response& response)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+    if (!answer.content_type.empty())
+        response.setContentType(answer.content_type);
+    response.set("Jasminepier-Execution", std::string(base::to_string(executed(answer))));
+    if (answer.replayed)
+        response.set("Jasminepier-Replayed", answer.body_omitted ? "without-body" : "true");
+    response.sendBuffer(answer.body.data(), answer.body.size());
+}
+
+} // namespace
+
+base::result<claims::service_answer> plain_calls::execute(plain_call const& call)
+{
+    if (call.repeats == repetition::lookup)
+    {
+        BOOST_LEAF_AUTO(found, m_lookups.execute(call));
+        return claims::service_answer{found.status, found.content_type, found.body, false, false};
+    }
+    if (call.repeats == repetition::claimed)
+    {
+        auto const told = m_orders.execute(call);
+        if (auto const* failure = std::get_if<base::error>(&told))
+            return base::fail(failure->kind, failure->message);
+        return std::get<claims::service_answer>(told);
+    }
+    auto const silence = std::max(call.time_left(), base::milliseconds(1));
+    auto const sent = send_once(m_state, call, silence);
+    if (sent.status != claims::dispatch_status::answered)
+        return base::fail(sent.failure.kind, sent.failure.message);
+    return sent.answer;
+}
 
-base::result<void> serve_plain_call(entry_state& state, configuration::customer const& customer,
-                                    std::string const& target, http_request& request,
-                                    http_response& response)
+base::result<void> plain_calls::serve(configuration::customer const& customer,
+                                      http_request& request, http_response& response)
 {
-    auto const slash = target.find('/');
-    auto const service = target.substr(0, slash);
-    auto const path = slash == std::string::npos ? "/" : target.substr(slash);
-    auto const snapshot = state.snapshot();
-    auto const found = snapshot->services.find(service);
-    if (found == snapshot->services.end() ||
-        found->second.type != configuration::service_type::plain)
-        return base::fail(base::error_kind::not_found, "unknown service '" + service + "'");
-    BOOST_LEAF_AUTO(body, read_body(request));
-    auto const request_id = base::random_id();
-    response.set("X-Request-Id", request_id);
-    BOOST_LEAF_AUTO(server, state.acquire({service, "", customer.name,
-                                           configuration::work_kind::lookup, request_id}));
-    backend::backend_request forwarded{request.getMethod(), path, {}, body};
-    forwarded.headers["Content-Type"] = request.getContentType();
-    forwarded.headers["X-Customer"] = customer.name;
-    auto answer = backend::call_backend({server.host, server.port}, forwarded, {});
-    state.finish(server.ticket, answer ? attempt_outcome::completed : attempt_outcome::failed);
-    if (!answer)
-        return answer.error();
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer->status));
-    response.setContentType(answer->content_type);
-    response.set("Jasminepier-Execution", "ran");
-    response.sendBuffer(answer->body.data(), answer->body.size());
+    BOOST_LEAF_AUTO(call, parse_plain_call(*m_state.snapshot(), customer, request));
+    response.set("X-Request-Id", call.request_id);
+    BOOST_LEAF_AUTO(answer, execute(call));
+    send_answer(answer, response);
     return {};
 }
 
--- a/services/entry/plain_handler.hpp
+++ b/services/entry/plain_handler.hpp
@@ -1,15 +1,37 @@
 /// Serves calls to plain services.
 #pragma once
 
-#include "services/entry/entry_state.hpp"
-#include "services/entry/http_answer.hpp"
+#include "services/entry/lookup_calls.hpp"
+#include "services/entry/order_calls.hpp"
 
 namespace jasminepier::entry
 {
 
-/// Serves `/v1/services/{service}/{path}`; `target` is the part after the prefix.
-base::result<void> serve_plain_call(entry_state& state, configuration::customer const& customer,
-                                    std::string const& target, http_request& request,
-                                    http_response& response);
+/// The state behind all plain calls of the process.
+class plain_calls
+{
+public:
+    plain_calls(entry_state& state, std::string node_id,
+                platform::http_object_store_settings const& platform)
+        : m_state(state), m_orders(state, std::move(node_id), platform), m_lookups(state)
+    {
+    }
+
+    /// Serves `/v1/services/{service}/{path}`.
+    base::result<void> serve(configuration::customer const& customer, http_request& request,
+                             http_response& response);
+
+    claims::claim_progress progress(std::string const& nonce) const
+    {
+        return m_orders.progress(nonce);
+    }
+
+private:
+    base::result<claims::service_answer> execute(plain_call const& call);
+
+    entry_state& m_state;
+    order_calls m_orders;
+    lookup_calls m_lookups;
+};
 
 } // namespace jasminepier::entry
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -90,9 +90,12 @@
                                  control_port, "--platform-host", m_host, "--platform-port",
                                  port_text(platform_port)});
     m_processes["entry-" + std::to_string(number)] = std::make_unique<process>(
-        "jasminepier-entry", std::vector<std::string>{"--host", m_host, "--entry-port",
-                                                      port_text(entry_port_base + number),
-                                                      "--control-port", control_port});
+        "jasminepier-entry",
+        std::vector<std::string>{"--host", m_host, "--entry-port",
+                                 port_text(entry_port_base + number), "--control-port",
+                                 control_port, "--node-id", name, "--entry-peer-port",
+                                 port_text(entry_peer_port_base + number), "--platform-host",
+                                 m_host, "--platform-port", port_text(platform_port)});
 }
 
 bool deployment::wait_until_ready(int node)
