--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -56,14 +56,19 @@
     platform::http_object_store_settings platform_settings;
     platform_settings.port = 9000;
     int workers = 1024;
-    parser.add("host", host, "IP address of this entry VM");
-    parser.add("entry-port", entry_port, "Port for callers");
-    parser.add("control-port", control_port, "Port of the control process on this VM");
-    parser.add("entry-peer-port", entry_peer_port, "Port for other entry nodes");
+    parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
+    parser.add_port("entry-port", entry_port, "Port for callers");
+    parser.add_port("control-port", control_port, "Port of the control process on this VM");
+    parser.add_port("entry-peer-port", entry_peer_port, "Port for other entry nodes");
     parser.add("node-id", node_id, "Name of this entry VM, unique among entry VMs");
-    parser.add("platform-host", platform_settings.host, "IP address of the platform's object API");
-    parser.add("platform-port", platform_settings.port, "Port of the platform's object API");
-    parser.add("workers", workers, "Most connections served at once")->check(CLI::Range(2, 20000));
+    parser.add("platform-host", platform_settings.host, "IP address of the platform's object API")
+        ->check(base::ip_address());
+    parser.add_port("platform-port", platform_settings.port, "Port of the platform's object API");
+    parser.add("workers", workers, "Most connections served at once")
+        ->check(base::in_range<std::int64_t>(2, 20000));
+    parser.require_distinct_ports({{"entry-port", &entry_port},
+                                   {"control-port", &control_port},
+                                   {"entry-peer-port", &entry_peer_port}});
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
