--- a/stand_ins/engine/engine_host.cpp
+++ b/stand_ins/engine/engine_host.cpp
@@ -77,6 +77,19 @@
     return std::nullopt;
 }
 
+bool engine_host::finished(std::string const& id)
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_generations.find(id);
+    return found != m_generations.end() && found->second->finished && !found->second->cancelled;
+}
+
+void engine_host::freeze(std::chrono::milliseconds time)
+{
+    std::lock_guard lock(m_mutex);
+    std::this_thread::sleep_for(time);
+}
+
 bool engine_host::attach(std::string const& id)
 {
     std::lock_guard lock(m_mutex);
--- a/stand_ins/engine/engine_host.hpp
+++ b/stand_ins/engine/engine_host.hpp
@@ -49,6 +49,9 @@
     /// Waits for token `index`. Nothing when the generation has ended or is unknown.
     std::optional<std::string> wait_for_token(std::string const& id, std::size_t index);
 
+    /// Returns true when the generation produced all its tokens.
+    bool finished(std::string const& id);
+
     bool attach(std::string const& id);
     void detach(std::string const& id);
     bool cancel(std::string const& id);
@@ -61,6 +64,8 @@
 
     void turn_cold();
     void set_leaving();
+    /// Produces no token and answers nothing about generations for `time`.
+    void freeze(std::chrono::milliseconds time);
 
 private:
     void run();
--- a/stand_ins/engine/main.cpp
+++ b/stand_ins/engine/main.cpp
@@ -1,11 +1,19 @@
 /// A stand-in model engine. `POST /stand-in/faults` with {"turn_cold":true}, {"leaving":true} or
-/// {"crash":true} brings about a fault; a prompt that contains `crash-the-engine` crashes it.
+/// {"crash":true} brings about a fault, {"reclaim_in_milliseconds":N} announces the end of the
+/// server, {"freeze_milliseconds":N} stops the decoding for a while, and the members of
+/// `stream_faults` strike the next stream; a prompt that contains `crash-the-engine` crashes it.
 #include "base/hash.hpp"
 #include "base/settings.hpp"
 #include "base/stop_signal.hpp"
 #include "stand_ins/engine/engine_host.hpp"
+#include "stand_ins/engine/stream_faults.hpp"
 #include "stand_ins/http_program.hpp"
 
+#include <Poco/Net/HTTPServerRequestImpl.h>
+
+#include <chrono>
+#include <thread>
+
 namespace jasminepier::stand_ins
 {
 namespace
@@ -46,24 +54,67 @@
     return usage;
 }
 
-void stream_from(engine_host& host, http_response& response, std::string const& id,
-                 std::string const& model, std::size_t index)
+stream_faults& next_faults()
+{
+    static stream_faults faults;
+    return faults;
+}
+
+/// Returns false when a fault ends the stream before the event `index`.
+bool send_event(http_request& request, std::ostream& out, std::size_t index,
+                base::json_object const& event)
+{
+    auto& faults = next_faults();
+    if (stream_faults::strikes(faults.cut_at, index))
+    {
+        static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+        return false;
+    }
+    if (stream_faults::strikes(faults.stall_at, index))
+    {
+        std::this_thread::sleep_for(std::chrono::seconds(60));
+        return false;
+    }
+    if (stream_faults::strikes(faults.skip_at, index))
+        return true;
+    auto const text = base::write_json(event);
+    if (stream_faults::strikes(faults.cross_at, index))
+    {
+        auto crossed = base::parse_json_object(text).value();
+        crossed->set("id", "another-generation");
+        out << "data: " << base::write_json(crossed) << "\n\n";
+    }
+    out << "data: " << text << "\n\n";
+    if (stream_faults::strikes(faults.duplicate_at, index))
+        out << "data: " << text << "\n\n";
+    out.flush();
+    return out.good();
+}
+
+void stream_from(engine_host& host, http_request& request, http_response& response,
+                 std::string const& id, std::string const& model, std::size_t index)
 {
     response.setContentType("text/event-stream");
     response.setChunkedTransferEncoding(true);
     auto& out = response.send();
+    out.flush();
     while (auto token = host.wait_for_token(id, index))
     {
-        out << "data: " << base::write_json(chunk(id, model, index, *token)) << "\n\n";
-        out.flush();
-        if (!out)
+        if (!send_event(request, out, index, chunk(id, model, index, *token)))
             return;
         ++index;
     }
+    // A cancelled generation has no end; its readers lose the connection.
+    if (!host.finished(id))
+    {
+        static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+        return;
+    }
     auto last = chunk(id, model, index, "");
     last->getArray("choices")->getObject(0)->set("finish_reason", "stop");
     last->set("usage", usage_of(host.prompt_tokens(id), index));
-    out << "data: " << base::write_json(last) << "\n\ndata: [DONE]\n\n";
+    if (send_event(request, out, index, last))
+        out << "data: [DONE]\n\n";
     out.flush();
 }
 
@@ -83,7 +134,7 @@
         std::string const& id;
         ~reader() { host.detach(id); }
     } const attached{host, id};
-    stream_from(host, response, id, model, 0);
+    stream_from(host, request, response, id, model, 0);
 }
 
 void resume(engine_host& host, http_request& request, http_response& response,
@@ -104,11 +155,25 @@
         std::string const& id;
         ~reader() { host.detach(id); }
     } const attached{host, id};
-    stream_from(host, response, id, "", from);
+    stream_from(host, request, response, id, "", from);
 }
 
 void apply_fault(engine_host& host, base::json_object const& fault)
 {
+    next_faults().set(fault);
+    if (auto const time = fault->optValue<int>("freeze_milliseconds", 0))
+        host.freeze(std::chrono::milliseconds(time));
+    if (auto const time = fault->optValue<int>("reclaim_in_milliseconds", 0))
+    {
+        host.set_leaving();
+        std::thread(
+            [time]
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(time));
+                std::_Exit(73);
+            })
+            .detach();
+    }
     if (fault->optValue("turn_cold", false))
         host.turn_cold();
     if (fault->optValue("leaving", false))
