--- a/libraries/backend/event_stream.hpp
+++ b/libraries/backend/event_stream.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <istream>
 #include <optional>
 #include <string>
@@ -30,11 +31,27 @@
     /// the stream cuts off is not returned.
     std::optional<stream_event> next();
 
+    /// What `poll` found.
+    enum class state
+    {
+        event,
+        waiting,
+        ended,
+    };
+
+    /// Like `next`, but asks `wait` before reading when nothing is buffered, and returns `waiting`
+    /// when it says that nothing has arrived. A part of an event is kept for the next call.
+    state poll(std::function<bool()> const& wait, stream_event& event);
+
 private:
-    bool read_line(std::string& line);
+    state read_line(std::function<bool()> const& wait);
+    bool take_line();
 
     std::istream& m_in;
     std::size_t m_maximum_line;
+    std::string m_line;
+    stream_event m_event;
+    bool m_has_data = false;
 };
 
 } // namespace jasminepier::backend
--- a/libraries/backend/http_exchange.cpp
+++ b/libraries/backend/http_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 
 namespace jasminepier::backend
 {
@@ -31,6 +32,11 @@
                        to_timespan(m_timeouts.connect));
         socket.setNoDelay(true);
     }
+    catch (Poco::Net::ConnectionRefusedException const&)
+    {
+        m_refused = true;
+        return base::fail(error_kind::server_unreachable, "cannot connect: connection refused");
+    }
     catch (std::exception const& failure)
     {
         return base::fail(error_kind::server_unreachable,
@@ -38,7 +44,7 @@
     }
     try
     {
-        m_session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+        m_session = std::make_unique<client_session>(socket);
         m_session->setTimeout(to_timespan(m_timeouts.silence));
         m_session->setKeepAlive(false);
         Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -58,6 +64,18 @@
     }
 }
 
+bool http_exchange::wait_readable(std::chrono::milliseconds limit)
+{
+    // Poco leaves the two bytes that end a chunk unread until the next chunk is asked for.
+    constexpr int chunk_end_bytes = 2;
+    if (m_body != nullptr && m_body->rdbuf()->in_avail() > 0)
+        return true;
+    if (m_session->unread() > chunk_end_bytes)
+        return true;
+    return m_session->socket().poll(to_timespan(limit), Poco::Net::Socket::SELECT_READ |
+                                                            Poco::Net::Socket::SELECT_ERROR);
+}
+
 base::result<int> http_exchange::receive_status()
 {
     try
--- a/libraries/backend/http_exchange.hpp
+++ b/libraries/backend/http_exchange.hpp
@@ -43,6 +43,14 @@
     std::string body;
 };
 
+/// Shows how many received bytes have not been read.
+class client_session : public Poco::Net::HTTPClientSession
+{
+public:
+    using Poco::Net::HTTPClientSession::HTTPClientSession;
+    int unread() const { return buffered(); }
+};
+
 /// A connection that carries exactly one request, so that an answer can never be taken for that of
 /// another request; it is closed when the object is destroyed.
 class http_exchange
@@ -54,9 +62,16 @@
     /// established, so that nothing was sent, and with server_failed when any byte may have left.
     base::result<void> send(backend_request const& request);
 
+    /// The server's host answered that nothing listens on the port.
+    bool refused() const noexcept { return m_refused; }
+
     /// Waits for the status line. Fails with server_failed.
     base::result<int> receive_status();
 
+    /// Waits until bytes of the answer can be read or the connection has ended. Returns false when
+    /// neither happened within `limit`.
+    bool wait_readable(std::chrono::milliseconds limit);
+
     /// The answer's body; valid after `receive_status`.
     std::istream& body() noexcept { return *m_body; }
     std::string const& content_type() const noexcept { return m_content_type; }
@@ -71,9 +86,10 @@
     endpoint m_target;
     exchange_timeouts m_timeouts;
     /// Created once the connection stands.
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
+    std::unique_ptr<client_session> m_session;
     std::istream* m_body = nullptr;
     std::string m_content_type;
+    bool m_refused = false;
 };
 
 /// Sends a request and reads the whole answer, at most `limit` bytes.
--- a/services/entry/chat_request.cpp
+++ b/services/entry/chat_request.cpp
@@ -1,10 +1,35 @@
 #include "services/entry/chat_request.hpp"
 
+#include <algorithm>
+#include <sstream>
+
 namespace jasminepier::entry
 {
 namespace
 {
 
+std::string read_parts(base::json_array const& parts)
+{
+    std::ostringstream text;
+    parts->stringify(text);
+    return text.str();
+}
+
+/// Returns the wanted output length; 0 when the request names none.
+base::result<std::int64_t> read_maximum_tokens(base::json_object const& source)
+{
+    for (char const* name : {"max_completion_tokens", "max_tokens"})
+    {
+        BOOST_LEAF_AUTO(tokens, base::read_integer_or(source, name, 0));
+        if (tokens < 0)
+            return base::fail(base::error_kind::bad_request,
+                              "member '" + std::string(name) + "' must not be negative");
+        if (tokens > 0)
+            return tokens;
+    }
+    return std::int64_t{0};
+}
+
 base::result<std::string> read_prompt(base::json_object const& source)
 {
     auto messages = source->getArray("messages");
@@ -18,9 +43,16 @@
         if (!message)
             return base::fail(base::error_kind::bad_request, "each message must be an object");
         BOOST_LEAF_CHECK(base::read_string(message, "role"));
+        // Content that is a list of parts is passed on as it is; messages with tool calls have
+        // none.
         auto const content = message->get("content");
-        // Content that is a list of parts is passed on as it is.
-        prompt += content.isString() ? content.convert<std::string>() : content.toString();
+        if (content.isString())
+            prompt += content.convert<std::string>();
+        else if (auto parts = message->getArray("content"))
+            prompt += read_parts(parts);
+        else if (!content.isEmpty())
+            return base::fail(base::error_kind::bad_request,
+                              "member 'content' must be a text or a list of parts");
         prompt += '\n';
     }
     return prompt;
@@ -28,7 +60,7 @@
 
 } // namespace
 
-base::result<chat_request> parse_chat_request(std::string_view body)
+base::result<chat_request> parse_chat_request(std::string_view body, std::int64_t maximum_output)
 {
     BOOST_LEAF_AUTO(source, base::parse_json_object(body));
     chat_request parsed;
@@ -36,10 +68,13 @@
     BOOST_LEAF_ASSIGN(parsed.prompt, read_prompt(source));
     BOOST_LEAF_AUTO(streamed, base::read_bool_or(source, "stream", false));
     parsed.mode = streamed ? answer_mode::stream : answer_mode::whole;
-    BOOST_LEAF_ASSIGN(parsed.maximum_tokens, base::read_integer_or(source, "max_tokens", 0));
-    if (parsed.maximum_tokens < 0)
-        return base::fail(base::error_kind::bad_request,
-                          "member 'max_tokens' must not be negative");
+    BOOST_LEAF_AUTO(answers, base::read_integer_or(source, "n", 1));
+    if (answers != 1)
+        return base::fail(base::error_kind::bad_request, "member 'n' must be 1");
+    BOOST_LEAF_AUTO(wanted, read_maximum_tokens(source));
+    parsed.maximum_tokens = wanted == 0 ? maximum_output : std::min(wanted, maximum_output);
+    source->remove("max_completion_tokens");
+    source->set("max_tokens", parsed.maximum_tokens);
     source->set("stream", true);
     parsed.engine_body = base::write_json(source);
     return parsed;
--- a/services/entry/chat_request.hpp
+++ b/services/entry/chat_request.hpp
@@ -22,11 +22,13 @@
     std::string prompt;
     answer_mode mode = answer_mode::whole;
     std::int64_t maximum_tokens = 0;
-    /// The body as received, with `stream` set, for the engine.
+    /// The body as received, with `stream` and `max_tokens` set, for the engine. Equal requests
+    /// have equal bodies, whether they ask for a stream or not.
     std::string engine_body;
 };
 
-/// Fails with bad_request and names the offending member.
-base::result<chat_request> parse_chat_request(std::string_view body);
+/// Limits the output to `maximum_output` tokens. Fails with bad_request and names the offending
+/// member.
+base::result<chat_request> parse_chat_request(std::string_view body, std::int64_t maximum_output);
 
 } // namespace jasminepier::entry
--- a/services/entry/completion_handler.hpp
+++ b/services/entry/completion_handler.hpp
@@ -3,12 +3,14 @@
 
 #include "services/entry/entry_state.hpp"
 #include "services/entry/http_answer.hpp"
+#include "services/entry/serving_state.hpp"
 
 namespace jasminepier::entry
 {
 
 /// Serves one completion for `customer`; errors before the first byte are returned.
-base::result<void> serve_completion(entry_state& state, configuration::customer const& customer,
-                                    http_request& request, http_response& response);
+base::result<void> serve_completion(entry_state& state, serving_state& serving,
+                                    configuration::customer const& customer, http_request& request,
+                                    http_response& response);
 
 } // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/completion_sink.hpp
@@ -0,0 +1,88 @@
+/// Writing of a completion to its caller, as a stream or as one answer.
+#pragma once
+
+#include "decision/generation_delivery.hpp"
+#include "services/entry/completion_transport.hpp"
+#include "services/entry/event_id.hpp"
+#include "services/entry/http_answer.hpp"
+
+#include <chrono>
+
+namespace jasminepier::entry
+{
+
+/// What both ways of answering need.
+struct answer_context
+{
+    std::string request_id;
+    event_owner owner;
+    /// Key for event ids; events carry no ids when it is empty.
+    std::string event_id_key;
+    std::int64_t created_seconds = 0;
+};
+
+/// Writes server-sent events. Nothing is written before the engine has answered or kept the caller
+/// waiting for a moment, so that an early failure is an ordinary error answer.
+class stream_sink
+{
+public:
+    stream_sink(answer_context context, completion_transport const& transport,
+                http_request& request, http_response& response)
+        : m_context(std::move(context)), m_transport(transport), m_request(request),
+          m_response(response)
+    {
+    }
+
+    bool opened(std::int64_t delivered, std::uint64_t digest);
+    bool deliver(decision::generation_token const& token, std::uint64_t digest);
+    bool keep_open();
+    bool finish();
+
+    /// Writes the error event that ends a broken stream.
+    void write_error(base::error const& failure, std::int64_t delivered);
+    /// The caller has received a part of the answer.
+    bool started() const noexcept { return m_out != nullptr; }
+
+private:
+    std::string event_id(std::int64_t delivered, std::uint64_t digest, bool complete) const;
+    std::string chunk_head() const;
+    bool start();
+    bool write(std::string const& text);
+
+    answer_context m_context;
+    completion_transport const& m_transport;
+    http_request& m_request;
+    http_response& m_response;
+    std::ostream* m_out = nullptr;
+    /// The opening event of the current generation, until it is written.
+    std::string m_opening;
+    std::chrono::steady_clock::time_point m_last_write = std::chrono::steady_clock::now();
+};
+
+/// Collects the tokens and sends one JSON answer.
+class whole_sink
+{
+public:
+    whole_sink(answer_context context, http_request& request, http_response& response)
+        : m_context(std::move(context)), m_request(request), m_response(response)
+    {
+    }
+
+    bool opened(std::int64_t, std::uint64_t) { return true; }
+    bool deliver(decision::generation_token const& token, std::uint64_t digest);
+    bool keep_open();
+    bool finish();
+
+private:
+    answer_context m_context;
+    http_request& m_request;
+    http_response& m_response;
+    base::json_object m_message = new Poco::JSON::Object;
+    Poco::Dynamic::Var m_finish_reason;
+    Poco::Dynamic::Var m_usage;
+};
+
+/// Adds the delta of one event to a message: text is appended, lists are merged by `index`.
+void merge_delta(Poco::JSON::Object& message, base::json_object const& delta);
+
+} // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/completion_transport.cpp
@@ -0,0 +1,323 @@
+#include "services/entry/completion_transport.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+
+#include <Poco/Exception.h>
+
+#include <thread>
+
+namespace jasminepier::entry
+{
+namespace
+{
+
+using decision::attempt_event;
+using decision::attempt_failure;
+using decision::start_failure;
+
+/// Longest wait of one read; the caller's connection is looked after in between.
+constexpr std::chrono::milliseconds read_tick{250};
+constexpr std::chrono::milliseconds server_wait_tick{100};
+/// State of a load digest; see jasminepier.thrift.
+constexpr int digest_leaving = 2;
+
+/// An engine that gives up a generation says so in the finish reason; the answer is not whole.
+bool is_given_up(Poco::Dynamic::Var const& finish_reason)
+{
+    if (!finish_reason.isString())
+        return false;
+    auto const text = finish_reason.convert<std::string>();
+    return text == "abort" || text == "cancelled" || text == "error";
+}
+
+base::result<decision::generation_token> parse_token(base::json_object const& event)
+{
+    decision::generation_token token;
+    BOOST_LEAF_ASSIGN(token.index, base::read_integer(event, "token_index"));
+    auto choices = event->getArray("choices");
+    auto choice = choices ? choices->getObject(0) : nullptr;
+    if (!choice)
+        return base::fail(base::error_kind::server_failed, "an event has no choice");
+    token.last = choice->has("finish_reason") && !choice->isNull("finish_reason");
+    if (token.last && is_given_up(choice->get("finish_reason")))
+        return base::fail(base::error_kind::generation_lost, "the engine gave up the generation");
+    std::ostringstream text;
+    choices->stringify(text);
+    token.payload = text.str();
+    if (auto usage = event->getObject("usage"))
+        token.extra = ",\"usage\":" + base::write_json(usage);
+    return token;
+}
+
+} // namespace
+
+std::optional<start_failure> completion_transport::start()
+{
+    release();
+    auto const verdict =
+        m_serving.suspects().judge(m_job.fingerprint, base::steady_clock_source{}.now());
+    if (verdict == decision::crash_verdict::refused)
+        return start_failure{attempt_failure::not_connected,
+                             base::error{base::error_kind::request_crashes_servers,
+                                         "servers died repeatedly while running this request"},
+                             ""};
+    if (auto refusal = choose_server(verdict == decision::crash_verdict::suspect))
+        return start_failure{attempt_failure::not_connected, std::move(refusal), ""};
+    auto const load = m_state.load(m_server.name);
+    m_instance = load ? load->instance : "";
+    m_generation_id = base::random_id();
+    m_connection_was_lost = false;
+    m_server_died = false;
+    backend::backend_request request{"POST", "/v1/chat/completions", {}, m_job.engine_body};
+    request.headers["Content-Type"] = "application/json";
+    request.headers["X-Generation-Id"] = m_generation_id;
+    request.headers["X-Priority"] = std::to_string(m_job.priority);
+    request.headers["X-Request-Id"] = m_job.request_id;
+    if (m_job.deadline)
+    {
+        auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            *m_job.deadline - base::steady_clock_source{}.now());
+        request.headers["X-Timeout-Milliseconds"] =
+            std::to_string(std::max<std::int64_t>(1, left.count()));
+    }
+    return send(request, exchange_purpose::start);
+}
+
+std::optional<start_failure> completion_transport::resume(std::int64_t index)
+{
+    return send(
+        {"GET", "/v1/generations/" + m_generation_id + "?from=" + std::to_string(index), {}, ""},
+        exchange_purpose::resume);
+}
+
+std::optional<start_failure> completion_transport::send(backend::backend_request const& request,
+                                                        exchange_purpose purpose)
+{
+    m_reader.reset();
+    m_purpose = purpose;
+    m_last_event = std::chrono::steady_clock::now();
+    backend::exchange_timeouts timeouts;
+    timeouts.silence = m_serving.settings().engine_silence;
+    m_exchange = std::make_unique<backend::http_exchange>(
+        backend::endpoint{m_server.host, m_server.port}, timeouts);
+    auto const failure = base::handle(
+        [&]() -> base::result<std::optional<base::error>>
+        {
+            BOOST_LEAF_CHECK(m_exchange->send(request));
+            return std::optional<base::error>{};
+        },
+        [](base::error const& found) { return std::optional<base::error>(found); });
+    if (!failure)
+        return std::nullopt;
+    if (failure->kind != base::error_kind::server_unreachable)
+        return start_failure{attempt_failure::connection_lost, {}, failure->message};
+    if (purpose == exchange_purpose::start)
+        return start_failure{attempt_failure::not_connected, {}, failure->message};
+    // A lost connection and a closed port mean that the process died; a timeout does not.
+    m_server_died = m_connection_was_lost && m_exchange->refused();
+    return start_failure{attempt_failure::generation_gone, {}, failure->message};
+}
+
+attempt_event completion_transport::read()
+{
+    try
+    {
+        if (m_reader)
+            return read_event();
+        if (!m_exchange->wait_readable(read_tick))
+            return idle_or_silent();
+        return receive_head();
+    }
+    catch (Poco::TimeoutException const&)
+    {
+        return failed(attempt_failure::silent, "the engine stalled within an event");
+    }
+    catch (std::exception const& failure)
+    {
+        m_connection_was_lost = true;
+        return failed(attempt_failure::connection_lost, failure.what());
+    }
+}
+
+attempt_event completion_transport::receive_head()
+{
+    auto const status =
+        base::handle([&]() -> base::result<int> { return m_exchange->receive_status(); },
+                     [](base::error const&) { return 0; });
+    if (status == 200)
+    {
+        m_reader = std::make_unique<backend::event_reader>(m_exchange->body());
+        return {};
+    }
+    auto const reason = "the engine answered with status " + std::to_string(status);
+    if (status == 0)
+    {
+        m_connection_was_lost = true;
+        return failed(attempt_failure::connection_lost, "the engine closed the connection");
+    }
+    if (m_purpose == exchange_purpose::resume || status == 404 || status >= 500)
+        return failed(status == 503 && m_purpose == exchange_purpose::start
+                          ? attempt_failure::declined
+                          : attempt_failure::generation_gone,
+                      reason);
+    return failed(status == 429 ? attempt_failure::declined : attempt_failure::rejected, reason);
+}
+
+attempt_event completion_transport::read_event()
+{
+    backend::stream_event event;
+    auto const found = m_reader->poll([&] { return m_exchange->wait_readable(read_tick); }, event);
+    if (found == backend::event_reader::state::waiting)
+        return idle_or_silent();
+    if (found == backend::event_reader::state::ended)
+    {
+        m_connection_was_lost = true;
+        return failed(attempt_failure::connection_lost, "the engine closed the connection");
+    }
+    m_last_event = std::chrono::steady_clock::now();
+    m_connection_was_lost = false;
+    if (event.data == "[DONE]")
+        return {attempt_event::type::end, m_generation_id, {}, {}, {}};
+    return parse_event(event.data);
+}
+
+attempt_event completion_transport::parse_event(std::string const& data) const
+{
+    return base::handle(
+        [&]() -> base::result<attempt_event>
+        {
+            BOOST_LEAF_AUTO(object, base::parse_json_object(data));
+            attempt_event event{attempt_event::type::token, {}, {}, {}, {}};
+            BOOST_LEAF_ASSIGN(event.generation_id, base::read_string(object, "id"));
+            BOOST_LEAF_ASSIGN(event.token, parse_token(object));
+            return event;
+        },
+        [&](base::error const& failure)
+        {
+            return failed(failure.kind == base::error_kind::generation_lost
+                              ? attempt_failure::generation_gone
+                              : attempt_failure::connection_lost,
+                          failure.message);
+        });
+}
+
+attempt_event completion_transport::idle_or_silent() const
+{
+    if (std::chrono::steady_clock::now() - m_last_event < m_serving.settings().engine_silence)
+        return {};
+    return failed(attempt_failure::silent, "the engine is silent");
+}
+
+attempt_event completion_transport::failed(attempt_failure what, std::string reason) const
+{
+    base::log_line(base::log_level::info, "attempt_failed")
+        .field("request_id", m_job.request_id)
+        .field("generation", m_generation_id)
+        .field("server", m_server.name)
+        .field("failure", decision::to_string(what))
+        .field("reason", reason);
+    return {attempt_event::type::failure, m_generation_id, {}, what, std::move(reason)};
+}
+
+void completion_transport::end(attempt_failure failure)
+{
+    if (failure == attempt_failure::generation_gone && m_server_died)
+        record_crash();
+    else if (failure != attempt_failure::not_connected)
+        cancel();
+    m_excluded.insert(m_server.name);
+    release();
+}
+
+void completion_transport::record_crash()
+{
+    // The end of a server that announced it is no evidence against the requests that ran there.
+    auto const snapshot = m_state.snapshot();
+    auto const listed = snapshot->servers.find(m_server.name);
+    auto const load = m_state.load(m_server.name);
+    bool const planned = (listed != snapshot->servers.end() && listed->second.leaving) ||
+                         (load && load->state == digest_leaving);
+    auto const instance = m_instance.empty() ? m_generation_id : m_instance;
+    bool const added =
+        !planned && m_serving.suspects().record({m_job.fingerprint, m_server.name, instance, 0},
+                                                base::steady_clock_source{}.now());
+    base::log_line(base::log_level::warning, "server_died")
+        .field("request_id", m_job.request_id)
+        .field("server", m_server.name)
+        .field("instance", instance)
+        .field("suspected", added ? "yes" : "no");
+}
+
+void completion_transport::adopt(chosen_server server, std::string generation_id)
+{
+    m_server = std::move(server);
+    m_generation_id = std::move(generation_id);
+}
+
+void completion_transport::cancel()
+{
+    m_exchange.reset();
+    m_reader.reset();
+    if (m_server.name.empty() || m_generation_id.empty())
+        return;
+    backend::http_exchange order({m_server.host, m_server.port}, {});
+    base::handle(
+        [&]() -> base::result<void> {
+            return order.send({"DELETE", "/v1/generations/" + m_generation_id, {}, ""});
+        },
+        [](base::error const&) {});
+}
+
+std::optional<base::error> completion_transport::acquire(std::set<std::string> const& excluded)
+{
+    return base::handle(
+        [&]() -> base::result<std::optional<base::error>>
+        {
+            BOOST_LEAF_ASSIGN(m_server, m_state.acquire(m_job.service, m_job.request_id, excluded));
+            m_acquired = true;
+            return std::optional<base::error>{};
+        },
+        [](base::error const& failure) { return std::optional<base::error>(failure); });
+}
+
+/// Chooses a server that has not failed this request and, for a suspect, runs no other suspect.
+std::optional<base::error> completion_transport::choose_server(bool suspect)
+{
+    auto const end = std::chrono::steady_clock::now() + m_job.maximum_wait;
+    auto excluded = m_excluded;
+    for (;;)
+    {
+        auto failure = acquire(excluded);
+        if (!failure && (!suspect || m_serving.suspects().try_occupy(m_server.name)))
+        {
+            m_occupies = suspect;
+            return std::nullopt;
+        }
+        if (!failure)
+        {
+            excluded.insert(m_server.name);
+            release();
+            continue;
+        }
+        if (failure->kind != base::error_kind::no_server || excluded.empty() ||
+            std::chrono::steady_clock::now() > end || !m_job.keep_waiting())
+            return failure;
+        // Every server has failed or runs a suspect: wait, then consider all of them again.
+        std::this_thread::sleep_for(server_wait_tick);
+        m_excluded.clear();
+        excluded.clear();
+    }
+}
+
+void completion_transport::release()
+{
+    if (m_acquired)
+        m_state.release(m_server.name);
+    if (m_occupies)
+        m_serving.suspects().vacate(m_server.name);
+    m_acquired = false;
+    m_occupies = false;
+}
+
+} // namespace jasminepier::entry
--- /dev/null
+++ b/services/entry/completion_transport.hpp
@@ -0,0 +1,96 @@
+/// Exchanges with engines on behalf of one completion.
+#pragma once
+
+#include "backend/event_stream.hpp"
+#include "backend/http_exchange.hpp"
+#include "decision/generation_delivery.hpp"
+#include "services/entry/entry_state.hpp"
+#include "services/entry/serving_state.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace jasminepier::entry
+{
+
+/// What every attempt of a completion needs.
+struct completion_job
+{
+    std::string request_id;
+    std::string service;
+    std::string engine_body;
+    int priority = 0;
+    /// Longest wait for a server that is free for a suspect or back after a failure.
+    std::chrono::milliseconds maximum_wait{0};
+    std::uint64_t fingerprint = 0;
+    std::optional<base::time_point> deadline;
+    /// Called while waiting for a server; returns false when the caller is gone.
+    std::function<bool()> keep_waiting;
+};
+
+/// The transport of `decision::generation_delivery`. Every attempt has its own connection and its
+/// own generation id.
+class completion_transport
+{
+public:
+    completion_transport(entry_state& state, serving_state& serving, completion_job job)
+        : m_state(state), m_serving(serving), m_job(std::move(job))
+    {
+    }
+    completion_transport(completion_transport const&) = delete;
+    completion_transport& operator=(completion_transport const&) = delete;
+    ~completion_transport() { release(); }
+
+    std::optional<decision::start_failure> start();
+    std::optional<decision::start_failure> resume(std::int64_t index);
+    decision::attempt_event read();
+    void end(decision::attempt_failure failure);
+    bool spend_retry() { return m_serving.budgets().spend(m_job.service); }
+
+    std::string const& generation_id() const noexcept { return m_generation_id; }
+    std::string const& server() const noexcept { return m_server.name; }
+
+    /// Takes over a generation that another delivery started.
+    void adopt(chosen_server server, std::string generation_id);
+    /// Tells the engine to drop the generation; does not wait for its answer.
+    void cancel();
+
+private:
+    enum class exchange_purpose
+    {
+        start,
+        resume,
+    };
+
+    std::optional<base::error> choose_server(bool suspect);
+    std::optional<base::error> acquire(std::set<std::string> const& excluded);
+    std::optional<decision::start_failure> send(backend::backend_request const& request,
+                                                exchange_purpose purpose);
+    decision::attempt_event receive_head();
+    decision::attempt_event read_event();
+    decision::attempt_event parse_event(std::string const& data) const;
+    decision::attempt_event idle_or_silent() const;
+    decision::attempt_event failed(decision::attempt_failure what, std::string reason) const;
+    void record_crash();
+    void release();
+
+    entry_state& m_state;
+    serving_state& m_serving;
+    completion_job m_job;
+    chosen_server m_server;
+    /// The instance of the server when the attempt started; empty when unknown.
+    std::string m_instance;
+    std::string m_generation_id;
+    std::set<std::string> m_excluded;
+    bool m_acquired = false;
+    bool m_occupies = false;
+    exchange_purpose m_purpose = exchange_purpose::start;
+    std::unique_ptr<backend::http_exchange> m_exchange;
+    /// Created once the status has been received.
+    std::unique_ptr<backend::event_reader> m_reader;
+    std::chrono::steady_clock::time_point m_last_event;
+    bool m_connection_was_lost = false;
+    bool m_server_died = false;
+};
+
+} // namespace jasminepier::entry
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -68,6 +68,13 @@
     return chosen_server{best->name, best->host, best->port};
 }
 
+std::optional<inner_protocol::load_digest> entry_state::load(std::string const& server) const
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_loads.find(server);
+    return found == m_loads.end() ? std::nullopt : std::optional(found->second);
+}
+
 void entry_state::release(std::string const& server)
 {
     std::lock_guard lock(m_mutex);
--- a/services/entry/entry_state.hpp
+++ b/services/entry/entry_state.hpp
@@ -35,6 +35,8 @@
     base::result<chosen_server> acquire(std::string const& service, std::string const& request_id,
                                         std::set<std::string> const& excluded);
     void release(std::string const& server);
+    /// Returns what a server last reported; nothing when no report has arrived.
+    std::optional<inner_protocol::load_digest> load(std::string const& server) const;
 
 private:
     mutable std::mutex m_mutex;
--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -1,5 +1,6 @@
 #include "services/entry/front_handler.hpp"
 
+#include "base/hash.hpp"
 #include "base/log.hpp"
 #include "services/entry/completion_handler.hpp"
 #include "services/entry/plain_handler.hpp"
@@ -11,8 +12,6 @@
 namespace
 {
 
-constexpr int address_time_to_live_seconds = 30;
-
 base::result<void> require_method(http_request const& request, std::string const& method)
 {
     if (request.getMethod() != method)
@@ -20,72 +19,87 @@
     return {};
 }
 
+base::json_object model_entry(std::string const& service, std::string const& model)
+{
+    base::json_object entry = new Poco::JSON::Object;
+    entry->set("id", model);
+    entry->set("object", "model");
+    entry->set("created", 0);
+    entry->set("owned_by", service);
+    return entry;
+}
+
 base::json_object list_models(configuration::snapshot const& snapshot)
 {
     base::json_array data = new Poco::JSON::Array;
     for (auto const& [name, service] : snapshot.services)
         for (auto const& model : service.models)
-        {
-            base::json_object entry = new Poco::JSON::Object;
-            entry->set("id", model);
-            entry->set("object", "model");
-            entry->set("owned_by", name);
-            data->add(entry);
-        }
+            data->add(model_entry(name, model));
     base::json_object body = new Poco::JSON::Object;
     body->set("object", "list");
     body->set("data", data);
     return body;
 }
 
-base::json_object list_addresses(configuration::snapshot const& snapshot)
+/// Counts a request while it is served, so that a stopping process waits for it.
+class running_request
 {
-    base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& [name, node] : snapshot.nodes)
+public:
+    explicit running_request(serving_state& serving) : m_serving(serving)
     {
-        if (node.leaving)
-            continue;
-        base::json_object entry = new Poco::JSON::Object;
-        entry->set("address", node.host + ":" + std::to_string(node.entry_port));
-        entry->set("zone", node.zone);
-        addresses->add(entry);
+        m_serving.add_running(1);
     }
-    base::json_object body = new Poco::JSON::Object;
-    body->set("addresses", addresses);
-    body->set("time_to_live_seconds", address_time_to_live_seconds);
-    return body;
+    running_request(running_request const&) = delete;
+    running_request& operator=(running_request const&) = delete;
+    ~running_request() { m_serving.add_running(-1); }
+
+private:
+    serving_state& m_serving;
+};
+
+void answer_failure(base::error const& failure, http_response& response)
+{
+    base::log_line(base::log_level::info, "request_failed")
+        .field("request_id", response.get("X-Request-Id", ""))
+        .field("kind", base::to_string(failure.kind))
+        .field("reason", failure.message);
+    if (!response.sent())
+        send_error(response, failure);
 }
 
 } // namespace
 
 void front_handler::handleRequest(http_request& request, http_response& response)
 {
+    running_request const counted(m_serving);
+    response.set("X-Request-Id", base::random_id());
+    // A caller must not send its next request on a connection that the stopping process will close.
+    if (m_serving.phase() != stop_phase::serving)
+        response.setKeepAlive(false);
     try
     {
         base::handle([&]() -> base::result<void> { return serve(request, response); },
                      [&](base::error const& failure)
                      {
-                         base::log_line(base::log_level::info, "request_failed")
-                             .field("request_id", response.get("X-Request-Id", ""))
-                             .field("kind", base::to_string(failure.kind))
-                             .field("reason", failure.message);
-                         if (!response.sent())
-                             send_error(response, failure);
+                         // The rest of an unread body must not be taken for the next request.
+                         response.setKeepAlive(false);
+                         answer_failure(failure, response);
                      });
     }
     catch (std::exception const& failure)
     {
-        base::log_line(base::log_level::info, "caller_disconnected")
+        base::log_line(base::log_level::info, "request_aborted")
             .field("request_id", response.get("X-Request-Id", ""))
             .field("reason", failure.what());
+        response.setKeepAlive(false);
+        if (!response.sent())
+            send_error(response, {base::error_kind::internal, "the request could not be served"});
     }
 }
 
 base::result<void> front_handler::serve(http_request& request, http_response& response)
 {
     std::string const path = Poco::URI(request.getURI()).getPath();
-    std::string const service_prefix = "/v1/services/";
-    auto const snapshot = m_state.snapshot();
     if (path == "/health")
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (!m_state.ready())
@@ -93,14 +107,26 @@
     if (path == "/ready")
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (path == "/v1/entry-addresses")
-        return send_json(response, 200, list_addresses(*snapshot)), base::result<void>{};
+        return send_json(response, 200, list_addresses()), base::result<void>{};
+    if (m_serving.phase() == stop_phase::refusing)
+        return base::fail(base::error_kind::node_stopping, "this node is stopping");
+    return serve_customer(path, request, response);
+}
+
+base::result<void> front_handler::serve_customer(std::string const& path, http_request& request,
+                                                 http_response& response)
+{
+    std::string const service_prefix = "/v1/services/";
     BOOST_LEAF_AUTO(customer, authenticate(request));
-    if (path == "/v1/models")
-        return send_json(response, 200, list_models(*snapshot)), base::result<void>{};
+    if (path == "/v1/models" || path.starts_with("/v1/models/"))
+    {
+        BOOST_LEAF_CHECK(require_method(request, "GET"));
+        return serve_models(path, response);
+    }
     if (path == "/v1/chat/completions")
     {
         BOOST_LEAF_CHECK(require_method(request, "POST"));
-        return serve_completion(m_state, customer, request, response);
+        return serve_completion(m_state, m_serving, customer, request, response);
     }
     if (path.starts_with(service_prefix))
         return serve_plain_call(m_state, customer, path.substr(service_prefix.size()), request,
@@ -108,6 +134,41 @@
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
+base::result<void> front_handler::serve_models(std::string const& path,
+                                               http_response& response) const
+{
+    auto const snapshot = m_state.snapshot();
+    std::string const prefix = "/v1/models/";
+    if (!path.starts_with(prefix))
+        return send_json(response, 200, list_models(*snapshot)), base::result<void>{};
+    auto const model = path.substr(prefix.size());
+    auto const* service = snapshot->find_model_service(model);
+    if (service == nullptr)
+        return base::fail(base::error_kind::not_found, "unknown model '" + model + "'");
+    return send_json(response, 200, model_entry(service->name, model)), base::result<void>{};
+}
+
+base::json_object front_handler::list_addresses() const
+{
+    auto const snapshot = m_state.snapshot();
+    bool const stopping = m_serving.phase() != stop_phase::serving;
+    base::json_array addresses = new Poco::JSON::Array;
+    for (auto const& [name, node] : snapshot->nodes)
+    {
+        auto const address = node.host + ":" + std::to_string(node.entry_port);
+        if (node.leaving || (stopping && address == m_serving.settings().own_address))
+            continue;
+        base::json_object entry = new Poco::JSON::Object;
+        entry->set("address", address);
+        entry->set("zone", node.zone);
+        addresses->add(entry);
+    }
+    base::json_object body = new Poco::JSON::Object;
+    body->set("addresses", addresses);
+    body->set("time_to_live_seconds", m_serving.settings().address_time_to_live_seconds);
+    return body;
+}
+
 base::result<configuration::customer> front_handler::authenticate(http_request const& request) const
 {
     std::string const scheme = "Bearer ";
--- a/services/entry/front_handler.hpp
+++ b/services/entry/front_handler.hpp
@@ -3,6 +3,7 @@
 
 #include "services/entry/entry_state.hpp"
 #include "services/entry/http_answer.hpp"
+#include "services/entry/serving_state.hpp"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -13,27 +14,38 @@
 class front_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    explicit front_handler(entry_state& state) : m_state(state) {}
+    front_handler(entry_state& state, serving_state& serving) : m_state(state), m_serving(serving)
+    {
+    }
     void handleRequest(http_request& request, http_response& response) override;
 
 private:
     base::result<void> serve(http_request& request, http_response& response);
+    base::result<void> serve_customer(std::string const& path, http_request& request,
+                                      http_response& response);
+    base::result<void> serve_models(std::string const& path, http_response& response) const;
+    base::json_object list_addresses() const;
     base::result<configuration::customer> authenticate(http_request const& request) const;
 
     entry_state& m_state;
+    serving_state& m_serving;
 };
 
 class front_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    explicit front_handler_factory(entry_state& state) : m_state(state) {}
+    front_handler_factory(entry_state& state, serving_state& serving)
+        : m_state(state), m_serving(serving)
+    {
+    }
     Poco::Net::HTTPRequestHandler* createRequestHandler(http_request const&) override
     {
-        return new front_handler(m_state);
+        return new front_handler(m_state, m_serving);
     }
 
 private:
     entry_state& m_state;
+    serving_state& m_serving;
 };
 
 } // namespace jasminepier::entry
--- a/services/entry/http_answer.hpp
+++ b/services/entry/http_answer.hpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <chrono>
 #include <string>
 
 namespace jasminepier::entry
@@ -18,6 +19,9 @@
 /// Largest request body accepted from a caller, bytes.
 inline constexpr std::size_t maximum_body_bytes = 4U << 20U;
 
+/// Longest time for a body to arrive; a caller that sends byte by byte must not hold a worker.
+inline constexpr std::chrono::seconds maximum_body_time{30};
+
 void send_json(http_response& response, int status, base::json_object const& body);
 
 /// Sends the answer that the error table gives for the failure's kind.
@@ -26,7 +30,8 @@
 /// Returns the body of an error answer.
 base::json_object error_body(base::error const& failure);
 
-/// Reads the request's body. Fails with payload_too_large.
+/// Reads the request's body. Fails with payload_too_large, and with bad_request when it is cut off
+/// or slow.
 base::result<std::string> read_body(http_request& request);
 
 } // namespace jasminepier::entry
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -14,13 +14,74 @@
 
 using namespace jasminepier;
 
+std::vector<inner_protocol::crash_record> crash_records(entry::serving_state& serving)
+{
+    std::vector<inner_protocol::crash_record> records;
+    for (auto const& event : serving.suspects().events(base::steady_clock_source{}.now()))
+    {
+        inner_protocol::crash_record record;
+        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
+        record.server_id = event.server;
+        record.instance = event.instance;
+        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+void merge_crash_records(entry::serving_state& serving,
+                         std::vector<inner_protocol::crash_record> const& records)
+{
+    std::vector<decision::crash_event> events;
+    events.reserve(records.size());
+    for (auto const& record : records)
+        events.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
+                          record.instance, record.age_seconds});
+    serving.suspects().merge(events, base::steady_clock_source{}.now());
+}
+
+/// Section 4.4 of the design page: first the addresses cached by callers run out, then the running
+/// requests end. `drain_limit` of 0 waits for them without a limit.
+void stop_gracefully(entry::serving_state& serving, Poco::Net::HTTPServer& server,
+                     std::chrono::seconds drain_limit)
+{
+    constexpr std::chrono::seconds address_margin{5};
+    auto const address_wait =
+        std::chrono::seconds(serving.settings().address_time_to_live_seconds) + address_margin;
+    serving.set_phase(entry::stop_phase::leaving);
+    base::log_line(base::log_level::info, "stopping")
+        .field("phase", "leaving")
+        .field("running", serving.running());
+    std::this_thread::sleep_for(address_wait);
+    serving.set_phase(entry::stop_phase::refusing);
+    base::log_line(base::log_level::info, "stopping")
+        .field("phase", "refusing")
+        .field("running", serving.running());
+    auto const end = std::chrono::steady_clock::now() + drain_limit;
+    auto const within_limit = [&]
+    { return drain_limit.count() == 0 || std::chrono::steady_clock::now() < end; };
+    while (serving.running() > 0 && within_limit())
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    // Requests that were accepted in the meantime are refused before the process ends.
+    server.stop();
+    while (serving.running() > 0 && within_limit())
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    base::log_line(base::log_level::info, "stopping")
+        .field("phase", "ended")
+        .field("running", serving.running());
+}
+
 void exchange_with_control(inner_protocol::rpc_client<inner_protocol::control_nodeClient>& control,
-                           entry::entry_state& state)
+                           entry::entry_state& state, entry::serving_state& serving)
 {
     inner_protocol::entry_report report;
     report.applied_revision = state.snapshot()->revision;
     report.known_revision = report.applied_revision;
     report.known_load_sequence = state.load_sequence();
+    report.leaving = serving.phase() != entry::stop_phase::serving;
+    report.running_streams = serving.running();
+    report.ready = state.ready();
+    report.crashes = crash_records(serving);
     base::handle(
         [&]() -> base::result<void>
         {
@@ -32,6 +93,7 @@
                                             return received;
                                         }));
             state.apply(update);
+            merge_crash_records(serving, update.crashes);
             return {};
         },
         [](base::error const& failure)
@@ -55,23 +117,44 @@
     parser.add("entry-port", entry_port, "Port for callers");
     parser.add("control-port", control_port, "Port of the control process on this VM");
     parser.add("workers", workers, "Most connections served at once")->check(CLI::Range(2, 20000));
+    entry::serving_settings serving_settings;
+    int silence = static_cast<int>(serving_settings.engine_silence.count());
+    int drain_limit = 0;
+    parser
+        .add("engine-silence-milliseconds", silence,
+             "Silence of an engine before its stream is resumed")
+        ->check(CLI::Range(100, 600000));
+    parser
+        .add("address-time-to-live", serving_settings.address_time_to_live_seconds,
+             "Seconds for which callers may cache the addresses of entry VMs")
+        ->check(CLI::Range(0, 3600));
+    parser
+        .add("drain-limit", drain_limit,
+             "Seconds that a stop waits for running requests; 0 waits without a limit")
+        ->check(CLI::Range(0, 86400));
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
 
+    serving_settings.engine_silence = std::chrono::milliseconds(silence);
+    serving_settings.own_address = host + ":" + std::to_string(entry_port);
     entry::entry_state state;
+    entry::serving_state serving(serving_settings);
     inner_protocol::rpc_client<inner_protocol::control_nodeClient> control(
         host, control_port, std::chrono::milliseconds(1000));
-    base::background_thread const exchanging(std::chrono::milliseconds(200),
-                                             [&] { exchange_with_control(control, state); });
+    base::background_thread const exchanging(std::chrono::milliseconds(200), [&]
+                                             { exchange_with_control(control, state, serving); });
     Poco::ThreadPool pool(16, workers);
     auto* parameters = new Poco::Net::HTTPServerParams;
     parameters->setMaxThreads(workers);
     parameters->setMaxQueued(workers);
+    // A caller that sends nothing must not hold a worker for long.
+    parameters->setTimeout(Poco::Timespan(20, 0));
     Poco::Net::ServerSocket const socket(Poco::Net::SocketAddress(host, entry_port), 1024);
-    Poco::Net::HTTPServer server(new entry::front_handler_factory(state), pool, socket, parameters);
+    Poco::Net::HTTPServer server(new entry::front_handler_factory(state, serving), pool, socket,
+                                 parameters);
     server.start();
     base::wait_for_stop_signal();
-    server.stopAll(false);
+    stop_gracefully(serving, server, std::chrono::seconds(drain_limit));
     std::_Exit(0);
 }
--- /dev/null
+++ b/services/entry/serving_state.hpp
@@ -0,0 +1,55 @@
+/// State of the serving of generations, shared by the workers of an entry process.
+#pragma once
+
+#include "decision/crash_suspects.hpp"
+#include "decision/retry_policy.hpp"
+
+#include <atomic>
+#include <chrono>
+
+namespace jasminepier::entry
+{
+
+enum class stop_phase
+{
+    serving,
+    /// Asked to stop: no longer among the addresses, but callers may hold a cached answer.
+    leaving,
+    /// New requests are refused; running ones go on.
+    refusing,
+};
+
+struct serving_settings
+{
+    /// Longest silence of an engine before its stream is resumed on a new connection.
+    std::chrono::milliseconds engine_silence{10000};
+    int address_time_to_live_seconds = 30;
+    /// This node's own address, left out of address answers once it is leaving.
+    std::string own_address;
+};
+
+class serving_state
+{
+public:
+    explicit serving_state(serving_settings settings) : m_settings(std::move(settings)) {}
+
+    serving_settings const& settings() const noexcept { return m_settings; }
+    decision::retry_budgets& budgets() noexcept { return m_budgets; }
+    decision::crash_suspects& suspects() noexcept { return m_suspects; }
+
+    stop_phase phase() const noexcept { return m_phase; }
+    void set_phase(stop_phase phase) noexcept { m_phase = phase; }
+
+    /// Requests being served.
+    int running() const noexcept { return m_running; }
+    void add_running(int change) noexcept { m_running += change; }
+
+private:
+    serving_settings m_settings;
+    decision::retry_budgets m_budgets;
+    decision::crash_suspects m_suspects;
+    std::atomic<stop_phase> m_phase = stop_phase::serving;
+    std::atomic<int> m_running = 0;
+};
+
+} // namespace jasminepier::entry
