--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -6,6 +6,7 @@
 #include "services/entry/chat_request.hpp"
 #include "services/entry/completion_sink.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace jasminepier::entry
@@ -82,6 +83,31 @@
     return settings;
 }
 
+acquire_request wanted_server(completion_call const& call, std::string const& service,
+                              configuration::kind_limits const& limits)
+{
+    constexpr std::size_t characters_per_token = 4;
+    constexpr std::size_t prefix_characters = 1024;
+    acquire_request wanted;
+    wanted.service = service;
+    wanted.model = call.chat.model;
+    wanted.customer = call.context.owner.customer;
+    wanted.kind = call.kind;
+    wanted.prompt_tokens =
+        static_cast<std::int64_t>(call.chat.prompt.size() / characters_per_token + 1);
+    wanted.maximum_tokens = call.chat.maximum_tokens;
+    wanted.prefix_hash =
+        base::stable_hash(std::string_view(call.chat.prompt).substr(0, prefix_characters));
+    wanted.maximum_wait = base::milliseconds(std::max(1, limits.maximum_wait_milliseconds));
+    if (call.job.deadline)
+        // 0 would stand for the preset's limit.
+        wanted.maximum_wait =
+            std::clamp(std::chrono::duration_cast<base::milliseconds>(
+                           *call.job.deadline - base::steady_clock_source{}.now()),
+                       base::milliseconds(1), wanted.maximum_wait);
+    return wanted;
+}
+
 base::result<completion_call> read_call(configuration::snapshot const& snapshot,
                                         configuration::customer const& customer,
                                         http_request& request)
@@ -100,10 +126,8 @@
                           base::sha256_hex({call.chat.engine_body})};
     call.context.event_id_key = snapshot.event_id_key;
     call.context.created_seconds = base::unix_seconds();
-    call.job.service = service->name;
     call.job.engine_body = call.chat.engine_body;
-    call.job.priority = limits.rank;
-    call.job.maximum_wait = std::chrono::milliseconds(limits.maximum_wait_milliseconds);
+    call.job.wanted = wanted_server(call, service->name, limits);
     call.job.fingerprint = fingerprint_of(snapshot.event_id_key, call.context.owner);
     call.job.keep_waiting = [&request] { return !caller_is_gone(request); };
     call.settings = delivery_settings_of(call, snapshot.active_preset);
@@ -141,7 +165,9 @@
     bool const may_return = outcome.end == delivery_end::caller_gone &&
                             call.kind == work_kind::proposal &&
                             call.chat.mode == answer_mode::stream;
-    if (outcome.end != delivery_end::complete && !may_return)
+    if (outcome.end == delivery_end::complete)
+        transport.set_outcome(attempt_outcome::completed);
+    else if (!may_return)
         transport.cancel();
 }
 
@@ -208,9 +234,9 @@
     auto const snapshot = state.snapshot();
     BOOST_LEAF_AUTO(call, read_call(*snapshot, customer, request));
     call.context.request_id = response.get("X-Request-Id", "");
-    call.job.request_id = call.context.request_id;
+    call.job.wanted.request_id = call.context.request_id;
     limit_writes(request);
-    serving.budgets().add_request(call.job.service, snapshot->active_preset.retry_budget);
+    serving.budgets().add_request(call.job.wanted.service, snapshot->active_preset.retry_budget);
     completion_transport transport(state, serving, call.job);
     if (call.chat.mode == answer_mode::stream)
         return serve_stream(*snapshot, call, transport, request, response);
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -54,7 +54,7 @@
 
 std::optional<start_failure> completion_transport::start()
 {
-    release();
+    release(attempt_outcome::failed);
     auto const verdict =
         m_serving.suspects().judge(m_job.fingerprint, base::steady_clock_source{}.now());
     if (verdict == decision::crash_verdict::refused)
@@ -72,8 +72,8 @@
     backend::backend_request request{"POST", "/v1/chat/completions", {}, m_job.engine_body};
     request.headers["Content-Type"] = "application/json";
     request.headers["X-Generation-Id"] = m_generation_id;
-    request.headers["X-Priority"] = std::to_string(m_job.priority);
-    request.headers["X-Request-Id"] = m_job.request_id;
+    request.headers["X-Priority"] = std::to_string(m_server.priority);
+    request.headers["X-Request-Id"] = m_job.wanted.request_id;
     if (m_job.deadline)
     {
         auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -182,7 +182,7 @@
     return parse_event(event.data);
 }
 
-attempt_event completion_transport::parse_event(std::string const& data) const
+attempt_event completion_transport::parse_event(std::string const& data)
 {
     return base::handle(
         [&]() -> base::result<attempt_event>
@@ -191,6 +191,8 @@
             attempt_event event{attempt_event::type::token, {}, {}, {}, {}};
             BOOST_LEAF_ASSIGN(event.generation_id, base::read_string(object, "id"));
             BOOST_LEAF_ASSIGN(event.token, parse_token(object));
+            if (m_acquired && !event.token.last)
+                m_state.note_tokens(m_server.ticket);
             return event;
         },
         [&](base::error const& failure)
@@ -212,7 +214,7 @@
 attempt_event completion_transport::failed(attempt_failure what, std::string reason) const
 {
     base::log_line(base::log_level::info, "attempt_failed")
-        .field("request_id", m_job.request_id)
+        .field("request_id", m_job.wanted.request_id)
         .field("generation", m_generation_id)
         .field("server", m_server.name)
         .field("failure", decision::to_string(what))
@@ -226,8 +228,12 @@
         record_crash();
     else if (failure != attempt_failure::not_connected)
         cancel();
+    bool const lost = failure == attempt_failure::not_connected ||
+                      (failure == attempt_failure::generation_gone && m_server_died);
+    if (lost)
+        m_state.note_server_lost(m_server.name);
     m_excluded.insert(m_server.name);
-    release();
+    release(attempt_outcome::failed);
 }
 
 void completion_transport::record_crash()
@@ -243,7 +249,7 @@
         !planned && m_serving.suspects().record({m_job.fingerprint, m_server.name, instance, 0},
                                                 base::steady_clock_source{}.now());
     base::log_line(base::log_level::warning, "server_died")
-        .field("request_id", m_job.request_id)
+        .field("request_id", m_job.wanted.request_id)
         .field("server", m_server.name)
         .field("instance", instance)
         .field("suspected", added ? "yes" : "no");
@@ -271,10 +277,12 @@
 
 std::optional<base::error> completion_transport::acquire(std::set<std::string> const& excluded)
 {
+    auto wanted = m_job.wanted;
+    wanted.excluded = excluded;
     return base::handle(
         [&]() -> base::result<std::optional<base::error>>
         {
-            BOOST_LEAF_ASSIGN(m_server, m_state.acquire(m_job.service, m_job.request_id, excluded));
+            BOOST_LEAF_ASSIGN(m_server, m_state.acquire(wanted));
             m_acquired = true;
             return std::optional<base::error>{};
         },
@@ -284,7 +292,7 @@
 /// Chooses a server that has not failed this request and, for a suspect, runs no other suspect.
 std::optional<base::error> completion_transport::choose_server(bool suspect)
 {
-    auto const end = std::chrono::steady_clock::now() + m_job.maximum_wait;
+    auto const end = std::chrono::steady_clock::now() + m_job.wanted.maximum_wait;
     auto excluded = m_excluded;
     for (;;)
     {
@@ -297,7 +305,7 @@
         if (!failure)
         {
             excluded.insert(m_server.name);
-            release();
+            release(attempt_outcome::cancelled);
             continue;
         }
         if (failure->kind != base::error_kind::no_server || excluded.empty() ||
@@ -310,10 +318,10 @@
     }
 }
 
-void completion_transport::release()
+void completion_transport::release(attempt_outcome outcome)
 {
     if (m_acquired)
-        m_state.release(m_server.name);
+        m_state.finish(m_server.ticket, outcome);
     if (m_occupies)
         m_serving.suspects().vacate(m_server.name);
     m_acquired = false;
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -16,12 +16,10 @@
 /// What every attempt of a completion needs.
 struct completion_job
 {
-    std::string request_id;
-    std::string service;
+    /// What the router needs; `maximum_wait` also limits the wait for a server that is free for a
+    /// suspect or back after a failure.
+    acquire_request wanted;
     std::string engine_body;
-    int priority = 0;
-    /// Longest wait for a server that is free for a suspect or back after a failure.
-    std::chrono::milliseconds maximum_wait{0};
     std::uint64_t fingerprint = 0;
     std::optional<base::time_point> deadline;
     /// Called while waiting for a server; returns false when the caller is gone.
@@ -39,19 +37,21 @@
     }
     completion_transport(completion_transport const&) = delete;
     completion_transport& operator=(completion_transport const&) = delete;
-    ~completion_transport() { release(); }
+    ~completion_transport() { release(m_final_outcome); }
 
     std::optional<decision::start_failure> start();
     std::optional<decision::start_failure> resume(std::int64_t index);
     decision::attempt_event read();
     void end(decision::attempt_failure failure);
-    bool spend_retry() { return m_serving.budgets().spend(m_job.service); }
+    bool spend_retry() { return m_serving.budgets().spend(m_job.wanted.service); }
 
     std::string const& generation_id() const noexcept { return m_generation_id; }
     std::string const& server() const noexcept { return m_server.name; }
 
     /// Takes over a generation that another delivery started.
     void adopt(chosen_server server, std::string generation_id);
+    /// Says how the last attempt ended; without it, it counts as cancelled.
+    void set_outcome(attempt_outcome outcome) noexcept { m_final_outcome = outcome; }
     /// Tells the engine to drop the generation; does not wait for its answer.
     void cancel();
 
@@ -68,11 +68,11 @@
                                                 exchange_purpose purpose);
     decision::attempt_event receive_head();
     decision::attempt_event read_event();
-    decision::attempt_event parse_event(std::string const& data) const;
+    decision::attempt_event parse_event(std::string const& data);
     decision::attempt_event idle_or_silent() const;
     decision::attempt_event failed(decision::attempt_failure what, std::string reason) const;
     void record_crash();
-    void release();
+    void release(attempt_outcome outcome);
 
     entry_state& m_state;
     serving_state& m_serving;
@@ -83,6 +83,7 @@
     std::string m_generation_id;
     std::set<std::string> m_excluded;
     bool m_acquired = false;
+    attempt_outcome m_final_outcome = attempt_outcome::cancelled;
     bool m_occupies = false;
     exchange_purpose m_purpose = exchange_purpose::start;
     std::unique_ptr<backend::http_exchange> m_exchange;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -113,25 +113,27 @@
     std::uint16_t entry_port = 7001;
     std::uint16_t control_port = 7002;
     int workers = 1024;
-    parser.add("host", host, "IP address of this entry VM");
-    parser.add("entry-port", entry_port, "Port for callers");
-    parser.add("control-port", control_port, "Port of the control process on this VM");
-    parser.add("workers", workers, "Most connections served at once")->check(CLI::Range(2, 20000));
+    parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
+    parser.add_port("entry-port", entry_port, "Port for callers");
+    parser.add_port("control-port", control_port, "Port of the control process on this VM");
+    parser.add("workers", workers, "Most connections served at once")
+        ->check(base::in_range<std::int64_t>(2, 20000));
+    parser.require_distinct_ports({{"entry-port", &entry_port}, {"control-port", &control_port}});
     entry::serving_settings serving_settings;
     int silence = static_cast<int>(serving_settings.engine_silence.count());
     int drain_limit = 0;
     parser
         .add("engine-silence-milliseconds", silence,
              "Silence of an engine before its stream is resumed")
-        ->check(CLI::Range(100, 600000));
+        ->check(base::in_range<std::int64_t>(100, 600000));
     parser
         .add("address-time-to-live", serving_settings.address_time_to_live_seconds,
              "Seconds for which callers may cache the addresses of entry VMs")
-        ->check(CLI::Range(0, 3600));
+        ->check(base::in_range<std::int64_t>(0, 3600));
     parser
         .add("drain-limit", drain_limit,
              "Seconds that a stop waits for running requests; 0 waits without a limit")
-        ->check(CLI::Range(0, 86400));
+        ->check(base::in_range<std::int64_t>(0, 86400));
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
