--- a/services/entry/control_link.cpp
+++ b/services/entry/control_link.cpp
@@ -2,6 +2,9 @@
 
 #include "base/log.hpp"
 
+#include <algorithm>
+#include <random>
+
 namespace jasminepier::entry
 {
 namespace
@@ -14,10 +17,37 @@
     return base::steady_clock_source{}.now();
 }
 
+std::vector<inner_protocol::crash_record> crash_records(serving_state& serving)
+{
+    std::vector<inner_protocol::crash_record> records;
+    for (auto const& event : serving.suspects().events(now()))
+    {
+        inner_protocol::crash_record record;
+        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
+        record.server_id = event.server;
+        record.instance = event.instance;
+        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+void merge_crash_records(serving_state& serving,
+                         std::vector<inner_protocol::crash_record> const& records)
+{
+    std::vector<decision::crash_event> events;
+    events.reserve(records.size());
+    for (auto const& record : records)
+        events.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
+                          record.instance, record.age_seconds});
+    serving.suspects().merge(events, now());
+}
+
 } // namespace
 
-control_link::control_link(entry_state& state, std::string host, std::uint16_t control_port)
-    : m_state(state), m_control(std::move(host), control_port, call_timeout)
+control_link::control_link(entry_state& state, serving_state& serving, std::string host,
+                           std::uint16_t control_port)
+    : m_state(state), m_serving(serving), m_control(std::move(host), control_port, call_timeout)
 {
 }
 
@@ -34,7 +64,7 @@
                                             client.exchange(received, report);
                                             return received;
                                         }));
-            apply(update, report.crashes.size());
+            apply(update);
             return {};
         },
         [](base::error const& failure)
@@ -51,16 +81,17 @@
     report.applied_revision = m_known_revision;
     report.known_revision = m_known_revision;
     report.known_load_sequence = m_known_load_sequence;
-    report.leaving = m_leaving;
-    report.running_streams = m_running_streams;
-    report.crashes = m_unreported;
+    report.leaving = m_serving.phase() != stop_phase::serving;
+    report.running_streams = m_serving.running();
+    report.crashes = crash_records(m_serving);
     report.ready = m_state.ready();
     return report;
 }
 
-void control_link::apply(inner_protocol::control_update const& update, std::size_t reported_crashes)
+void control_link::apply(inner_protocol::control_update const& update)
 {
     m_state.apply(update);
+    merge_crash_records(m_serving, update.crashes);
     std::lock_guard lock(m_mutex);
     // The revision is the one through which the control process is complete. The highest version
     // received says nothing about gaps below it. A control process that has restarted may be
@@ -69,10 +100,7 @@
     // Load sequences start over with the control process.
     m_known_load_sequence = update.load_sequence;
     m_members = update.members;
-    m_crashes = update.crashes;
     m_isolated = update.isolated;
-    m_unreported.erase(m_unreported.begin(),
-                       m_unreported.begin() + static_cast<std::ptrdiff_t>(reported_crashes));
     m_last_answer = now();
 }
 
@@ -94,28 +122,28 @@
     return m_members;
 }
 
-std::vector<inner_protocol::crash_record> control_link::crashes() const
-{
-    std::lock_guard lock(m_mutex);
-    return m_crashes;
-}
-
-void control_link::set_leaving(bool leaving)
-{
-    std::lock_guard lock(m_mutex);
-    m_leaving = leaving;
-}
-
-void control_link::set_running_streams(int count)
+std::vector<inner_protocol::member_record> control_link::nearest_nodes(std::size_t count) const
 {
-    std::lock_guard lock(m_mutex);
-    m_running_streams = count;
-}
-
-void control_link::add_crash(inner_protocol::crash_record const& record)
-{
-    std::lock_guard lock(m_mutex);
-    m_unreported.push_back(record);
+    auto nodes = members();
+    if (nodes.empty())
+        return nodes;
+    auto const self = nodes.front();
+    std::erase_if(nodes,
+                  [](inner_protocol::member_record const& record) {
+                      return record.state > inner_protocol::member_state::suspect || !record.ready;
+                  });
+    std::shuffle(nodes.begin(), nodes.end(), base::random_source(std::random_device{}()));
+    auto const distance = [&](inner_protocol::member_record const& record)
+    {
+        if (record.zone == self.zone)
+            return 0;
+        return record.region == self.region ? 1 : 2;
+    };
+    std::stable_sort(nodes.begin(), nodes.end(),
+                     [&](auto const& left, auto const& right)
+                     { return distance(left) < distance(right); });
+    nodes.resize(std::min(nodes.size(), count));
+    return nodes;
 }
 
 } // namespace jasminepier::entry
--- a/services/entry/entry_state.hpp
+++ b/services/entry/entry_state.hpp
@@ -80,6 +80,8 @@
     /// Excludes `server` until a report of it arrives that was made later; the callers of its
     /// attempts still call `finish` for each of them.
     void note_server_lost(std::string const& server);
+    /// Returns what a server last reported; nothing when no report has arrived.
+    std::optional<inner_protocol::load_digest> load(std::string const& server) const;
 
 private:
     struct attempt
--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -96,7 +96,10 @@
 {
     deployment running("127.0.13.1");
     start_nodes(running, 3);
-    EXPECT_NE(addresses(running, 1).find(entry_address(running, 3)), std::string::npos);
+    // The entry process hears with its next poll that the node is ready.
+    EXPECT_TRUE(wait_until(
+        [&]
+        { return addresses(running, 1).find(entry_address(running, 3)) != std::string::npos; }));
     running.stop_program("control-3");
     running.stop_program("entry-3");
     EXPECT_TRUE(wait_for_state(running, 1, 3, member_state::dead));
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -24,13 +24,15 @@
 TEST(distribution, a_change_is_in_force_on_400_nodes)
 {
     virtual_fleet fleet(400, 5, {0.05, 0.01}, fixed_seed, {5});
+    fleet.store.put("first");
     fleet.run(seconds(20));
     EXPECT_EQ(fleet.watchers(), 15);
     auto const before = fleet.store.calls;
     EXPECT_TRUE(fleet.run_until_confirmed(fleet.store.put("a"), promised));
     EXPECT_LE(fleet.store.calls - before, 30U);
     virtual_fleet without(50, 5, {}, fixed_seed, {0, false});
-    without.run(seconds(20));
+    // Nodes without any configuration read the platform themselves after 20 s.
+    without.run(seconds(5));
     EXPECT_FALSE(without.run_until_confirmed(without.store.put("a"), promised));
 }
 
@@ -39,8 +41,8 @@
 TEST(distribution, an_outage_delays_no_change_accepted_after_it)
 {
     virtual_fleet fleet(50, 2, {0.02, 0}, fixed_seed);
-    fleet.run(seconds(15));
     fleet.store.put("a");
+    fleet.run(seconds(15));
     fleet.store.outage = true;
     fleet.run(seconds(20));
     auto const before = fleet.store.calls;
--- a/tests/support/virtual_fleet.cpp
+++ b/tests/support/virtual_fleet.cpp
@@ -9,6 +9,9 @@
 constexpr base::milliseconds pull_timeout{2000};
 // A long poll answers within this time of a change.
 constexpr base::milliseconds watch_latency{100};
+constexpr base::milliseconds watch_time{5000};
+// The control process lists this many kinds with a call each.
+constexpr std::uint64_t listed_kinds = 9;
 
 } // namespace
 
@@ -55,6 +58,7 @@
 void virtual_fleet::restart(int node)
 {
     m_nodes.at(std::size_t(node)) = state{};
+    m_nodes.at(std::size_t(node)).started = network.now();
     network.restart(node, {0, 1, 2});
 }
 
@@ -74,19 +78,32 @@
     }
 }
 
+bool virtual_fleet::reads_platform(int node, state const& own)
+{
+    auto& detector = network.node(node);
+    membership::reach seen;
+    seen.started = own.started;
+    seen.peers_named = true;
+    seen.configuration_merged = own.copy.confirmed_revision() > 0;
+    seen.last_peer_contact = detector.last_contact();
+    bool const watcher = membership::watches_platform(detector.members(), detector.self().region,
+                                                      detector.self().node_id);
+    return membership::reads_platform(network.now(), seen, watcher, detector.settled());
+}
+
 void virtual_fleet::read_platform(int node, state& own)
 {
-    auto const members = network.node(node).members();
     if (network.now() < own.next_watch || !own.backoff.may_call(network.now()) ||
-        !membership::watches_platform(members, network.node(node).self().region,
-                                      virtual_network::name(node)))
+        !reads_platform(node, own))
         return;
     bool const waits = own.listed && own.copy.complete_through() >= store.version();
     own.next_watch = network.now() + watch_latency;
     // A waiting long poll is one call, however often this simulation looks at it.
-    if (waits && !store.outage)
+    if (waits && !store.outage && network.now() - own.last_call < watch_time)
         return;
-    ++store.calls;
+    own.last_call = network.now();
+    // A listing ends with its first failed call.
+    store.calls += own.listed || store.outage ? 1 : listed_kinds;
     if (store.outage)
         return own.backoff.failed(network.now(), m_random);
     own.backoff.succeeded();
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "configuration/replica.hpp"
-#include "membership/revision_sync.hpp"
+#include "membership/platform_reading.hpp"
 #include "membership/selection.hpp"
 #include "tests/support/virtual_network.hpp"
 
@@ -80,10 +80,13 @@
         membership::watch_backoff backoff;
         bool listed = false;
         base::time_point next_watch;
+        base::time_point started;
+        base::time_point last_call;
         std::vector<pull> pulls;
         std::map<std::string, std::int64_t> highest;
     };
     void step();
+    bool reads_platform(int node, state const& own);
     void read_platform(int node, state& own);
     void pull_from_peers(int node, state& own);
     void check_reverts(state& own);
