Control: Leave unchanged descriptions out of load digests

Cause: digests of 101 bytes made a node of a fleet of 50 send 5,304 bytes/s of loads, with gossip close to the 6 KB/s allowed. Change: load_digest gains a hash of instance, models and role; these three travel for 3 rounds after a change and in every tenth round. Notices with only loads carry no member hash.

--- a/benchmarks/membership_scale/main.cpp
+++ b/benchmarks/membership_scale/main.cpp
@@ -41,6 +41,10 @@
 {
     virtual_network network(nodes, regions, {}, seed);
     start(network);
+    // At 400 nodes the updates of the start take about eight minutes to have been sent often
+    // enough.
+    network.run_until([&] { return network.node(0).pending_updates() == 0; }, 15min);
+    network.run(30s);
     network.reset_counters();
     auto const before = processor_seconds();
     network.run(60s);
@@ -153,6 +157,75 @@
                 static_cast<unsigned long long>(recovery_peak));
 }
 
+/// What observers send each second with 2,000 servers of 15 models over 400 nodes, and the share of
+/// them for smaller fleets. Users and observers are those that the control process chooses.
+void measure_loads(int nodes)
+{
+    int const servers = nodes * 5;
+    std::vector<membership::member_record> members(static_cast<std::size_t>(nodes));
+    for (int i = 0; i < nodes; ++i)
+    {
+        members[std::size_t(i)].node_id = virtual_network::name(i);
+        members[std::size_t(i)].region = "region-" + std::to_string(i % regions);
+    }
+    std::vector<membership::server_candidate> candidates;
+    candidates.reserve(std::size_t(servers));
+    for (int i = 0; i < servers; ++i)
+        candidates.push_back({"engine-" + std::to_string(i),
+                              "region-" + std::to_string(i % regions),
+                              {"model-" + std::to_string(i / regions % 15)}});
+    auto const before = processor_seconds();
+    std::map<std::string, std::string> observer;
+    for (auto const& candidate : candidates)
+        observer[candidate.id] = membership::observer_of(candidate, members);
+    // Digests by (observer, user).
+    std::map<std::pair<std::string, std::string>, int> digests;
+    std::size_t used = 0;
+    for (auto const& member : members)
+        for (auto const& id :
+             membership::servers_used(member.node_id, member.region, members.size(), candidates))
+        {
+            ++used;
+            if (observer[id] != member.node_id)
+                ++digests[{observer[id], member.node_id}];
+        }
+    auto const seconds = processor_seconds() - before;
+    membership::load_digest digest{};
+    digest.server_id = "engine-1234";
+    digest.sequence = 1796367600000;
+    digest.running = digest.waiting = 100;
+    digest.kv_used_tokens = digest.kv_capacity_tokens = 1500000;
+    digest.max_running = 256;
+    digest.description = 1 << 30;
+    membership::gossip_datagram header;
+    header.sender = header.target = "node-123";
+    header.configuration_revision = 1796367600;
+    auto const header_bytes = inner_protocol::encode_datagram(header).size();
+    // The full digest, in one round of ten, adds the instance, the models and the role.
+    auto const full_bytes = 32U + 10U;
+    auto const digest_bytes = membership::wire_size(digest) + full_bytes / 10;
+    auto const per_datagram = (membership::maximum_datagram_bytes - header_bytes) / digest_bytes;
+    std::map<std::string, std::pair<std::size_t, std::size_t>> sent;
+    std::size_t bytes = 0;
+    std::size_t messages = 0;
+    for (auto const& [pair, count] : digests)
+    {
+        auto const parts = (std::size_t(count) + per_datagram - 1) / per_datagram;
+        auto const size = parts * (header_bytes + 28) + std::size_t(count) * digest_bytes;
+        bytes += size;
+        messages += parts;
+        sent[pair.first].first += size;
+    }
+    std::size_t most = 0;
+    for (auto const& [id, traffic] : sent)
+        most = std::max(most, traffic.first);
+    std::printf("loads nodes=%d servers=%d used_per_node=%.1f digest_bytes=%zu "
+                "sent_bytes_per_second=%.0f most_sent_bytes_per_second=%zu "
+                "sent_messages_per_second=%.1f assignment_of_all_nodes_ms=%.1f\n",
+                nodes, servers, double(used) / nodes, digest_bytes, double(bytes) / nodes, most,
+                double(messages) / nodes, seconds * 1000);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -160,9 +233,11 @@
     std::vector<int> sizes{8, 50, 100, 200, 400};
     if (argc > 1)
         sizes = {std::atoi(argv[1])};
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     for (int nodes : sizes)
     {
         measure_steady(nodes);
+        measure_loads(nodes);
         measure_death(nodes, 7);
         measure_change(nodes, 9);
         for (double loss : {0.01, 0.05, 0.10})
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -37,6 +37,9 @@
   12: list<string> models,
   13: i32 age_milliseconds,
   14: string role,
+  // Hash of instance, models and role; 0 when the server did not answer. A digest with a hash and
+  // without an instance leaves these three out: the receiver keeps those it has under this hash.
+  15: i32 description,
 }
 
 // One server death and the fingerprint of a request that was running there.
--- a/libraries/membership/failure_detector.cpp
+++ b/libraries/membership/failure_detector.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-failure_detector::failure_detector(member_record self, detector_settings settings,
+failure_detector::failure_detector(member_record const& self, detector_settings settings,
                                    std::uint64_t seed)
-    : m_self(std::move(self)), m_settings(settings), m_random(seed)
+    : m_self(self), m_settings(settings), m_random(seed)
 {
     m_sequence = static_cast<std::int64_t>(m_random() >> 24U);
 }
@@ -223,7 +223,7 @@
     {
         while (!m_round.empty())
         {
-            auto const id = m_round.back();
+            auto id = m_round.back();
             m_round.pop_back();
             auto const found = m_table.find(id);
             if (found != m_table.end() && !found->second.dead())
--- a/libraries/membership/failure_detector.hpp
+++ b/libraries/membership/failure_detector.hpp
@@ -64,7 +64,7 @@
 {
 public:
     /// `self.incarnation` must grow between lives of the node; start with wall-clock seconds.
-    failure_detector(member_record self, detector_settings settings, std::uint64_t seed);
+    failure_detector(member_record const& self, detector_settings settings, std::uint64_t seed);
 
     std::vector<outgoing> tick(base::time_point now);
     std::vector<outgoing> receive(base::time_point now, gossip_datagram const& message);
--- a/libraries/membership/failure_detector_exchange.cpp
+++ b/libraries/membership/failure_detector_exchange.cpp
@@ -58,11 +58,14 @@
         if (!known.dead())
             sum += hash(known.record);
     // Six bytes tell lists apart well enough and keep the encoded value short.
-    return static_cast<std::int64_t>(sum >> 16U);
+    return static_cast<std::int64_t>(sum >> 16U) | 1;
 }
 
 void failure_detector::compare_members(base::time_point now, gossip_datagram const& message)
 {
+    // Notices that carry only loads leave the hash out, since they make up most of the traffic.
+    if (message.members_hash == 0)
+        return;
     if (message.members_hash == members_hash())
         m_differs_since.reset();
     else if (!m_differs_since)
--- a/libraries/membership/failure_detector_messages.cpp
+++ b/libraries/membership/failure_detector_messages.cpp
@@ -186,6 +186,8 @@
     auto sent = make_notice(to);
     sent.message.kind = kind;
     sent.message.sequence = sequence;
+    sent.message.sender_incarnation = m_self.incarnation;
+    sent.message.members_hash = members_hash();
     if (kind == datagram_kind::ping_request)
         sent.message.target = target;
     fill(sent.message, to);
@@ -199,8 +201,6 @@
     made.message.sender = m_self.node_id;
     made.message.target = to.node_id;
     made.message.configuration_revision = m_configuration_revision;
-    made.message.sender_incarnation = m_self.incarnation;
-    made.message.members_hash = members_hash();
     return made;
 }
 
--- a/libraries/membership/record.cpp
+++ b/libraries/membership/record.cpp
@@ -46,12 +46,13 @@
 
 std::size_t wire_size(load_digest const& digest) noexcept
 {
-    std::size_t bytes =
-        size_of(digest.server_id) + size_of(digest.instance) + size_of(digest.sequence) +
-        size_of(digest.state) + size_of(digest.running) + size_of(digest.waiting) +
-        size_of(digest.kv_used_tokens) + size_of(digest.kv_capacity_tokens) +
-        size_of(digest.cold_capacity) + size_of(digest.max_running) + size_of(digest.preemptions) +
-        size_of(digest.age_milliseconds) + size_of(digest.role) + list_bytes + stop_bytes;
+    std::size_t bytes = size_of(digest.server_id) + size_of(digest.instance) +
+                        size_of(digest.sequence) + size_of(digest.state) + size_of(digest.running) +
+                        size_of(digest.waiting) + size_of(digest.kv_used_tokens) +
+                        size_of(digest.kv_capacity_tokens) + size_of(digest.cold_capacity) +
+                        size_of(digest.max_running) + size_of(digest.preemptions) +
+                        size_of(digest.age_milliseconds) + size_of(digest.description) +
+                        size_of(digest.role) + list_bytes + stop_bytes;
     for (auto const& model : digest.models)
         bytes += size_of(model);
     return bytes;
--- a/services/control/control_state.cpp
+++ b/services/control/control_state.cpp
@@ -72,7 +72,18 @@
     if (held.order > 0 && digest.sequence <= held.digest.sequence &&
         now - held.received < digest_lifetime)
         return;
-    held = {++m_load_sequence, now - base::milliseconds(digest.age_milliseconds), digest};
+    auto received = digest;
+    if (digest.description != 0 && digest.instance.empty())
+    {
+        // The full digest was lost; the observer repeats it.
+        if (held.digest.description != digest.description)
+            return;
+        received.instance = held.digest.instance;
+        received.models = held.digest.models;
+        received.role = held.digest.role;
+    }
+    held = {++m_load_sequence, now - base::milliseconds(digest.age_milliseconds),
+            std::move(received)};
 }
 
 std::pair<std::int64_t, std::vector<inner_protocol::load_digest>>
--- a/services/control/load_collector.cpp
+++ b/services/control/load_collector.cpp
@@ -1,6 +1,7 @@
 #include "services/control/load_collector.hpp"
 
 #include "backend/http_exchange.hpp"
+#include "base/hash.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -17,6 +18,10 @@
 constexpr std::size_t maximum_report_bytes = 64U << 10U;
 // At full size a node observes 5 servers, and an unreachable one takes up to a second.
 constexpr std::size_t maximum_poll_threads = 8;
+// After a change of instance, models, role or users, the full digest is sent in this many rounds,
+// so that loss of one datagram does no harm; later in every tenth round.
+constexpr int full_digest_rounds = 3;
+constexpr std::uint64_t full_digest_interval = 10;
 // One lost poll may be chance; two in a row say that the server cannot be used.
 constexpr int failures_to_unreachable = 2;
 
@@ -41,6 +46,17 @@
         [](base::error const&) { return std::optional<backend::load_report>(); });
 }
 
+std::int32_t description_of(backend::load_report const& report)
+{
+    if (report.state == backend::server_state::unreachable)
+        return 0;
+    std::string text = report.instance + '\n' + report.role;
+    for (auto const& model : report.models)
+        text += '\n' + model;
+    // Never 0, which stands for a server that did not answer.
+    return static_cast<std::int32_t>(base::stable_hash(text) >> 33U) | 1;
+}
+
 inner_protocol::load_digest condense(std::string const& server, backend::load_report const& report)
 {
     inner_protocol::load_digest digest;
@@ -56,6 +72,7 @@
     digest.preemptions = report.preemptions;
     digest.models = report.models;
     digest.role = report.role;
+    digest.description = description_of(report);
     return digest;
 }
 
@@ -158,18 +175,40 @@
     }
 }
 
+bool load_collector::sends_full(observation& observed,
+                                inner_protocol::load_digest const& digest) const
+{
+    if (observed.description != digest.description)
+    {
+        observed.description = digest.description;
+        observed.full_rounds = full_digest_rounds;
+    }
+    return observed.full_rounds-- > 0 || m_round % full_digest_interval == 0;
+}
+
 void load_collector::distribute(std::vector<inner_protocol::load_digest> const& digests)
 {
     auto const own = m_agent.self().node_id;
+    ++m_round;
     std::map<std::string, std::vector<inner_protocol::load_digest>> by_user;
     for (auto const& digest : digests)
-        for (auto const& user : m_observed.at(digest.server_id).users)
+    {
+        auto& observed = m_observed.at(digest.server_id);
+        auto sent = digest;
+        if (!sends_full(observed, digest))
+        {
+            sent.instance.clear();
+            sent.models.clear();
+            sent.role.clear();
+        }
+        for (auto const& user : observed.users)
         {
             if (user == own)
                 m_state.set_load(digest);
             else
-                by_user[user].push_back(digest);
+                by_user[user].push_back(sent);
         }
+    }
     for (auto const& [user, sent] : by_user)
         m_agent.send_loads(user, sent);
 }
--- a/services/control/load_collector.hpp
+++ b/services/control/load_collector.hpp
@@ -29,9 +29,14 @@
         configuration::server server;
         std::vector<std::string> users;
         int failures = 0;
+        /// Hash of what the last report said about instance, models and role.
+        std::int32_t description = 0;
+        /// Rounds in which the full digest is still to be sent.
+        int full_rounds = 0;
     };
     void refresh_assignments();
     void poll_all(std::vector<inner_protocol::load_digest>& digests);
+    bool sends_full(observation& observed, inner_protocol::load_digest const& digest) const;
     void distribute(std::vector<inner_protocol::load_digest> const& digests);
 
     control_state& m_state;
@@ -39,6 +44,7 @@
     std::map<std::string, observation> m_observed;
     std::vector<std::string> m_live;
     std::int64_t m_revision = -1;
+    std::uint64_t m_round = 0;
 };
 
 } // namespace jasminepier::control
--- a/services/control/node_agent.cpp
+++ b/services/control/node_agent.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-node_agent::node_agent(control_state& state, inner_protocol::member_record self,
+node_agent::node_agent(control_state& state, inner_protocol::member_record const& self,
                        std::vector<membership::contact> seeds)
     : m_state(state), m_socket(self.host, static_cast<std::uint16_t>(self.gossip_port)),
       m_seeds(std::move(seeds)), m_started(now()), m_random(std::random_device{}()),
-      m_detector(std::move(self), {}, std::random_device{}()), m_peers_named(!m_seeds.empty())
+      m_detector(self, {}, std::random_device{}()), m_peers_named(!m_seeds.empty())
 {
 }
 
--- a/services/control/node_agent.hpp
+++ b/services/control/node_agent.hpp
@@ -19,7 +19,7 @@
 class node_agent
 {
 public:
-    node_agent(control_state& state, inner_protocol::member_record self,
+    node_agent(control_state& state, inner_protocol::member_record const& self,
                std::vector<membership::contact> seeds);
 
     /// Receives datagrams for one tick, then ticks. Called again and again by one thread.
--- a/tests/support/virtual_network.cpp
+++ b/tests/support/virtual_network.cpp
@@ -18,10 +18,12 @@
                                  std::uint64_t seed, membership::detector_settings detector)
     : m_regions(regions), m_settings(settings), m_detector(detector), m_random(seed)
 {
+    m_nodes.reserve(static_cast<std::size_t>(nodes));
     for (int i = 0; i < nodes; ++i)
         m_nodes.push_back({make_node(i), true});
     // Everyone knows three seeds, as a deployment's settings say.
     std::vector<membership::contact> seeds;
+    seeds.reserve(3);
     for (int i = 0; i < std::min(nodes, 3); ++i)
         seeds.push_back({"", "10.0.0.1", port_base + i});
     for (auto& started : m_nodes)
@@ -50,17 +52,18 @@
     m_incarnation += 1000;
     m_nodes.at(index(node)) = {make_node(node), true};
     std::vector<membership::contact> contacts;
+    contacts.reserve(seeds.size());
     for (int seed : seeds)
         contacts.push_back({"", "10.0.0.1", port_base + seed});
     m_nodes.at(index(node)).detector->set_contacts(contacts);
 }
 
-void virtual_network::post(int from, std::vector<membership::outgoing> messages)
+void virtual_network::post(int from, std::vector<membership::outgoing> const& messages)
 {
     std::uniform_real_distribution<double> chance(0, 1);
     std::uniform_int_distribution<std::int64_t> delay(m_settings.shortest_delay.count(),
                                                       m_settings.longest_delay.count());
-    for (auto& sent : messages)
+    for (auto const& sent : messages)
     {
         int const to = sent.port - port_base;
         auto const bytes = inner_protocol::encode_datagram(sent.message).size();
@@ -69,8 +72,7 @@
         ++m_sent;
         if (to >= size() || (m_cut && m_cut(from, to)) || chance(m_random) < m_settings.loss)
             continue;
-        auto const message =
-            std::make_shared<membership::gossip_datagram const>(std::move(sent.message));
+        auto const message = std::make_shared<membership::gossip_datagram const>(sent.message);
         int const copies = chance(m_random) < m_settings.duplication ? 2 : 1;
         for (int i = 0; i < copies; ++i)
             m_events.push(
--- a/tests/support/virtual_network.hpp
+++ b/tests/support/virtual_network.hpp
@@ -92,7 +92,7 @@
     };
     static std::size_t index(int node) { return static_cast<std::size_t>(node); }
     std::unique_ptr<membership::failure_detector> make_node(int node);
-    void post(int from, std::vector<membership::outgoing> messages);
+    void post(int from, std::vector<membership::outgoing> const& messages);
     void deliver_until(base::time_point limit);
     void step();
     void exchange_members(int node);
