Entry, Control: Serve metrics and the record of recent requests

Cause: nobody could see stall time, token times, refusals, preemptions or why a request went where it did; and the log quoted what callers sent in invalid requests (model names, JSON fragments, paths). Handlers call plain functions; the observation belongs to the worker's thread. Messages about invalid requests go to the caller only; log values are cut at 512 bytes.

--- a/libraries/base/log.cpp
+++ b/libraries/base/log.cpp
@@ -2,6 +2,7 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <atomic>
 
 INITIALIZE_EASYLOGGINGPP // NOLINT
@@ -15,8 +16,12 @@
 
     void append_value(std::ostringstream& out, std::string_view value)
     {
+        // A value may come from a caller; a line of megabytes would drown the others.
+        constexpr std::size_t maximum_value_bytes = 512;
+        bool const cut = value.size() > maximum_value_bytes;
+        value = value.substr(0, maximum_value_bytes);
         bool const plain =
-            !value.empty() && value.find_first_of(" \"=\\") == std::string_view::npos &&
+            !cut && !value.empty() && value.find_first_of(" \"=\\") == std::string_view::npos &&
             std::none_of(value.begin(), value.end(),
                          [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; });
         if (plain)
@@ -36,7 +41,7 @@
             else
                 out << c;
         }
-        out << '"';
+        out << (cut ? "...\"" : "\"");
     }
 
     } // namespace
--- a/libraries/base/log.hpp
+++ b/libraries/base/log.hpp
@@ -23,7 +23,8 @@
 bool log_enabled(log_level level) noexcept;
 
 /// Builds one log line; the line is written when the object is destroyed. Values that contain
-/// spaces, quotes or control characters are quoted and escaped, so that a line stays one line.
+/// spaces, quotes or control characters are quoted and escaped, so that a line stays one line;
+/// values are cut after 512 bytes.
 class log_line
 {
 public:
--- a/libraries/base/settings.cpp
+++ b/libraries/base/settings.cpp
@@ -90,7 +90,7 @@
         {
             for (std::size_t i = 0; i < ports.size(); ++i)
                 for (std::size_t j = i + 1; j < ports.size(); ++j)
-                    if (*ports[i].second == *ports[j].second)
+                    if (*ports[i].second != 0 && *ports[i].second == *ports[j].second)
                         return "--" + ports[i].first + " and --" + ports[j].first + " are both " +
                                std::to_string(*ports[i].second) + "; use different ports";
             return std::nullopt;
--- a/libraries/base/settings.hpp
+++ b/libraries/base/settings.hpp
@@ -70,7 +70,7 @@
     /// Adds a rule about several settings; it is checked at every start and by --check-settings.
     void add_rule(cross_check rule) { m_rules.push_back(std::move(rule)); }
 
-    /// Adds the rule that these ports differ.
+    /// Adds the rule that these ports differ; a port of 0 is not used.
     void require_distinct_ports(std::vector<std::pair<std::string, std::uint16_t const*>> ports);
 
     /// Parses the command line. Returns an exit status when the program must stop: 0 after --help,
--- /dev/null
+++ b/services/control/control_metrics.hpp
@@ -0,0 +1,34 @@
+/// Metrics of the control process and the listener that serves them.
+#pragma once
+
+#include "services/control/control_state.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace jasminepier::control
+{
+
+/// Counts the preemptions that the server reports beyond its last report. A server that was
+/// restarted counts from zero again, which its instance id shows.
+void observe_load(configuration::server const& server, inner_protocol::load_digest const& digest);
+
+/// Returns the answer of `GET /metrics`.
+std::string write_control_metrics(control_state const& state);
+
+/// Serves `GET /metrics` until it is destroyed.
+class metrics_listener
+{
+public:
+    metrics_listener(control_state const& state, std::string const& host, std::uint16_t port);
+    metrics_listener(metrics_listener const&) = delete;
+    metrics_listener& operator=(metrics_listener const&) = delete;
+    ~metrics_listener();
+
+private:
+    struct parts;
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace jasminepier::control
--- a/services/control/load_collector.cpp
+++ b/services/control/load_collector.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/http_exchange.hpp"
 #include "backend/load_report.hpp"
+#include "services/control/control_metrics.hpp"
 
 namespace jasminepier::control
 {
@@ -50,6 +51,7 @@
         digest.preemptions = report.preemptions;
         digest.models = report.models;
         digest.role = report.role;
+        observe_load(server, digest);
         state.set_load(digest);
     }
 }
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -4,6 +4,7 @@
 #include "base/stop_signal.hpp"
 #include "platform/http_object_store.hpp"
 #include "services/control/control_handler.hpp"
+#include "services/control/control_metrics.hpp"
 #include "services/control/load_collector.hpp"
 #include "services/control/platform_watcher.hpp"
 
@@ -16,11 +17,16 @@
     std::string node_id = "node-1";
     std::string host = "127.0.0.1";
     std::uint16_t control_port = 7002;
+    std::uint16_t metrics_port = 0;
     platform::http_object_store_settings platform_settings;
     platform_settings.port = 9000;
     parser.add("node-id", node_id, "Name of this entry VM, unique among entry VMs");
     parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
     parser.add_port("control-port", control_port, "Port for peers and the local entry process");
+    parser.add("metrics-port", metrics_port, "Port of GET /metrics; 0 turns it off")
+        ->check(base::in_range<std::int64_t>(0, 65535));
+    parser.require_distinct_ports(
+        {{"control-port", &control_port}, {"metrics-port", &metrics_port}});
     parser.add("platform-host", platform_settings.host, "IP address of the platform's object API")
         ->check(base::ip_address());
     parser.add_port("platform-port", platform_settings.port, "Port of the platform's object API");
@@ -38,6 +44,9 @@
     base::background_thread const watching(std::chrono::milliseconds(200), [&] { watcher.step(); });
     base::background_thread const collecting(std::chrono::milliseconds(1000),
                                              [&] { control::collect_loads(state); });
+    std::unique_ptr<control::metrics_listener> metrics;
+    if (metrics_port != 0)
+        metrics = std::make_unique<control::metrics_listener>(state, host, metrics_port);
     base::wait_for_stop_signal();
     std::_Exit(0);
 }
--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -4,6 +4,7 @@
 #include "backend/http_exchange.hpp"
 #include "base/hash.hpp"
 #include "services/entry/chat_request.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 namespace jasminepier::entry
 {
@@ -42,12 +43,16 @@
         complete = event->data == "[DONE]";
         if (complete)
             break;
+        observe_token();
     }
     if (!complete)
+    {
+        observe_failure(base::error_kind::generation_lost);
         out << "data: "
             << base::write_json(error_body(
                    {base::error_kind::generation_lost, "the engine ended the stream early"}))
             << "\n\n";
+    }
     out.flush();
     return {};
 }
@@ -81,6 +86,7 @@
             send_json(response, 200, body);
             return {};
         }
+        observe_token();
         BOOST_LEAF_ASSIGN(last, base::parse_json_object(event->data));
         auto choices = last->getArray("choices");
         auto choice = choices ? choices->getObject(0) : nullptr;
@@ -107,6 +113,7 @@
                         "Jasminepier-Work-Kind", std::string(to_string(customer.default_kind)))));
     auto const request_id = base::random_id();
     response.set("X-Request-Id", request_id);
+    observe_request(request_id, customer.name, kind, chat.model);
     BOOST_LEAF_AUTO(server, state.acquire(service->name, request_id, {}));
     server_hold const hold(state, server.name);
     backend::http_exchange exchange({server.host, server.port}, {});
--- /dev/null
+++ b/services/entry/entry_metrics.cpp
@@ -0,0 +1,210 @@
+#include "services/entry/entry_metrics.hpp"
+
+#include "metrics/exposition.hpp"
+
+#include <array>
+
+namespace jasminepier::entry
+{
+namespace
+{
+
+using metrics::duration_histogram;
+using metrics::family;
+using metrics::label;
+
+// Finer around the targets: 1.1 s for the first token, 38 ms between tokens.
+constexpr std::array first_token_bounds{0.025, 0.05, 0.1, 0.2, 0.4,  0.7,  1.1,
+                                        2.0,   5.0,  10., 30., 60.0, 120., 300.};
+constexpr std::array token_gap_bounds{0.002, 0.005, 0.01,  0.02, 0.03, 0.038,
+                                      0.05,  0.075, 0.152, 0.3,  1.0,  5.0};
+constexpr std::array stall_bounds{0.0, 0.152, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0};
+
+/// 16 zones, 15 models in steady use and 5 work kinds at full size, and room for some change.
+std::vector<label> token_labels()
+{
+    return {{"zone", 24}, {"kind", 5}, {"model", 24}};
+}
+
+struct entry_families
+{
+    family<duration_histogram> first_token{"jasminepier_time_to_first_token_seconds",
+                                           "Time from the request to its first token.",
+                                           token_labels(), std::span(first_token_bounds)};
+    family<duration_histogram> between_tokens{"jasminepier_time_between_tokens_seconds",
+                                              "Time between two tokens of an answer.",
+                                              token_labels(), std::span(token_gap_bounds)};
+    family<duration_histogram> stall{
+        "jasminepier_stall_seconds",
+        "Time per answer spent in gaps between tokens of 152 ms or more.", token_labels(),
+        std::span(stall_bounds)};
+    family<metrics::counter> requests{
+        "jasminepier_requests_total",
+        "Requests by result and by whether any zone was out of service.",
+        {{"zone_state", 2}, {"zone", 24}, {"kind", 5}, {"model", 24}, {"result", 4}}};
+    family<metrics::counter> refusals{"jasminepier_refusals_total",
+                                      "Requests refused before anything was run, by error code.",
+                                      {{"code", 32}}};
+    family<metrics::counter> failures{"jasminepier_failures_total",
+                                      "Requests that failed and may have run, by error code.",
+                                      {{"code", 32}}};
+    family<metrics::counter> retries{
+        "jasminepier_retries_total", "Attempts after the first one.", {{"kind", 5}}};
+    family<metrics::counter> hedges{"jasminepier_hedges_total",
+                                    "Second requests sent while the first was running.",
+                                    {{"kind", 5}}};
+};
+
+entry_families& families()
+{
+    static entry_families instance;
+    return instance;
+}
+
+thread_local request_observation* current = nullptr;
+
+std::string or_none(std::string const& value)
+{
+    return value.empty() ? "none" : value;
+}
+
+std::int64_t to_milliseconds(std::chrono::microseconds value)
+{
+    return value.count() / 1000;
+}
+
+} // namespace
+
+request_observation::request_observation(fleet_state fleet)
+    : m_fleet(fleet), m_start(base::steady_clock_source{}.now())
+{
+    m_record.result = "served";
+    current = this;
+}
+
+request_observation::~request_observation()
+{
+    current = nullptr;
+    m_record.stalled_milliseconds = to_milliseconds(m_stalled);
+    m_record.total_milliseconds = to_milliseconds(base::steady_clock_source{}.now() - m_start);
+    if (m_record.id.empty())
+        return;
+    if (m_stall != nullptr)
+        m_stall->observe(m_stalled);
+    auto const* state = m_fleet == fleet_state::zone_out ? "zone_out" : "all_zones_in_service";
+    families()
+        .requests
+        .find({state, or_none(m_zone), m_record.kind, or_none(m_record.model), m_record.result})
+        .add();
+    recent_requests().finish(m_record);
+}
+
+void request_observation::find_token_series()
+{
+    auto& all = families();
+    metrics::label_values const values{or_none(m_zone), m_record.kind, or_none(m_record.model)};
+    m_first_token = &all.first_token.find(values);
+    m_between_tokens = &all.between_tokens.find(values);
+    m_stall = &all.stall.find(values);
+}
+
+void request_observation::token_arrived(base::time_point now)
+{
+    if (m_between_tokens == nullptr)
+        find_token_series();
+    if (m_record.tokens++ == 0)
+    {
+        m_first_token->observe(now - m_start);
+        m_record.first_token_milliseconds = to_milliseconds(now - m_start);
+    }
+    else
+    {
+        auto const gap = now - m_last_token;
+        m_between_tokens->observe(gap);
+        if (gap >= stall_threshold)
+            m_stalled += gap;
+    }
+    m_last_token = now;
+}
+
+void observe_request(std::string const& request_id, std::string const& customer,
+                     configuration::work_kind kind, std::string const& model)
+{
+    if (current == nullptr)
+        return;
+    auto& record = current->m_record;
+    record.id = request_id;
+    record.customer = customer;
+    record.kind = to_string(kind);
+    record.model = model;
+    record.started_unix_seconds = base::unix_seconds();
+    auto started = record;
+    started.result = "running";
+    recent_requests().begin(std::move(started));
+}
+
+void observe_route(route_choice const& choice)
+{
+    if (current == nullptr)
+        return;
+    if (current->m_zone != choice.zone)
+        current->m_between_tokens = nullptr;
+    current->m_zone = choice.zone;
+    recent_requests().add_attempt(current->m_record.id, choice);
+}
+
+void observe_token()
+{
+    if (current != nullptr)
+        current->token_arrived(base::steady_clock_source{}.now());
+}
+
+void observe_retry()
+{
+    if (current != nullptr)
+        families().retries.find({current->m_record.kind}).add();
+}
+
+void observe_hedge()
+{
+    if (current != nullptr)
+        families().hedges.find({current->m_record.kind}).add();
+}
+
+void observe_failure(base::error_kind kind)
+{
+    auto const& row = base::answer_for(kind);
+    bool const refused = row.executed == base::execution::not_run;
+    (refused ? families().refusals : families().failures).find({std::string(row.code)}).add();
+    if (current == nullptr)
+        return;
+    current->m_record.result = refused ? "refused" : "failed";
+    current->m_record.code = row.code;
+}
+
+void observe_disconnect()
+{
+    if (current != nullptr)
+        current->m_record.result = "disconnected";
+}
+
+request_log& recent_requests()
+{
+    static request_log instance;
+    return instance;
+}
+
+std::string write_entry_metrics()
+{
+    auto const& all = families();
+    std::string out;
+    write_family(out, all.first_token, first_token_bounds);
+    write_family(out, all.between_tokens, token_gap_bounds);
+    write_family(out, all.stall, stall_bounds);
+    for (auto const* source :
+         {&all.requests, &all.refusals, &all.failures, &all.retries, &all.hedges})
+        write_family(out, *source);
+    return out;
+}
+
+} // namespace jasminepier::entry
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -1,6 +1,7 @@
 #include "services/entry/entry_state.hpp"
 
 #include "base/log.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 namespace jasminepier::entry
 {
@@ -65,6 +66,7 @@
         .field("zone", best->zone)
         .field("candidates", candidates)
         .field("reason", "least_outstanding");
+    observe_route({service, best->name, best->zone, "least_outstanding", candidates});
     return chosen_server{best->name, best->host, best->port};
 }
 
--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -1,7 +1,9 @@
 #include "services/entry/front_handler.hpp"
 
 #include "base/log.hpp"
+#include "metrics/exposition.hpp"
 #include "services/entry/completion_handler.hpp"
+#include "services/entry/entry_metrics.hpp"
 #include "services/entry/plain_handler.hpp"
 
 #include <Poco/URI.h>
@@ -56,25 +58,61 @@
     return body;
 }
 
+/// The messages about invalid requests quote what the caller sent, which may be a prompt or a key;
+/// they go to the caller only.
+void log_failure(base::error const& failure, std::string const& request_id)
+{
+    auto const& row = base::answer_for(failure.kind);
+    base::log_line line(base::log_level::info, "request_failed");
+    line.field("request_id", request_id).field("kind", row.code);
+    if (row.type != "invalid_request_error")
+        line.field("reason", failure.message);
+}
+
+fleet_state state_of(configuration::snapshot const& snapshot)
+{
+    for (auto const& [name, zone] : snapshot.zones)
+        if (zone.state == configuration::zone_state::out_of_service)
+            return fleet_state::zone_out;
+    return fleet_state::all_zones_in_service;
+}
+
+void send_metrics(http_response& response)
+{
+    auto const text = write_entry_metrics();
+    response.setContentType(metrics::exposition_content_type);
+    response.sendBuffer(text.data(), text.size());
+}
+
+base::result<void> show_request(configuration::customer const& customer, std::string const& id,
+                                http_response& response)
+{
+    auto const record = recent_requests().find(id, customer.name);
+    if (!record)
+        return base::fail(base::error_kind::not_found, "no record of request '" + id + "'");
+    send_json(response, 200, to_json(*record));
+    return {};
+}
+
 } // namespace
 
 void front_handler::handleRequest(http_request& request, http_response& response)
 {
+    request_observation const observation(state_of(*m_state.snapshot()));
     try
     {
         base::handle([&]() -> base::result<void> { return serve(request, response); },
                      [&](base::error const& failure)
                      {
-                         base::log_line(base::log_level::info, "request_failed")
-                             .field("request_id", response.get("X-Request-Id", ""))
-                             .field("kind", base::to_string(failure.kind))
-                             .field("reason", failure.message);
+                         observe_failure(failure.kind);
+                         log_failure(failure, response.get("X-Request-Id", ""));
                          if (!response.sent())
                              send_error(response, failure);
                      });
     }
     catch (std::exception const& failure)
     {
+        observe_disconnect();
         base::log_line(base::log_level::info, "caller_disconnected")
             .field("request_id", response.get("X-Request-Id", ""))
             .field("reason", failure.what());
@@ -85,9 +123,12 @@
 {
     std::string const path = Poco::URI(request.getURI()).getPath();
     std::string const service_prefix = "/v1/services/";
+    std::string const request_prefix = "/v1/requests/";
     auto const snapshot = m_state.snapshot();
     if (path == "/health")
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
+    if (path == "/metrics")
+        return send_metrics(response), base::result<void>{};
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
     if (path == "/ready")
@@ -97,6 +138,8 @@
     BOOST_LEAF_AUTO(customer, authenticate(request));
     if (path == "/v1/models")
         return send_json(response, 200, list_models(*snapshot)), base::result<void>{};
+    if (path.starts_with(request_prefix))
+        return show_request(customer, path.substr(request_prefix.size()), response);
     if (path == "/v1/chat/completions")
     {
         BOOST_LEAF_CHECK(require_method(request, "POST"));
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/http_exchange.hpp"
 #include "base/hash.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 namespace jasminepier::entry
 {
@@ -21,6 +22,7 @@
     BOOST_LEAF_AUTO(body, read_body(request));
     auto const request_id = base::random_id();
     response.set("X-Request-Id", request_id);
+    observe_request(request_id, customer.name, configuration::work_kind::lookup, "");
     BOOST_LEAF_AUTO(server, state.acquire(service, request_id, {}));
     backend::backend_request forwarded{request.getMethod(), path, {}, body};
     forwarded.headers["Content-Type"] = request.getContentType();
--- /dev/null
+++ b/tests/observation_test.cpp
@@ -0,0 +1,161 @@
+#include "base/log.hpp"
+#include "services/entry/request_log.hpp"
+#include "tests/support/deployment.hpp"
+#include "tests/support/program_run.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+namespace jasminepier::tests
+{
+namespace
+{
+
+constexpr auto entry_port = static_cast<std::uint16_t>(entry_port_base + 1);
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string chat_body(std::string const& prompt)
+{
+    return R"({"model":"demo","messages":[{"role":"user","content":")" + prompt + "\"}]}";
+}
+
+std::string id_in(std::string const& answer)
+{
+    auto const at = answer.find("\"id\":\"");
+    return at == std::string::npos ? "" : answer.substr(at + 6, 32);
+}
+
+} // namespace
+
+// Guards against memory that grows with the requests, and against a record shown to others.
+TEST(request_log, keeps_the_newest_for_their_customer)
+{
+    entry::request_log log(3);
+    for (int i = 0; i < 5; ++i)
+    {
+        entry::request_record record;
+        record.id = std::to_string(i);
+        record.customer = "owner";
+        log.begin(record);
+    }
+    EXPECT_EQ(log.size(), 3U);
+    EXPECT_FALSE(log.find("1", "owner"));
+    EXPECT_TRUE(log.find("2", "owner"));
+    EXPECT_FALSE(log.find("2", "somebody-else"));
+    for (int i = 0; i < 20; ++i)
+        log.add_attempt("4", {"s", std::to_string(i), "z", "r", 1});
+    auto const attempts = log.find("4", "owner")->attempts;
+    ASSERT_EQ(attempts.size(), entry::request_log::maximum_attempts);
+    EXPECT_EQ(attempts.back().server, "19");
+}
+
+// Guards against values that break a line in two or forge a field of another record.
+TEST(log_line, stays_one_line_with_escaped_values)
+{
+    testing::internal::CaptureStdout();
+    base::configure_logging(base::log_level::info);
+    base::log_line(base::log_level::debug, "hidden").field("key", "value");
+    base::log_line(base::log_level::warning, "tested")
+        .field("a", "x y")
+        .field("b", "line\nlevel=ERROR \"q\" \\ %msg %level")
+        .field("c", 7)
+        .field("d", "")
+        .field("e", std::string(600, 'z'));
+    auto const out = testing::internal::GetCapturedStdout();
+    EXPECT_EQ(std::count(out.begin(), out.end(), '\n'), 1) << out;
+    EXPECT_TRUE(contains(out,
+                         "level=WARNING event=tested a=\"x y\" "
+                         "b=\"line\\x0alevel=ERROR \\\"q\\\" \\\\ %msg %level\" c=7 d=\"\" e="))
+        << out;
+    EXPECT_TRUE(contains(out, std::string(512, 'z') + "...\"")) << out;
+    EXPECT_FALSE(contains(out, std::string(513, 'z')));
+}
+
+// Guards against requests that leave no trace in the metrics or in the request log.
+TEST(observation, counts_requests_by_zone_state_and_explains_them)
+{
+    deployment running("127.0.15.6");
+    running.start_engine(1);
+    running.start_service(1);
+    running.start_node(1);
+    ASSERT_TRUE(running.wait_until_ready(1));
+    auto const answer = running.call(entry_port, "POST", "/v1/chat/completions",
+                                     chat_body("Which screws? tokens=5"));
+    ASSERT_EQ(answer.status, 200);
+    running.call(entry_port, "GET", "/v1/services/shop/stock/beam-14");
+    EXPECT_EQ(running.call(entry_port, "POST", "/v1/chat/completions", "{").status, 400);
+    auto const metrics = running.call(entry_port, "GET", "/metrics").body;
+    EXPECT_TRUE(contains(metrics, "jasminepier_time_to_first_token_seconds_count{zone=\"zone-a\","
+                                  "kind=\"question\",model=\"demo\"} 1"))
+        << metrics;
+    EXPECT_TRUE(contains(metrics, "jasminepier_requests_total{zone_state=\"all_zones_in_service\","
+                                  "zone=\"zone-a\",kind=\"lookup\",model=\"none\","
+                                  "result=\"served\"} 1"))
+        << metrics;
+    EXPECT_TRUE(contains(metrics, "jasminepier_refusals_total{code=\"bad_request\"} 1"));
+    auto const path = "/v1/requests/" + id_in(answer.body);
+    auto const record = running.call(entry_port, "GET", path);
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(contains(record.body, "\"server\":\"engine-1\"")) << record.body;
+    EXPECT_TRUE(contains(record.body, "\"result\":\"served\"")) << record.body;
+    auto const shown =
+        run_program("jasminepierctl", {"--platform-host", running.host(), "--api-key", "demo-key",
+                                       "request", "show", id_in(answer.body), "--output", "json"});
+    EXPECT_EQ(shown.status, 0) << shown.output;
+    EXPECT_TRUE(contains(shown.output, "\"node\":\"node-1\"")) << shown.output;
+    running.put("zone", "zone-b", R"({"region":"local","state":"out_of_service"})");
+    EXPECT_TRUE(wait_until(
+        [&]
+        {
+            running.call(entry_port, "GET", "/v1/services/shop/stock/beam-15");
+            return contains(running.call(entry_port, "GET", "/metrics").body,
+                            "zone_state=\"zone_out\"");
+        }));
+}
+
+// Guards against prompts and API keys in the logs, which more people can read than may see them.
+TEST(logs, contain_no_prompt_and_no_api_key)
+{
+    ASSERT_EQ(setenv("JASMINEPIER_LOG_LEVEL", "debug", 1), 0);
+    deployment running("127.0.15.7");
+    running.start_engine(1);
+    running.start_service(1);
+    running.start_node(1);
+    ASSERT_TRUE(running.wait_until_ready(1));
+    std::string const secret = "zq7secret";
+    std::vector<std::string> const bodies{
+        chat_body(secret + " tokens=3"),
+        R"({"model":")" + secret + R"(","messages":[{"role":"user","content":"x"}]})",
+        "{" + secret,
+        "{\"" + secret + "\":" + secret + "}",
+        R"({"model":"demo","messages":")" + secret + "\"}",
+        R"({"model":"demo","messages":[{"content":")" + secret + "\"}]}",
+        R"({"model":"demo","max_tokens":")" + secret + R"(","messages":[{"role":"u"}]})"};
+    for (auto const& body : bodies)
+    {
+        running.call(entry_port, "POST", "/v1/chat/completions", body);
+        running.call(entry_port, "POST", "/v1/services/shop/orders", body,
+                     {{"Idempotency-Key", "order-" + secret}});
+        running.call(entry_port, "POST", "/v1/chat/completions", body,
+                     {{"Authorization", "Bearer " + secret}});
+        running.call(entry_port, "POST", "/v1/chat/completions", body,
+                     {{"Jasminepier-Work-Kind", secret}});
+    }
+    running.call(entry_port, "GET", "/v1/requests/" + secret);
+    running.call(entry_port, "GET", "/" + secret + "?key=" + secret);
+    unsetenv("JASMINEPIER_LOG_LEVEL");
+    std::string logs;
+    for (auto const* name : {"entry-1", "control-1"})
+        logs += running.program(name).output();
+    EXPECT_TRUE(contains(logs, "event=route")) << logs;
+    EXPECT_TRUE(contains(logs, "event=request_failed")) << logs;
+    EXPECT_FALSE(contains(logs, secret)) << logs;
+    EXPECT_FALSE(contains(logs, "demo-key")) << logs;
+}
+
+} // namespace jasminepier::tests
