--- /dev/null
+++ b/libraries/platform/answer.cpp
@@ -0,0 +1,48 @@
+#include "platform/answer.hpp"
+
+namespace jasminepier::platform
+{
+
+using base::error_kind;
+
+base::result<object> parse_object(base::json_object const& source)
+{
+    object parsed;
+    BOOST_LEAF_AUTO(kind, base::read_string(source, "kind"));
+    BOOST_LEAF_AUTO(name, base::read_string(source, "name"));
+    BOOST_LEAF_AUTO(version, base::read_integer(source, "version"));
+    parsed.kind = kind;
+    parsed.name = name;
+    parsed.version = version;
+    if (source->has("value") && source->getObject("value"))
+        parsed.value = base::write_json(source->getObject("value"));
+    return parsed;
+}
+
+base::result<object_page> parse_page(std::string const& body, page_kind kind)
+{
+    bool const is_event = kind == page_kind::events;
+    std::string const member = is_event ? "events" : "items";
+    BOOST_LEAF_AUTO(document, base::parse_json_object(body));
+    object_page page;
+    BOOST_LEAF_AUTO(version, base::read_integer(document, "version"));
+    page.version = version;
+    auto entries = document->getArray(member);
+    if (!entries)
+        return base::fail(error_kind::platform_unavailable, "platform answer has no " + member);
+    for (std::size_t i = 0; i < entries->size(); ++i)
+    {
+        auto entry = entries->getObject(static_cast<unsigned>(i));
+        if (!entry)
+            return base::fail(error_kind::platform_unavailable, "platform answer is malformed");
+        auto body_object = is_event ? entry->getObject("object") : entry;
+        if (!body_object)
+            return base::fail(error_kind::platform_unavailable, "platform event has no object");
+        BOOST_LEAF_AUTO(parsed, parse_object(body_object));
+        parsed.deleted = is_event && entry->optValue<std::string>("type", "") == "delete";
+        page.objects.push_back(std::move(parsed));
+    }
+    return page;
+}
+
+} // namespace jasminepier::platform
--- /dev/null
+++ b/libraries/platform/answer.hpp
@@ -0,0 +1,24 @@
+/// Parsing of the platform's answers.
+#pragma once
+
+#include "base/json.hpp"
+#include "platform/object.hpp"
+
+namespace jasminepier::platform
+{
+
+enum class page_kind
+{
+    /// {"version","items":[object]}
+    list,
+    /// {"version","events":[{"type","object"}]}
+    events,
+};
+
+/// Parses {"kind","name","version","value"}. Fails with bad_request.
+base::result<object> parse_object(base::json_object const& source);
+
+/// Parses a whole list or watch answer. Fails with bad_request or platform_unavailable.
+base::result<object_page> parse_page(std::string const& body, page_kind kind);
+
+} // namespace jasminepier::platform
--- a/libraries/platform/http_object_store.cpp
+++ b/libraries/platform/http_object_store.cpp
@@ -1,6 +1,7 @@
 #include "platform/http_object_store.hpp"
 
 #include "base/json.hpp"
+#include "platform/answer.hpp"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -22,45 +23,6 @@
     return "/objects/" + kind + "/" + encoded;
 }
 
-base::result<object> parse_object(base::json_object const& source)
-{
-    object parsed;
-    BOOST_LEAF_AUTO(kind, base::read_string(source, "kind"));
-    BOOST_LEAF_AUTO(name, base::read_string(source, "name"));
-    BOOST_LEAF_AUTO(version, base::read_integer(source, "version"));
-    parsed.kind = kind;
-    parsed.name = name;
-    parsed.version = version;
-    if (source->has("value") && source->getObject("value"))
-        parsed.value = base::write_json(source->getObject("value"));
-    return parsed;
-}
-
-base::result<object_page> parse_page(std::string const& body, std::string const& member)
-{
-    BOOST_LEAF_AUTO(document, base::parse_json_object(body));
-    object_page page;
-    BOOST_LEAF_AUTO(version, base::read_integer(document, "version"));
-    page.version = version;
-    auto entries = document->getArray(member);
-    if (!entries)
-        return base::fail(error_kind::platform_unavailable, "platform answer has no " + member);
-    for (std::size_t i = 0; i < entries->size(); ++i)
-    {
-        auto entry = entries->getObject(static_cast<unsigned>(i));
-        if (!entry)
-            return base::fail(error_kind::platform_unavailable, "platform answer is malformed");
-        bool const is_event = member == "events";
-        auto body_object = is_event ? entry->getObject("object") : entry;
-        if (!body_object)
-            return base::fail(error_kind::platform_unavailable, "platform event has no object");
-        BOOST_LEAF_AUTO(parsed, parse_object(body_object));
-        parsed.deleted = is_event && entry->optValue<std::string>("type", "") == "delete";
-        page.objects.push_back(std::move(parsed));
-    }
-    return page;
-}
-
 base::error_kind failure_of(int status)
 {
     if (status == 404)
@@ -122,7 +84,7 @@
     BOOST_LEAF_AUTO(received, call("GET", "/objects/" + kind, "", "", "", m_settings.call_timeout));
     if (received.status != 200)
         return base::fail(failure_of(received.status), "cannot list " + kind);
-    return parse_page(received.body, "items");
+    return parse_page(received.body, page_kind::list);
 }
 
 write_outcome http_object_store::create(std::string const& kind, std::string const& name,
@@ -185,7 +147,7 @@
                                    m_settings.watch_timeout + m_settings.call_timeout));
     if (received.status != 200)
         return base::fail(failure_of(received.status), "watch was refused");
-    return parse_page(received.body, "events");
+    return parse_page(received.body, page_kind::events);
 }
 
 } // namespace jasminepier::platform
