--- a/utilities/ctl/conditional_write.cpp
+++ b/utilities/ctl/conditional_write.cpp
@@ -26,6 +26,21 @@
     std::cout << base::write_json(document) << '\n';
 }
 
+/// Names what an operator chose; the whole content of a preset would hide it.
+std::string summary(platform::object const& held)
+{
+    if (held.kind != "active-preset")
+        return held.value;
+    return base::handle(
+        [&]() -> base::result<std::string>
+        {
+            BOOST_LEAF_AUTO(value, base::parse_json_object(held.value));
+            BOOST_LEAF_AUTO(preset, base::read_string(value, "preset"));
+            return "preset " + preset;
+        },
+        [&](base::error const&) { return held.value; });
+}
+
 void print_conflict(platform::object const& target, platform::object const& held)
 {
     std::cerr << "conflict: " << target.kind << '/' << target.name << " was changed by somebody "
@@ -33,7 +48,7 @@
     if (held.deleted || held.version == 0)
         std::cerr << "in force now: no such object\n";
     else
-        std::cerr << "in force now: version " << held.version << ": " << held.value << '\n';
+        std::cerr << "in force now: version " << held.version << ": " << summary(held) << '\n';
 }
 
 } // namespace
