--- a/meta/demo.sh
+++ b/meta/demo.sh
@@ -60,7 +60,7 @@
 show preset activate ordinary
 for i in 1 2 3; do
     start "control-$i" "$build/jasminepier-control" --node-id "node-$i" --host "$host" --control-port $((base + 400 + i)) --metrics-port $((base + 700 + i)) --platform-host "$host" --platform-port "$base"
-    start "entry-$i" "$build/jasminepier-entry" --host "$host" --entry-port $((base + 500 + i)) --control-port $((base + 400 + i))
+    start "entry-$i" "$build/jasminepier-entry" --host "$host" --entry-port $((base + 500 + i)) --control-port $((base + 400 + i)) --entry-peer-port $((base + 600 + i)) --node-id "node-$i" --platform-host "$host" --platform-port "$base"
 done
 for i in 1 2 3; do
     for _ in $(seq 100); do curl -sf "http://$host:$((base + 500 + i))/ready" >/dev/null && break; sleep 0.1; done
--- a/meta/fuzz.sh
+++ b/meta/fuzz.sh
@@ -7,10 +7,12 @@
 seconds=${FUZZ_SECONDS:-30}
 seed=${FUZZ_SEED:-20261204}
 sanitizers="-fsanitize=address,undefined,fuzzer-no-link -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
-cmake -S . -B "$build" -G Ninja -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=RelWithDebInfo \
     -DJASMINEPIER_LIBFUZZER=ON -DCMAKE_CXX_FLAGS="$sanitizers" >/dev/null
 targets=$(cd fuzz && ls -- *.cpp | sed -e '/^replay.cpp$/d' -e 's/\.cpp$//')
-ninja -C "$build" -j "${FUZZ_JOBS:-4}" $(printf 'fuzz_%s ' $targets) >/dev/null
+log=$(mktemp)
+ninja -C "$build" -j "${FUZZ_JOBS:-4}" $(printf 'fuzz_%s ' $targets) >"$log" || { cat "$log"; rm -f "$log"; exit 1; }
+rm -f "$log"
 status=0
 for name in $targets; do
     found=$(mktemp -d)
