--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -5,6 +5,7 @@
 #include "services/entry/caller_connection.hpp"
 #include "services/entry/chat_request.hpp"
 #include "services/entry/completion_sink.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -207,6 +208,7 @@
         return {};
     if (!sink.started())
         return base::fail(outcome.error.kind, outcome.error.message);
+    observe_failure(outcome.error.kind);
     sink.write_error(outcome.error, outcome.delivered);
     return {};
 }
@@ -235,6 +237,7 @@
     BOOST_LEAF_AUTO(call, read_call(*snapshot, customer, request));
     call.context.request_id = response.get("X-Request-Id", "");
     call.job.wanted.request_id = call.context.request_id;
+    observe_request(call.context.request_id, customer.name, call.kind, call.chat.model);
     limit_writes(request);
     serving.budgets().add_request(call.job.wanted.service, snapshot->active_preset.retry_budget);
     completion_transport transport(state, serving, call.job);
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 #include <Poco/Exception.h>
 
@@ -193,6 +194,7 @@
             BOOST_LEAF_ASSIGN(event.token, parse_token(object));
             if (m_acquired && !event.token.last)
                 m_state.note_tokens(m_server.ticket);
+            observe_token();
             return event;
         },
         [&](base::error const& failure)
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -1,5 +1,7 @@
 #include "services/entry/plain_handler.hpp"
 
+#include "services/entry/entry_metrics.hpp"
+
 namespace jasminepier::entry
 {
 namespace
@@ -50,6 +52,10 @@
 {
     BOOST_LEAF_AUTO(call, parse_plain_call(*m_state.snapshot(), customer, request));
     response.set("X-Request-Id", call.request_id);
+    observe_request(call.request_id, customer.name,
+                    call.repeats == repetition::lookup ? configuration::work_kind::lookup
+                                                       : configuration::work_kind::action,
+                    "");
     BOOST_LEAF_AUTO(answer, execute(call));
     send_answer(answer, response);
     return {};
