--- /dev/null
+++ b/services/entry/control_link.cpp
@@ -0,0 +1,149 @@
+#include "services/entry/control_link.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace jasminepier::entry
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds call_timeout{1000};
+
+base::time_point now()
+{
+    return base::steady_clock_source{}.now();
+}
+
+std::vector<inner_protocol::crash_record> crash_records(serving_state& serving)
+{
+    std::vector<inner_protocol::crash_record> records;
+    for (auto const& event : serving.suspects().events(now()))
+    {
+        inner_protocol::crash_record record;
+        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
+        record.server_id = event.server;
+        record.instance = event.instance;
+        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+void merge_crash_records(serving_state& serving,
+                         std::vector<inner_protocol::crash_record> const& records)
+{
+    std::vector<decision::crash_event> events;
+    events.reserve(records.size());
+    for (auto const& record : records)
+        events.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
+                          record.instance, record.age_seconds});
+    serving.suspects().merge(events, now());
+}
+
+} // namespace
+
+control_link::control_link(entry_state& state, serving_state& serving, std::string host,
+                           std::uint16_t control_port)
+    : m_state(state), m_serving(serving), m_control(std::move(host), control_port, call_timeout)
+{
+}
+
+void control_link::exchange()
+{
+    auto const report = make_report();
+    base::handle(
+        [&]() -> base::result<void>
+        {
+            BOOST_LEAF_AUTO(update, m_control.call(
+                                        [&](inner_protocol::control_nodeClient& client)
+                                        {
+                                            inner_protocol::control_update received;
+                                            client.exchange(received, report);
+                                            return received;
+                                        }));
+            apply(update);
+            return {};
+        },
+        [](base::error const& failure)
+        {
+            base::log_line(base::log_level::warning, "control_unreachable")
+                .field("reason", failure.message);
+        });
+}
+
+inner_protocol::entry_report control_link::make_report() const
+{
+    std::lock_guard lock(m_mutex);
+    inner_protocol::entry_report report;
+    report.applied_revision = m_known_revision;
+    report.known_revision = m_known_revision;
+    report.known_load_sequence = m_known_load_sequence;
+    report.leaving = m_serving.phase() != stop_phase::serving;
+    report.running_streams = m_serving.running();
+    report.crashes = crash_records(m_serving);
+    report.ready = m_state.ready();
+    return report;
+}
+
+void control_link::apply(inner_protocol::control_update const& update)
+{
+    m_state.apply(update);
+    merge_crash_records(m_serving, update.crashes);
+    std::lock_guard lock(m_mutex);
+    // The revision is the one through which the control process is complete. The highest version
+    // received says nothing about gaps below it. A control process that has restarted may be
+    // behind.
+    m_known_revision = std::max(m_known_revision, update.revision);
+    // Load sequences start over with the control process.
+    m_known_load_sequence = update.load_sequence;
+    m_members = update.members;
+    m_isolated = update.isolated;
+    m_last_answer = now();
+}
+
+base::result<void> control_link::check_admission() const
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_last_answer || now() - *m_last_answer >= control_loss_limit)
+        return base::fail(base::error_kind::node_isolated,
+                          "the control process of this node does not answer");
+    if (m_isolated)
+        return base::fail(base::error_kind::node_isolated,
+                          "this node reaches neither the platform nor other nodes");
+    return {};
+}
+
+std::vector<inner_protocol::member_record> control_link::members() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_members;
+}
+
+std::vector<inner_protocol::member_record> control_link::nearest_nodes(std::size_t count) const
+{
+    auto nodes = members();
+    if (nodes.empty())
+        return nodes;
+    auto const self = nodes.front();
+    std::erase_if(nodes,
+                  [](inner_protocol::member_record const& record) {
+                      return record.state > inner_protocol::member_state::suspect || !record.ready;
+                  });
+    std::shuffle(nodes.begin(), nodes.end(), base::random_source(std::random_device{}()));
+    auto const distance = [&](inner_protocol::member_record const& record)
+    {
+        if (record.zone == self.zone)
+            return 0;
+        return record.region == self.region ? 1 : 2;
+    };
+    std::stable_sort(nodes.begin(), nodes.end(),
+                     [&](auto const& left, auto const& right)
+                     { return distance(left) < distance(right); });
+    nodes.resize(std::min(nodes.size(), count));
+    return nodes;
+}
+
+} // namespace jasminepier::entry
--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr std::size_t most_addresses = 8;
+
 base::result<void> require_method(http_request const& request, std::string const& method)
 {
     if (request.getMethod() != method)
@@ -168,10 +170,14 @@
     if (path == "/v1/chat/completions")
     {
         BOOST_LEAF_CHECK(require_method(request, "POST"));
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return serve_completion(m_state, m_serving, customer, request, response);
     }
     if (path.starts_with(service_prefix))
+    {
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return m_plain.serve(customer, request, response);
+    }
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
@@ -191,17 +197,16 @@
 
 base::json_object front_handler::list_addresses() const
 {
-    auto const snapshot = m_state.snapshot();
     bool const stopping = m_serving.phase() != stop_phase::serving;
     base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& [name, node] : snapshot->nodes)
+    for (auto const& record : m_link.nearest_nodes(most_addresses))
     {
-        auto const address = node.host + ":" + std::to_string(node.entry_port);
-        if (node.leaving || (stopping && address == m_serving.settings().own_address))
+        auto const address = record.host + ":" + std::to_string(record.entry_port);
+        if (stopping && address == m_serving.settings().own_address)
             continue;
         base::json_object entry = new Poco::JSON::Object;
         entry->set("address", address);
-        entry->set("zone", node.zone);
+        entry->set("zone", record.zone);
         addresses->add(entry);
     }
     base::json_object body = new Poco::JSON::Object;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -4,6 +4,7 @@
 #include "base/settings.hpp"
 #include "base/stop_signal.hpp"
 #include "inner_protocol/rpc.hpp"
+#include "services/entry/control_link.hpp"
 #include "services/entry/entry_peer_handler.hpp"
 #include "services/entry/front_handler.hpp"
 
@@ -15,32 +16,6 @@
 
 using namespace jasminepier;
 
-std::vector<inner_protocol::crash_record> crash_records(entry::serving_state& serving)
-{
-    std::vector<inner_protocol::crash_record> records;
-    for (auto const& event : serving.suspects().events(base::steady_clock_source{}.now()))
-    {
-        inner_protocol::crash_record record;
-        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
-        record.server_id = event.server;
-        record.instance = event.instance;
-        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
-        records.push_back(std::move(record));
-    }
-    return records;
-}
-
-void merge_crash_records(entry::serving_state& serving,
-                         std::vector<inner_protocol::crash_record> const& records)
-{
-    std::vector<decision::crash_event> events;
-    events.reserve(records.size());
-    for (auto const& record : records)
-        events.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
-                          record.instance, record.age_seconds});
-    serving.suspects().merge(events, base::steady_clock_source{}.now());
-}
-
 /// Section 4.4 of the design page: first the addresses cached by callers run out, then the running
 /// requests end. `drain_limit` of 0 waits for them without a limit.
 void stop_gracefully(entry::serving_state& serving, Poco::Net::HTTPServer& server,
@@ -72,38 +47,6 @@
         .field("running", serving.running());
 }
 
-void exchange_with_control(inner_protocol::rpc_client<inner_protocol::control_nodeClient>& control,
-                           entry::entry_state& state, entry::serving_state& serving)
-{
-    inner_protocol::entry_report report;
-    report.applied_revision = state.snapshot()->revision;
-    report.known_revision = report.applied_revision;
-    report.known_load_sequence = state.load_sequence();
-    report.leaving = serving.phase() != entry::stop_phase::serving;
-    report.running_streams = serving.running();
-    report.ready = state.ready();
-    report.crashes = crash_records(serving);
-    base::handle(
-        [&]() -> base::result<void>
-        {
-            BOOST_LEAF_AUTO(update, control.call(
-                                        [&](inner_protocol::control_nodeClient& client)
-                                        {
-                                            inner_protocol::control_update received;
-                                            client.exchange(received, report);
-                                            return received;
-                                        }));
-            state.apply(update);
-            merge_crash_records(serving, update.crashes);
-            return {};
-        },
-        [](base::error const& failure)
-        {
-            base::log_line(base::log_level::warning, "control_unreachable")
-                .field("reason", failure.message);
-        });
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -154,10 +97,9 @@
     serving_settings.own_address = host + ":" + std::to_string(entry_port);
     entry::entry_state state;
     entry::serving_state serving(serving_settings);
-    inner_protocol::rpc_client<inner_protocol::control_nodeClient> control(
-        host, control_port, std::chrono::milliseconds(1000));
-    base::background_thread const exchanging(std::chrono::milliseconds(200), [&]
-                                             { exchange_with_control(control, state, serving); });
+    entry::control_link link(state, serving, host, control_port);
+    base::background_thread const exchanging(std::chrono::milliseconds(200),
+                                             [&] { link.exchange(); });
     entry::plain_calls plain(state, node_id, platform_settings);
     inner_protocol::rpc_server const peers(std::make_shared<inner_protocol::entry_nodeProcessor>(
                                                std::make_shared<entry::entry_peer_handler>(plain)),
@@ -169,8 +111,8 @@
     // A caller that sends nothing must not hold a worker for long.
     parameters->setTimeout(Poco::Timespan(20, 0));
     Poco::Net::ServerSocket const socket(Poco::Net::SocketAddress(host, entry_port), 1024);
-    Poco::Net::HTTPServer server(new entry::front_handler_factory({state, serving, plain}), pool,
-                                 socket, parameters);
+    Poco::Net::HTTPServer server(new entry::front_handler_factory({state, serving, plain, link}),
+                                 pool, socket, parameters);
     server.start();
     base::wait_for_stop_signal();
     stop_gracefully(serving, server, std::chrono::seconds(drain_limit));
