--- a/services/control/load_collector.cpp
+++ b/services/control/load_collector.cpp
@@ -1,7 +1,9 @@
 #include "services/control/load_collector.hpp"
 
 #include "backend/http_exchange.hpp"
+#include "backend/load_report.hpp"
 #include "base/hash.hpp"
+#include "services/control/control_metrics.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -171,6 +173,7 @@
         backend::load_report unreachable;
         unreachable.state = backend::server_state::unreachable;
         digests.push_back(condense(targets[i]->first, reports[i].value_or(unreachable)));
+        observe_load(target.server, digests.back());
         digests.back().sequence = wall_clock_milliseconds();
     }
 }
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -4,6 +4,7 @@
 #include "base/stop_signal.hpp"
 #include "platform/http_object_store.hpp"
 #include "services/control/control_handler.hpp"
+#include "services/control/control_metrics.hpp"
 #include "services/control/load_collector.hpp"
 #include "services/control/peer_exchange.hpp"
 #include "services/control/platform_watcher.hpp"
@@ -36,6 +37,7 @@
     std::uint16_t control_port = 7002;
     std::uint16_t entry_port = 7001;
     std::uint16_t entry_peer_port = 7003;
+    std::uint16_t metrics_port = 0;
     std::string seeds;
     platform::http_object_store_settings platform;
 };
@@ -84,6 +86,8 @@
     parser.add_port("entry-port", settings.entry_port, "Port of the entry process for callers");
     parser.add_port("entry-peer-port", settings.entry_peer_port,
                     "Port of the entry process for other entry processes");
+    parser.add("metrics-port", settings.metrics_port, "Port of GET /metrics; 0 turns it off")
+        ->check(base::in_range<std::int64_t>(0, 65535));
     parser
         .add("seeds", settings.seeds,
              "Gossip addresses (IP:PORT) of entry VMs to join, separated by commas")
@@ -93,7 +97,8 @@
     parser.add_port("platform-port", settings.platform.port, "Port of the platform's object API");
     parser.require_distinct_ports({{"control-port", &settings.control_port},
                                    {"entry-port", &settings.entry_port},
-                                   {"entry-peer-port", &settings.entry_peer_port}});
+                                   {"entry-peer-port", &settings.entry_peer_port},
+                                   {"metrics-port", &settings.metrics_port}});
 }
 
 inner_protocol::member_record own_record(control_settings const& settings)
@@ -151,6 +156,10 @@
                          [&] { control::pull_configuration_step(agent, state); });
     thread const exchanging(milliseconds(200), [&] { control::exchange_members_step(agent); });
     thread const collecting(milliseconds(1000), [&] { collector.step(); });
+    std::unique_ptr<control::metrics_listener> metrics;
+    if (settings.metrics_port != 0)
+        metrics = std::make_unique<control::metrics_listener>(state, settings.host,
+                                                              settings.metrics_port);
     base::wait_for_stop_signal();
     handler->set_stopping();
     agent.set_leaving(true);
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -1,6 +1,7 @@
 #include "services/entry/entry_state.hpp"
 
 #include "base/log.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 namespace jasminepier::entry
 {
@@ -66,6 +67,7 @@
         .field("zone", best->zone)
         .field("candidates", candidates)
         .field("reason", "least_outstanding");
+    observe_route({request.service, best->name, best->zone, "least_outstanding", candidates});
     return chosen_server{best->name, best->host, best->port, ticket,
                          m_snapshot->active_preset.limits(request.kind).rank};
 }
