--- /dev/null
+++ b/libraries/placement/reconciliation.cpp
@@ -0,0 +1,82 @@
+#include "placement/reconciliation.hpp"
+
+#include "base/json.hpp"
+
+#include <algorithm>
+
+namespace jasminepier::placement
+{
+namespace
+{
+
+bool contains(std::vector<std::string> const& list, std::string const& value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+} // namespace
+
+base::result<desired_placement> parse_placement(std::string const& text)
+{
+    BOOST_LEAF_AUTO(source, base::parse_json_object(text));
+    desired_placement desired;
+    BOOST_LEAF_ASSIGN(desired.models, base::read_strings(source, "models"));
+    BOOST_LEAF_ASSIGN(desired.role, base::read_string_or(source, "role", ""));
+    return desired;
+}
+
+std::string_view to_string(order_action action) noexcept
+{
+    switch (action)
+    {
+    case order_action::load_model:
+        return "load_model";
+    case order_action::unload_model:
+        return "unload_model";
+    case order_action::set_role:
+        break;
+    }
+    return "set_role";
+}
+
+std::vector<placement_order> missing_orders(std::string const& server,
+                                            desired_placement const& desired,
+                                            reported_placement const& reported)
+{
+    std::vector<placement_order> orders;
+    for (auto const& model : reported.models)
+        if (!contains(desired.models, model))
+            orders.push_back({server, order_action::unload_model, model, ""});
+    if (!desired.role.empty() && desired.role != reported.role)
+        orders.push_back({server, order_action::set_role, "", desired.role});
+    for (auto const& model : desired.models)
+        if (!contains(reported.models, model))
+            orders.push_back({server, order_action::load_model, model, ""});
+    return orders;
+}
+
+void order_pacing::restart(base::time_point now)
+{
+    m_sent.clear();
+    m_loads.assign(m_settings.loads_per_window, now);
+}
+
+bool order_pacing::admit(placement_order const& order, base::time_point now)
+{
+    std::erase_if(m_sent,
+                  [&](auto const& entry) { return now - entry.second >= m_settings.repeat_after; });
+    if (m_sent.contains(order))
+        return false;
+    if (order.action == order_action::load_model)
+    {
+        while (!m_loads.empty() && now - m_loads.front() >= m_settings.window)
+            m_loads.pop_front();
+        if (m_loads.size() >= m_settings.loads_per_window)
+            return false;
+        m_loads.push_back(now);
+    }
+    m_sent[order] = now;
+    return true;
+}
+
+} // namespace jasminepier::placement
--- /dev/null
+++ b/libraries/placement/reconciliation.hpp
@@ -0,0 +1,83 @@
+/// Comparison of desired with reported models and roles.
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/error.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminepier::placement
+{
+
+/// The value of a `placement/<server>` object.
+struct desired_placement
+{
+    std::vector<std::string> models;
+    /// Empty leaves the server's role as it is.
+    std::string role;
+};
+/// Fails with bad_request.
+base::result<desired_placement> parse_placement(std::string const& text);
+
+/// What a server last reported. Servers that do not report or are leaving are not listed.
+struct reported_placement
+{
+    std::vector<std::string> models;
+    std::string role;
+};
+
+enum class order_action
+{
+    load_model,
+    unload_model,
+    set_role,
+};
+std::string_view to_string(order_action action) noexcept;
+
+struct placement_order
+{
+    std::string server;
+    order_action action = order_action::load_model;
+    std::string model;
+    std::string role;
+
+    auto operator<=>(placement_order const&) const = default;
+};
+
+/// Returns the orders that make the report equal to what is desired; unloads come first, because
+/// the memory they free may be needed.
+std::vector<placement_order> missing_orders(std::string const& server,
+                                            desired_placement const& desired,
+                                            reported_placement const& reported);
+
+struct reconciliation_settings
+{
+    /// Model loads started in any window; the weight store is rate-limited.
+    std::size_t loads_per_window = 2;
+    base::milliseconds window{10000};
+    /// Reports lag and loads take time; an order is repeated only after this.
+    base::milliseconds repeat_after{30000};
+};
+
+/// Decides which orders may be sent now.
+class order_pacing
+{
+public:
+    explicit order_pacing(reconciliation_settings settings) : m_settings(settings) {}
+
+    /// Called when the lease is gained. The previous holder may have started loads just before.
+    void restart(base::time_point now);
+    /// Returns true and counts the order when it may be sent now.
+    bool admit(placement_order const& order, base::time_point now);
+
+private:
+    reconciliation_settings m_settings;
+    std::deque<base::time_point> m_loads;
+    std::map<placement_order, base::time_point> m_sent;
+};
+
+} // namespace jasminepier::placement
