--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -5,6 +5,7 @@
 #include "platform/http_object_store.hpp"
 #include "services/control/control_handler.hpp"
 #include "services/control/load_collector.hpp"
+#include "services/control/placement_runner.hpp"
 #include "services/control/platform_watcher.hpp"
 
 int main(int argc, char** argv)
@@ -24,6 +25,9 @@
     parser.add("platform-host", platform_settings.host, "IP address of the platform's object API")
         ->check(base::ip_address());
     parser.add_port("platform-port", platform_settings.port, "Port of the platform's object API");
+    placement::reconciliation_settings pacing;
+    parser.add("model-loads", pacing.loads_per_window, "Model loads started in any 10 seconds")
+        ->check(base::in_range<std::int64_t>(1, 1000));
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
@@ -38,6 +42,7 @@
     base::background_thread const watching(std::chrono::milliseconds(200), [&] { watcher.step(); });
     base::background_thread const collecting(std::chrono::milliseconds(1000),
                                              [&] { control::collect_loads(state); });
+    control::placement_runner const placing(state, node_id, platform_settings, pacing);
     base::wait_for_stop_signal();
     std::_Exit(0);
 }
--- /dev/null
+++ b/services/control/placement_runner.hpp
@@ -0,0 +1,48 @@
+/// Runs the placement controller in the control process.
+#pragma once
+
+#include "base/background_thread.hpp"
+#include "placement/placement_controller.hpp"
+#include "platform/http_object_store.hpp"
+#include "services/control/control_state.hpp"
+
+namespace jasminepier::control
+{
+
+/// Sends orders to servers over HTTP.
+class http_order_sender
+{
+public:
+    explicit http_order_sender(control_state const& state) : m_state(state) {}
+    base::result<void> send(placement::placement_order const& order, std::int64_t number);
+
+private:
+    control_state const& m_state;
+};
+
+class placement_runner
+{
+public:
+    placement_runner(control_state const& state, std::string node_id,
+                     platform::http_object_store_settings const& platform,
+                     placement::reconciliation_settings pacing);
+
+private:
+    void step();
+    placement::reported_placements reported() const;
+    /// Returns the node's position among all nodes that may hold the lease.
+    std::size_t rank() const;
+
+    control_state const& m_state;
+    std::string m_node_id;
+    platform::http_object_store m_store;
+    http_order_sender m_sender;
+    base::steady_clock_source m_clock;
+    placement::placement_controller<platform::http_object_store, http_order_sender,
+                                    base::steady_clock_source>
+        m_controller;
+    base::time_point m_next_step{};
+    base::background_thread m_thread;
+};
+
+} // namespace jasminepier::control
