--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -57,14 +57,16 @@
     serving_state& m_serving;
 };
 
-void answer_failure(base::error const& failure, http_response& response)
+void answer_failure(base::error const& failure, http_request& request, http_response& response)
 {
     base::log_line(base::log_level::info, "request_failed")
         .field("request_id", response.get("X-Request-Id", ""))
         .field("kind", base::to_string(failure.kind))
         .field("reason", failure.message);
-    if (!response.sent())
-        send_error(response, failure);
+    if (response.sent())
+        return;
+    discard_body(request);
+    send_error(response, failure);
 }
 
 } // namespace
@@ -83,7 +85,7 @@
                      {
                          // The rest of an unread body must not be taken for the next request.
                          response.setKeepAlive(false);
-                         answer_failure(failure, response);
+                         answer_failure(failure, request, response);
                      });
     }
     catch (std::exception const& failure)
--- a/services/entry/http_answer.cpp
+++ b/services/entry/http_answer.cpp
@@ -5,6 +5,16 @@
 
 namespace jasminepier::entry
 {
+namespace
+{
+
+/// Without either header a body would end only with the connection; such a request has none.
+bool has_body(http_request const& request)
+{
+    return request.getChunkedTransferEncoding() || request.hasContentLength();
+}
+
+} // namespace
 
 void send_json(http_response& response, int status, base::json_object const& body)
 {
@@ -43,6 +53,8 @@
     auto const announced = request.getContentLength64();
     if (announced > static_cast<Poco::Int64>(maximum_body_bytes))
         return too_large();
+    if (!has_body(request))
+        return std::string{};
     auto const end = std::chrono::steady_clock::now() + maximum_body_time;
     std::string body;
     std::array<char, 8192> buffer{};
@@ -61,4 +73,19 @@
     return body;
 }
 
+void discard_body(http_request& request)
+{
+    if (!has_body(request))
+        return;
+    constexpr std::size_t maximum_discarded_bytes = 8 * maximum_body_bytes;
+    constexpr std::chrono::seconds maximum_time{5};
+    auto const end = std::chrono::steady_clock::now() + maximum_time;
+    std::array<char, 8192> buffer{};
+    auto& in = request.stream();
+    for (std::size_t discarded = 0; discarded < maximum_discarded_bytes &&
+                                    std::chrono::steady_clock::now() < end &&
+                                    in.peek() != std::char_traits<char>::eof();)
+        discarded += static_cast<std::size_t>(in.readsome(buffer.data(), buffer.size()));
+}
+
 } // namespace jasminepier::entry
--- a/services/entry/http_answer.hpp
+++ b/services/entry/http_answer.hpp
@@ -34,4 +34,8 @@
 /// or slow.
 base::result<std::string> read_body(http_request& request);
 
+/// Reads and drops what is left of the body, within limits. Closing a connection with unread bytes
+/// would reset it, and the caller would lose the answer.
+void discard_body(http_request& request);
+
 } // namespace jasminepier::entry
