--- a/tests/crash_suspects_test.cpp
+++ b/tests/crash_suspects_test.cpp
@@ -19,6 +19,7 @@
     auto const drawn = *rc::gen::container<std::vector<std::pair<int, int>>>(
         rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 4)));
     std::vector<crash_event> events;
+    events.reserve(drawn.size());
     for (auto const& [fingerprint, server] : drawn)
         events.push_back({static_cast<std::uint64_t>(fingerprint), std::to_string(server), "i", 5});
     crash_suspects once;
--- a/tests/whole_answers_test.cpp
+++ b/tests/whole_answers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <numeric>
+#include <sstream>
 
 namespace jasminepier::tests
 {
@@ -81,11 +82,13 @@
             {
                 if (first > second)
                     continue;
-                set_fault(1, "{\"" + first + "\":7,\"" + second +
-                                 "\":" + (first == second ? "7" : "12") + "}");
+                std::ostringstream fault;
+                fault << "{\"" << first << "\":7,\"" << second
+                      << "\":" << (first == second ? 7 : 12) << "}";
+                set_fault(1, fault.str());
                 received_answer answer;
                 stream_client(*running, 1, stream_body(20), proposal).read(answer);
-                SCOPED_TRACE(first + " " + second + (streamed ? " streamed" : " held"));
+                SCOPED_TRACE(fault.str() + (streamed ? " streamed" : " held"));
                 expect_whole(answer, 20);
             }
         set_fault(1, R"({"cut_at":5})");
