--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -3,7 +3,6 @@
 #include "base/hash.hpp"
 #include "base/log.hpp"
 #include "services/entry/completion_handler.hpp"
-#include "services/entry/plain_handler.hpp"
 
 #include <Poco/URI.h>
 
@@ -106,12 +105,12 @@
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
-    if (path == "/ready")
-        return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (path == "/v1/entry-addresses")
         return send_json(response, 200, list_addresses()), base::result<void>{};
     if (m_serving.phase() == stop_phase::refusing)
         return base::fail(base::error_kind::node_stopping, "this node is stopping");
+    if (path == "/ready")
+        return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     return serve_customer(path, request, response);
 }
 
@@ -131,8 +130,7 @@
         return serve_completion(m_state, m_serving, customer, request, response);
     }
     if (path.starts_with(service_prefix))
-        return serve_plain_call(m_state, customer, path.substr(service_prefix.size()), request,
-                                response);
+        return m_plain.serve(customer, request, response);
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
--- a/services/entry/front_handler.hpp
+++ b/services/entry/front_handler.hpp
@@ -3,6 +3,7 @@
 
 #include "services/entry/entry_state.hpp"
 #include "services/entry/http_answer.hpp"
+#include "services/entry/plain_handler.hpp"
 #include "services/entry/serving_state.hpp"
 
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -14,7 +15,8 @@
 class front_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    front_handler(entry_state& state, serving_state& serving) : m_state(state), m_serving(serving)
+    front_handler(entry_state& state, serving_state& serving, plain_calls& plain)
+        : m_state(state), m_serving(serving), m_plain(plain)
     {
     }
     void handleRequest(http_request& request, http_response& response) override;
@@ -29,23 +31,25 @@
 
     entry_state& m_state;
     serving_state& m_serving;
+    plain_calls& m_plain;
 };
 
 class front_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    front_handler_factory(entry_state& state, serving_state& serving)
-        : m_state(state), m_serving(serving)
+    front_handler_factory(entry_state& state, serving_state& serving, plain_calls& plain)
+        : m_state(state), m_serving(serving), m_plain(plain)
     {
     }
     Poco::Net::HTTPRequestHandler* createRequestHandler(http_request const&) override
     {
-        return new front_handler(m_state, m_serving);
+        return new front_handler(m_state, m_serving, m_plain);
     }
 
 private:
     entry_state& m_state;
     serving_state& m_serving;
+    plain_calls& m_plain;
 };
 
 } // namespace jasminepier::entry
