Entry: Notice every death of a server that a request may have caused

Cause: serving_limits_test failed once in 2 runs under load: a dying process resets its connections before its port is closed, the three resumes were used up in between, and the death was not recorded. Change: pause 100 ms before a second resume in a row and probe the port before an attempt is given up.

--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -19,6 +19,9 @@
 /// Longest wait of one read; the caller's connection is looked after in between.
 constexpr std::chrono::milliseconds read_tick{250};
 constexpr std::chrono::milliseconds server_wait_tick{100};
+/// Pause before a second resume in a row. A process that dies resets its connections a little
+/// before its port is closed; without a pause all resumes are used up in between.
+constexpr std::chrono::milliseconds resume_pause{100};
 /// State of a load digest; see jasminepier.thrift.
 constexpr int digest_leaving = 2;
 
@@ -67,6 +70,7 @@
     auto const load = m_state.load(m_server.name);
     m_instance = load ? load->instance : "";
     m_generation_id = base::random_id();
+    m_resumes = 0;
     m_connection_was_lost = false;
     m_server_died = false;
     backend::backend_request request{"POST", "/v1/chat/completions", {}, m_job.engine_body};
@@ -86,6 +90,8 @@
 
 std::optional<start_failure> completion_transport::resume(std::int64_t index)
 {
+    if (m_resumes++ > 0)
+        std::this_thread::sleep_for(resume_pause);
     return send(
         {"GET", "/v1/generations/" + m_generation_id + "?from=" + std::to_string(index), {}, ""},
         exchange_purpose::resume);
@@ -176,6 +182,7 @@
         return failed(attempt_failure::connection_lost, "the engine closed the connection");
     }
     m_last_event = std::chrono::steady_clock::now();
+    m_resumes = 0;
     m_connection_was_lost = false;
     if (event.data == "[DONE]")
         return {attempt_event::type::end, m_generation_id, {}, {}, {}};
@@ -224,6 +231,8 @@
 
 void completion_transport::end(attempt_failure failure)
 {
+    if (failure == attempt_failure::generation_gone && m_connection_was_lost && !m_server_died)
+        m_server_died = port_is_closed();
     if (failure == attempt_failure::generation_gone && m_server_died)
         record_crash();
     else if (failure != attempt_failure::not_connected)
@@ -236,6 +245,17 @@
     release(attempt_outcome::failed);
 }
 
+bool completion_transport::port_is_closed() const
+{
+    backend::http_exchange probe({m_server.host, m_server.port}, {});
+    base::handle(
+        [&]() -> base::result<void> {
+            return probe.send({"GET", "/load", {}, ""});
+        },
+        [](base::error const&) {});
+    return probe.refused();
+}
+
 void completion_transport::record_crash()
 {
     // The end of a server that announced it is no evidence against the requests that ran there.
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -72,6 +72,7 @@
     decision::attempt_event idle_or_silent() const;
     decision::attempt_event failed(decision::attempt_failure what, std::string reason) const;
     void record_crash();
+    bool port_is_closed() const;
     void release(attempt_outcome outcome);
 
     entry_state& m_state;
@@ -90,6 +91,8 @@
     /// Created once the status has been received.
     std::unique_ptr<backend::event_reader> m_reader;
     std::chrono::steady_clock::time_point m_last_event;
+    /// Resumes since the last event.
+    int m_resumes = 0;
     bool m_connection_was_lost = false;
     bool m_server_died = false;
 };
