Entry: Answer addresses from gossip, keep generations after a pause

Cause: addresses came from the platform's list alone, and an entry process that woke up cancelled the generation that its caller continued at another node. Conclusion: member records arrive once the control process gossips them.

--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -158,13 +158,14 @@
         .field("continued", call.position ? 1 : 0);
 }
 
-/// Drops the generation unless the caller may come back for it.
+/// Drops the generation unless the caller may come back for it, or has gone on at another node
+/// while this process was paused.
 void clean_up(completion_call const& call, decision::delivery_outcome const& outcome,
               completion_transport& transport)
 {
-    bool const may_return = outcome.end == delivery_end::caller_gone &&
-                            call.kind == work_kind::proposal &&
-                            call.chat.mode == answer_mode::stream;
+    bool const streamed = call.chat.mode == answer_mode::stream;
+    bool const may_return = outcome.end == delivery_end::caller_gone && streamed &&
+                            (call.kind == work_kind::proposal || transport.was_paused());
     if (outcome.end == delivery_end::complete)
         transport.set_outcome(attempt_outcome::completed);
     else if (!may_return)
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -19,6 +19,9 @@
 /// Longest wait of one read; the caller's connection is looked after in between.
 constexpr std::chrono::milliseconds read_tick{250};
 constexpr std::chrono::milliseconds server_wait_tick{100};
+/// A read waits a moment at most, so that a longer time between two means that the process was
+/// paused.
+constexpr std::chrono::seconds longest_step{2};
 /// Pause before a second resume in a row. A process that dies resets its connections a little
 /// before its port is closed; without a pause all resumes are used up in between.
 constexpr std::chrono::milliseconds resume_pause{100};
@@ -102,6 +105,7 @@
 {
     m_reader.reset();
     m_purpose = purpose;
+    m_last_read = std::chrono::steady_clock::now();
     m_last_event = std::chrono::steady_clock::now();
     backend::exchange_timeouts timeouts;
     timeouts.silence = m_serving.settings().engine_silence;
@@ -125,8 +129,15 @@
     return start_failure{attempt_failure::generation_gone, {}, failure->message};
 }
 
+bool completion_transport::was_paused() const
+{
+    return m_was_paused || std::chrono::steady_clock::now() - m_last_read > longest_step;
+}
+
 attempt_event completion_transport::read()
 {
+    m_was_paused = was_paused();
+    m_last_read = std::chrono::steady_clock::now();
     try
     {
         if (m_reader)
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -52,6 +52,8 @@
     void adopt(chosen_server server, std::string generation_id);
     /// Says how the last attempt ended; without it, it counts as cancelled.
     void set_outcome(attempt_outcome outcome) noexcept { m_final_outcome = outcome; }
+    /// The process was paused for longer than a caller waits before it continues elsewhere.
+    bool was_paused() const;
     /// Tells the engine to drop the generation; does not wait for its answer.
     void cancel();
 
@@ -95,6 +97,8 @@
     int m_resumes = 0;
     bool m_connection_was_lost = false;
     bool m_server_died = false;
+    std::chrono::steady_clock::time_point m_last_read = std::chrono::steady_clock::now();
+    bool m_was_paused = false;
 };
 
 } // namespace jasminepier::entry
--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -106,7 +106,7 @@
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
     if (path == "/v1/entry-addresses")
-        return send_json(response, 200, list_addresses()), base::result<void>{};
+        return send_json(response, 200, list_addresses(request)), base::result<void>{};
     if (m_serving.phase() == stop_phase::refusing)
         return base::fail(base::error_kind::node_stopping, "this node is stopping");
     if (path == "/ready")
@@ -148,19 +148,18 @@
     return send_json(response, 200, model_entry(service->name, model)), base::result<void>{};
 }
 
-base::json_object front_handler::list_addresses() const
+base::json_object front_handler::list_addresses(http_request const& request) const
 {
     auto const snapshot = m_state.snapshot();
-    bool const stopping = m_serving.phase() != stop_phase::serving;
+    answering_node const self{m_serving.settings().own_address,
+                              m_serving.phase() != stop_phase::serving};
+    auto const seed = base::stable_hash(request.clientAddress().toString());
     base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& [name, node] : snapshot->nodes)
+    for (auto const& chosen : choose_addresses(*snapshot, m_serving.members(), self, seed))
     {
-        auto const address = node.host + ":" + std::to_string(node.entry_port);
-        if (node.leaving || (stopping && address == m_serving.settings().own_address))
-            continue;
         base::json_object entry = new Poco::JSON::Object;
-        entry->set("address", address);
-        entry->set("zone", node.zone);
+        entry->set("address", chosen.address);
+        entry->set("zone", chosen.zone);
         addresses->add(entry);
     }
     base::json_object body = new Poco::JSON::Object;
--- a/services/entry/front_handler.hpp
+++ b/services/entry/front_handler.hpp
@@ -26,7 +26,7 @@
     base::result<void> serve_customer(std::string const& path, http_request& request,
                                       http_response& response);
     base::result<void> serve_models(std::string const& path, http_response& response) const;
-    base::json_object list_addresses() const;
+    base::json_object list_addresses(http_request const& request) const;
     base::result<configuration::customer> authenticate(http_request const& request) const;
 
     entry_state& m_state;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -95,6 +95,10 @@
                                         }));
             state.apply(update);
             merge_crash_records(serving, update.crashes);
+            entry::member_map members;
+            for (auto const& member : update.members)
+                members[member.node_id] = member;
+            serving.set_members(std::move(members));
             return {};
         },
         [](base::error const& failure)
--- a/services/entry/serving_state.hpp
+++ b/services/entry/serving_state.hpp
@@ -3,9 +3,11 @@
 
 #include "decision/crash_suspects.hpp"
 #include "decision/retry_policy.hpp"
+#include "services/entry/address_list.hpp"
 
 #include <atomic>
 #include <chrono>
+#include <mutex>
 
 namespace jasminepier::entry
 {
@@ -40,6 +42,18 @@
     stop_phase phase() const noexcept { return m_phase; }
     void set_phase(stop_phase phase) noexcept { m_phase = phase; }
 
+    member_map members() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_members;
+    }
+    /// Takes over what gossip says about the entry VMs.
+    void set_members(member_map members)
+    {
+        std::lock_guard lock(m_mutex);
+        m_members = std::move(members);
+    }
+
     /// Requests being served.
     int running() const noexcept { return m_running; }
     void add_running(int change) noexcept { m_running += change; }
@@ -50,6 +64,8 @@
     decision::crash_suspects m_suspects;
     std::atomic<stop_phase> m_phase = stop_phase::serving;
     std::atomic<int> m_running = 0;
+    mutable std::mutex m_mutex;
+    member_map m_members;
 };
 
 } // namespace jasminepier::entry
--- a/tests/whole_answers_test.cpp
+++ b/tests/whole_answers_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <numeric>
 #include <sstream>
+#include <thread>
 
 namespace jasminepier::tests
 {
@@ -164,5 +165,24 @@
             }
 }
 
+// Guards against an entry process that wakes up, finds its caller gone and cancels the generation
+// that the caller continues at another node.
+TEST_F(whole_answers, outlive_a_waking_entry_process)
+{
+    start("127.0.12.15", 1, 2, true);
+    auto const body = stream_body(1000);
+    received_answer answer;
+    auto first = std::make_unique<stream_client>(*running, 1, body);
+    first->read(answer, 10);
+    running->program("entry-1").send_signal(SIGSTOP);
+    first.reset();
+    stream_client second(*running, 2, body, {{"Last-Event-ID", answer.last_id}});
+    // Longer than the pause that an entry process notices.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    running->program("entry-1").send_signal(SIGCONT);
+    second.read(answer);
+    expect_whole(answer, 1000);
+}
+
 } // namespace
 } // namespace jasminepier::tests
