--- a/services/entry/front_handler.hpp
+++ b/services/entry/front_handler.hpp
@@ -12,11 +12,19 @@
 namespace jasminepier::entry
 {
 
+/// What the handlers of callers' requests share; all parts outlive the HTTP server.
+struct front_parts
+{
+    entry_state& state;
+    serving_state& serving;
+    plain_calls& plain;
+};
+
 class front_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    front_handler(entry_state& state, serving_state& serving, plain_calls& plain)
-        : m_state(state), m_serving(serving), m_plain(plain)
+    explicit front_handler(front_parts const& parts)
+        : m_state(parts.state), m_serving(parts.serving), m_plain(parts.plain)
     {
     }
     void handleRequest(http_request& request, http_response& response) override;
@@ -37,19 +45,14 @@
 class front_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    front_handler_factory(entry_state& state, serving_state& serving, plain_calls& plain)
-        : m_state(state), m_serving(serving), m_plain(plain)
-    {
-    }
+    explicit front_handler_factory(front_parts const& parts) : m_parts(parts) {}
     Poco::Net::HTTPRequestHandler* createRequestHandler(http_request const&) override
     {
-        return new front_handler(m_state, m_serving, m_plain);
+        return new front_handler(m_parts);
     }
 
 private:
-    entry_state& m_state;
-    serving_state& m_serving;
-    plain_calls& m_plain;
+    front_parts m_parts;
 };
 
 } // namespace jasminepier::entry
--- a/services/entry/lookup_calls.cpp
+++ b/services/entry/lookup_calls.cpp
@@ -1,6 +1,7 @@
 #include "services/entry/lookup_calls.hpp"
 
 #include "base/log.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 #include <algorithm>
 #include <condition_variable>
@@ -168,12 +169,17 @@
         if (contest->ended || now >= call.deadline)
             break;
         if (contest->running == 0)
+        {
             more = may_retry(*contest, contest->failure.kind);
+            if (more)
+                observe_retry();
+        }
         else if (!hedged && now >= hedge_at)
         {
             hedged = true;
             if (!m_hedging.spend(call.service))
                 continue;
+            observe_hedge();
             base::log_line(base::log_level::info, "hedge")
                 .field("request_id", call.request_id)
                 .field("service", call.service)
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -173,7 +173,7 @@
     // A caller that sends nothing must not hold a worker for long.
     parameters->setTimeout(Poco::Timespan(20, 0));
     Poco::Net::ServerSocket const socket(Poco::Net::SocketAddress(host, entry_port), 1024);
-    Poco::Net::HTTPServer server(new entry::front_handler_factory(state, serving, plain), pool,
+    Poco::Net::HTTPServer server(new entry::front_handler_factory({state, serving, plain}), pool,
                                  socket, parameters);
     server.start();
     base::wait_for_stop_signal();
