Entry: Let a rerun wait for a server to come back

Cause: serving_limits_test failed 2 of 3 times under load: the first load report can say that engines do not listen yet, and a rerun was refused at once although a server came back within a second. Change: a rerun and a suspect wait up to the kind's limit; the tests begin once a first question is answered.

--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -327,6 +327,8 @@
 {
     auto const end = std::chrono::steady_clock::now() + m_job.wanted.maximum_wait;
     auto excluded = m_excluded;
+    // A rerun waits for a server to come back; a first attempt is refused by the router at once.
+    bool waits = !m_excluded.empty();
     for (;;)
     {
         auto failure = acquire(excluded);
@@ -338,10 +340,11 @@
         if (!failure)
         {
             excluded.insert(m_server.name);
+            waits = true;
             release(attempt_outcome::cancelled);
             continue;
         }
-        if (failure->kind != base::error_kind::no_server || excluded.empty() ||
+        if (failure->kind != base::error_kind::no_server || !waits ||
             std::chrono::steady_clock::now() > end || !m_job.keep_waiting())
             return failure;
         // Every server has failed or runs a suspect: wait, then consider all of them again.
--- a/tests/serving_limits_test.cpp
+++ b/tests/serving_limits_test.cpp
@@ -26,6 +26,9 @@
         running.start_engine(engine, {"--step-milliseconds", "5"});
     running.start_node(1);
     ASSERT_TRUE(running.wait_until_ready(1));
+    // The first load report may say that an engine does not listen yet.
+    ASSERT_TRUE(wait_until(
+        [&] { return complete(running, stream_body(1, "ready?", false)).status == 200; }));
 }
 
 // Guards against a request that takes down the fleet, alone and when its caller sends it again, and
--- a/tests/whole_answers_test.cpp
+++ b/tests/whole_answers_test.cpp
@@ -36,7 +36,19 @@
         for (int node = 1; node <= nodes; ++node)
             running->start_node(node);
         for (int node = 1; node <= nodes; ++node)
+        {
             ASSERT_TRUE(running->wait_until_ready(node));
+            // The first load report may say that an engine does not listen yet.
+            auto const port = static_cast<std::uint16_t>(entry_port_base + node);
+            ASSERT_TRUE(wait_until(
+                [&]
+                {
+                    return running
+                               ->call(port, "POST", "/v1/chat/completions",
+                                      stream_body(1, "ready?", false))
+                               .status == 200;
+                }));
+        }
     }
     void set_fault(int engines, std::string const& fault)
     {
