--- a/fuzz/chat_request.cpp
+++ b/fuzz/chat_request.cpp
@@ -9,7 +9,7 @@
     fuzz::run_parser(
         [&]() -> base::result<void>
         {
-            BOOST_LEAF_AUTO(parsed, entry::parse_chat_request(fuzz::as_text(data, size)));
+            BOOST_LEAF_AUTO(parsed, entry::parse_chat_request(fuzz::as_text(data, size), 65536));
             fuzz::require(parsed.maximum_tokens >= 0);
             // What is forwarded must be a request that the engine can read.
             fuzz::require_success(
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -72,6 +72,13 @@
                          m_snapshot->active_preset.limits(request.kind).rank};
 }
 
+std::optional<inner_protocol::load_digest> entry_state::load(std::string const& server) const
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_loads.find(server);
+    return found == m_loads.end() ? std::nullopt : std::optional(found->second);
+}
+
 void entry_state::note_tokens(std::uint64_t, std::int64_t) {}
 
 void entry_state::finish(std::uint64_t ticket, attempt_outcome)
