Entry: Count retries, disconnects and the zone of orders

Change: one call at each place; a route choice carries the request id, so that it can be recorded from any thread. Conclusion: every kind of request is counted in its zone.

--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -163,6 +163,8 @@
 void clean_up(completion_call const& call, decision::delivery_outcome const& outcome,
               completion_transport& transport)
 {
+    if (outcome.end == delivery_end::caller_gone)
+        observe_disconnect();
     bool const may_return = outcome.end == delivery_end::caller_gone &&
                             call.kind == work_kind::proposal &&
                             call.chat.mode == answer_mode::stream;
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -194,7 +194,9 @@
             BOOST_LEAF_ASSIGN(event.token, parse_token(object));
             if (m_acquired && !event.token.last)
                 m_state.note_tokens(m_server.ticket);
-            observe_token();
+            // The last event carries the usage and no token.
+            if (!event.token.last)
+                observe_token();
             return event;
         },
         [&](base::error const& failure)
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -4,6 +4,7 @@
 #include "backend/event_stream.hpp"
 #include "backend/http_exchange.hpp"
 #include "decision/generation_delivery.hpp"
+#include "services/entry/entry_metrics.hpp"
 #include "services/entry/entry_state.hpp"
 #include "services/entry/serving_state.hpp"
 
@@ -43,7 +44,13 @@
     std::optional<decision::start_failure> resume(std::int64_t index);
     decision::attempt_event read();
     void end(decision::attempt_failure failure);
-    bool spend_retry() { return m_serving.budgets().spend(m_job.wanted.service); }
+    bool spend_retry()
+    {
+        bool const allowed = m_serving.budgets().spend(m_job.wanted.service);
+        if (allowed)
+            observe_retry();
+        return allowed;
+    }
 
     std::string const& generation_id() const noexcept { return m_generation_id; }
     std::string const& server() const noexcept { return m_server.name; }
--- a/services/entry/entry_metrics.cpp
+++ b/services/entry/entry_metrics.cpp
@@ -91,6 +91,9 @@
         return;
     if (m_stall != nullptr)
         m_stall->observe(m_stalled);
+    // Orders are dispatched on a thread of their own.
+    if (m_zone.empty())
+        m_zone = recent_requests().latest_zone(m_record.id);
     auto const* state = m_fleet == fleet_state::zone_out ? "zone_out" : "all_zones_in_service";
     families()
         .requests
@@ -145,12 +148,15 @@
 
 void observe_route(route_choice const& choice)
 {
+    if (!choice.request_id.empty())
+        recent_requests().add_attempt(choice.request_id, choice);
+    else if (current != nullptr)
+        recent_requests().add_attempt(current->m_record.id, choice);
     if (current == nullptr)
         return;
     if (current->m_zone != choice.zone)
         current->m_between_tokens = nullptr;
     current->m_zone = choice.zone;
-    recent_requests().add_attempt(current->m_record.id, choice);
 }
 
 void observe_token()
--- a/services/entry/entry_metrics.hpp
+++ b/services/entry/entry_metrics.hpp
@@ -30,7 +30,8 @@
 void observe_request(std::string const& request_id, std::string const& customer,
                      configuration::work_kind kind, std::string const& model);
 
-/// Records the choice of a server, once per attempt.
+/// Records the choice of a server, once per attempt. With a request id it may be called on any
+/// thread.
 void observe_route(route_choice const& choice);
 
 /// Records the arrival of one token from the engine.
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -67,7 +67,8 @@
         .field("zone", best->zone)
         .field("candidates", candidates)
         .field("reason", "least_outstanding");
-    observe_route({request.service, best->name, best->zone, "least_outstanding", candidates});
+    observe_route({request.service, best->name, best->zone, "least_outstanding", candidates,
+                   request.request_id});
     return chosen_server{best->name, best->host, best->port, ticket,
                          m_snapshot->active_preset.limits(request.kind).rank};
 }
--- a/services/entry/request_log.cpp
+++ b/services/entry/request_log.cpp
@@ -72,6 +72,15 @@
     found->second.attempts = std::move(attempts);
 }
 
+std::string request_log::latest_zone(std::string const& id) const
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_records.find(id);
+    if (found == m_records.end() || found->second.attempts.empty())
+        return {};
+    return found->second.attempts.back().zone;
+}
+
 std::optional<request_record> request_log::find(std::string const& id,
                                                 std::string const& customer) const
 {
--- a/services/entry/request_log.hpp
+++ b/services/entry/request_log.hpp
@@ -23,6 +23,8 @@
     std::string zone;
     std::string reason;
     int candidates = 0;
+    /// Needed where the choice is made on another thread than the caller's.
+    std::string request_id{};
 };
 
 struct request_record
@@ -62,6 +64,8 @@
     /// Changes to records that were dropped meanwhile are ignored.
     void add_attempt(std::string const& id, route_choice choice);
     void finish(request_record const& ended);
+    /// Returns the zone of the latest attempt; empty when there is none.
+    std::string latest_zone(std::string const& id) const;
 
     /// Returns the record only to the customer that sent the request; a record of another customer
     /// cannot be told from an absent one.
--- a/tests/observation_test.cpp
+++ b/tests/observation_test.cpp
@@ -88,6 +88,11 @@
                                      chat_body("Which screws? tokens=5"));
     ASSERT_EQ(answer.status, 200);
     running.call(entry_port, "GET", "/v1/services/shop/stock/beam-14");
+    EXPECT_EQ(running
+                  .call(entry_port, "POST", "/v1/services/shop/orders", "{}",
+                        {{"Idempotency-Key", "order-1"}})
+                  .status,
+              200);
     EXPECT_EQ(running.call(entry_port, "POST", "/v1/chat/completions", "{").status, 400);
     auto const metrics = running.call(entry_port, "GET", "/metrics").body;
     EXPECT_TRUE(contains(metrics, "jasminepier_time_to_first_token_seconds_count{zone=\"zone-a\","
@@ -97,6 +102,10 @@
                                   "zone=\"zone-a\",kind=\"lookup\",model=\"none\","
                                   "result=\"served\"} 1"))
         << metrics;
+    // Orders are dispatched on another thread; their zone must be known all the same.
+    EXPECT_TRUE(contains(metrics, "zone=\"zone-a\",kind=\"action\",model=\"none\","
+                                  "result=\"served\"} 1"))
+        << metrics;
     EXPECT_TRUE(contains(metrics, "jasminepier_refusals_total{code=\"bad_request\"} 1"));
     auto const path = "/v1/requests/" + id_in(answer.body);
     auto const record = running.call(entry_port, "GET", path);
