Ctl: Test two operators who take out the last zones

Cause: the rule that one zone stays in service was tested for one operator only; customer delete said applied; an unknown argument was called a setting. Change: a test with two processes against a slow store; deletions say deleted; only bad values are called invalid settings.

--- a/libraries/base/settings.cpp
+++ b/libraries/base/settings.cpp
@@ -112,7 +112,10 @@
         }
         if (failure.get_exit_code() == 0)
             return m_app.exit(failure);
-        std::cerr << m_program << ": invalid setting " << one_line(failure.what()) << '\n';
+        bool const bad_value = dynamic_cast<CLI::ValidationError const*>(&failure) != nullptr ||
+                               dynamic_cast<CLI::ConversionError const*>(&failure) != nullptr;
+        std::cerr << m_program << (bad_value ? ": invalid setting " : ": ")
+                  << one_line(failure.what()) << '\n';
         return 2;
     }
     if (auto const broken = first_broken_rule())
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -133,6 +133,26 @@
     EXPECT_EQ(ctl({"zone", "out", "zone-x"}).status, 1);
 }
 
+// Guards against two operators who each take out one of the last two zones: the conditions of their
+// writes are about different objects, so that neither write is refused.
+TEST(ctl, keeps_a_zone_when_operators_race)
+{
+    deployment running("127.0.15.11");
+    operator_tool const ctl{running};
+    ctl({"zone", "out", "zone-a"});
+    // Each call takes long enough that both operators read before either writes.
+    running.set_faults(platform_port, R"({"delay_milliseconds":500})");
+    std::vector<std::string> arguments{"--platform-host", running.host(), "zone", "out", "zone-b"};
+    process first("jasminepierctl", arguments);
+    arguments.back() = "zone-c";
+    process second("jasminepierctl", arguments);
+    auto const first_status = first.wait_for_exit(60);
+    auto const second_status = second.wait_for_exit(60);
+    EXPECT_TRUE(first_status != 0 || second_status != 0);
+    EXPECT_NE(ctl({"zone", "list"}).output.find("in_service"), std::string::npos)
+        << first.output() << second.output();
+}
+
 // Guards against a wait that ends early, or that does not name the node that did not confirm.
 TEST(ctl, waits_for_every_live_node)
 {
@@ -175,7 +195,9 @@
     EXPECT_EQ(running.call(platform_port, "GET", "/objects/customer").body.find(key),
               std::string::npos);
     EXPECT_NE(ctl({"customer", "list"}).output.find("garden-centre"), std::string::npos);
-    EXPECT_EQ(ctl({"customer", "delete", "garden-centre"}).status, 0);
+    auto const deleted = ctl({"customer", "delete", "garden-centre"});
+    EXPECT_EQ(deleted.status, 0);
+    EXPECT_NE(deleted.output.find("deleted at version"), std::string::npos) << deleted.output;
     EXPECT_EQ(ctl({"customer", "delete", "garden-centre"}).status, 1);
 }
 
--- a/utilities/ctl/conditional_write.hpp
+++ b/utilities/ctl/conditional_write.hpp
@@ -70,7 +70,10 @@
         else
             outcome = action == write_action::update ? store.update(target) : store.remove(target);
         if (outcome.status == platform::write_status::applied)
+        {
+            outcome.current.deleted = action == write_action::remove;
             return outcome;
+        }
         if (outcome.status == platform::write_status::conflict)
         {
             bool const removed = action == write_action::remove && outcome.current.deleted;
