--- a/meta/demo.sh
+++ b/meta/demo.sh
@@ -59,7 +59,7 @@
 done
 show preset activate ordinary
 for i in 1 2 3; do
-    start "control-$i" "$build/jasminepier-control" --node-id "node-$i" --host "$host" --control-port $((base + 400 + i)) --metrics-port $((base + 700 + i)) --platform-host "$host" --platform-port "$base"
+    start "control-$i" "$build/jasminepier-control" --node-id "node-$i" --zone "${zones[$((i - 1))]}" --host "$host" --gossip-port $((base + 300 + i)) --control-port $((base + 400 + i)) --entry-port $((base + 500 + i)) --entry-peer-port $((base + 600 + i)) --seeds "$host:$((base + 301)),$host:$((base + 302))" --metrics-port $((base + 700 + i)) --platform-host "$host" --platform-port "$base"
     start "entry-$i" "$build/jasminepier-entry" --host "$host" --entry-port $((base + 500 + i)) --control-port $((base + 400 + i)) --entry-peer-port $((base + 600 + i)) --node-id "node-$i" --platform-host "$host" --platform-port "$base"
 done
 for i in 1 2 3; do
