--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -164,6 +164,8 @@
 void clean_up(completion_call const& call, decision::delivery_outcome const& outcome,
               completion_transport& transport)
 {
+    if (outcome.end == delivery_end::caller_gone)
+        observe_disconnect();
     bool const streamed = call.chat.mode == answer_mode::stream;
     bool const may_return = outcome.end == delivery_end::caller_gone && streamed &&
                             (call.kind == work_kind::proposal || transport.was_paused());
