--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -7,6 +7,7 @@
 #include "services/control/control_metrics.hpp"
 #include "services/control/load_collector.hpp"
 #include "services/control/peer_exchange.hpp"
+#include "services/control/placement_runner.hpp"
 #include "services/control/platform_watcher.hpp"
 
 #include <Poco/Net/IPAddress.h>
@@ -40,6 +41,7 @@
     std::uint16_t metrics_port = 0;
     std::string seeds;
     platform::http_object_store_settings platform;
+    placement::reconciliation_settings pacing;
 };
 
 /// Parses addresses separated by commas. Fails with invalid_setting and names the bad one.
@@ -95,6 +97,10 @@
     parser.add("platform-host", settings.platform.host, "IP address of the platform's object API")
         ->check(base::ip_address());
     parser.add_port("platform-port", settings.platform.port, "Port of the platform's object API");
+    parser
+        .add("model-loads", settings.pacing.loads_per_window,
+             "Model loads started in any 10 seconds")
+        ->check(base::in_range<std::int64_t>(1, 1000));
     parser.require_distinct_ports({{"control-port", &settings.control_port},
                                    {"entry-port", &settings.entry_port},
                                    {"entry-peer-port", &settings.entry_peer_port},
@@ -160,6 +166,8 @@
     if (settings.metrics_port != 0)
         metrics = std::make_unique<control::metrics_listener>(state, settings.host,
                                                               settings.metrics_port);
+    control::placement_runner const placing(state, settings.node_id, settings.platform,
+                                            settings.pacing);
     base::wait_for_stop_signal();
     handler->set_stopping();
     agent.set_leaving(true);
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -20,6 +20,12 @@
 /// Longest wait of one read; the caller's connection is looked after in between.
 constexpr std::chrono::milliseconds read_tick{250};
 constexpr std::chrono::milliseconds server_wait_tick{100};
+/// A read waits a moment at most, so that a longer time between two means that the process was
+/// paused.
+constexpr std::chrono::seconds longest_step{2};
+/// Pause before a second resume in a row. A process that dies resets its connections a little
+/// before its port is closed; without a pause all resumes are used up in between.
+constexpr std::chrono::milliseconds resume_pause{100};
 /// State of a load digest; see jasminepier.thrift.
 constexpr int digest_leaving = 2;
 
@@ -68,6 +74,7 @@
     auto const load = m_state.load(m_server.name);
     m_instance = load ? load->instance : "";
     m_generation_id = base::random_id();
+    m_resumes = 0;
     m_connection_was_lost = false;
     m_server_died = false;
     backend::backend_request request{"POST", "/v1/chat/completions", {}, m_job.engine_body};
@@ -87,6 +94,8 @@
 
 std::optional<start_failure> completion_transport::resume(std::int64_t index)
 {
+    if (m_resumes++ > 0)
+        std::this_thread::sleep_for(resume_pause);
     return send(
         {"GET", "/v1/generations/" + m_generation_id + "?from=" + std::to_string(index), {}, ""},
         exchange_purpose::resume);
@@ -97,6 +106,7 @@
 {
     m_reader.reset();
     m_purpose = purpose;
+    m_last_read = std::chrono::steady_clock::now();
     m_last_event = std::chrono::steady_clock::now();
     backend::exchange_timeouts timeouts;
     timeouts.silence = m_serving.settings().engine_silence;
@@ -120,8 +130,15 @@
     return start_failure{attempt_failure::generation_gone, {}, failure->message};
 }
 
+bool completion_transport::was_paused() const
+{
+    return m_was_paused || std::chrono::steady_clock::now() - m_last_read > longest_step;
+}
+
 attempt_event completion_transport::read()
 {
+    m_was_paused = was_paused();
+    m_last_read = std::chrono::steady_clock::now();
     try
     {
         if (m_reader)
@@ -177,6 +194,7 @@
         return failed(attempt_failure::connection_lost, "the engine closed the connection");
     }
     m_last_event = std::chrono::steady_clock::now();
+    m_resumes = 0;
     m_connection_was_lost = false;
     if (event.data == "[DONE]")
         return {attempt_event::type::end, m_generation_id, {}, {}, {}};
@@ -194,7 +212,9 @@
             BOOST_LEAF_ASSIGN(event.token, parse_token(object));
             if (m_acquired && !event.token.last)
                 m_state.note_tokens(m_server.ticket);
-            observe_token();
+            // The last event carries the usage and no token.
+            if (!event.token.last)
+                observe_token();
             return event;
         },
         [&](base::error const& failure)
@@ -226,6 +246,8 @@
 
 void completion_transport::end(attempt_failure failure)
 {
+    if (failure == attempt_failure::generation_gone && m_connection_was_lost && !m_server_died)
+        m_server_died = port_is_closed();
     if (failure == attempt_failure::generation_gone && m_server_died)
         record_crash();
     else if (failure != attempt_failure::not_connected)
@@ -238,6 +260,17 @@
     release(attempt_outcome::failed);
 }
 
+bool completion_transport::port_is_closed() const
+{
+    backend::http_exchange probe({m_server.host, m_server.port}, {});
+    base::handle(
+        [&]() -> base::result<void> {
+            return probe.send({"GET", "/load", {}, ""});
+        },
+        [](base::error const&) {});
+    return probe.refused();
+}
+
 void completion_transport::record_crash()
 {
     // The end of a server that announced it is no evidence against the requests that ran there.
@@ -296,6 +329,8 @@
 {
     auto const end = std::chrono::steady_clock::now() + m_job.wanted.maximum_wait;
     auto excluded = m_excluded;
+    // A rerun waits for a server to come back; a first attempt is refused by the router at once.
+    bool waits = !m_excluded.empty();
     for (;;)
     {
         auto failure = acquire(excluded);
@@ -307,10 +342,11 @@
         if (!failure)
         {
             excluded.insert(m_server.name);
+            waits = true;
             release(attempt_outcome::cancelled);
             continue;
         }
-        if (failure->kind != base::error_kind::no_server || excluded.empty() ||
+        if (failure->kind != base::error_kind::no_server || !waits ||
             std::chrono::steady_clock::now() > end || !m_job.keep_waiting())
             return failure;
         // Every server has failed or runs a suspect: wait, then consider all of them again.
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -4,6 +4,7 @@
 #include "backend/event_stream.hpp"
 #include "backend/http_exchange.hpp"
 #include "decision/generation_delivery.hpp"
+#include "services/entry/entry_metrics.hpp"
 #include "services/entry/entry_state.hpp"
 #include "services/entry/serving_state.hpp"
 
@@ -43,7 +44,13 @@
     std::optional<decision::start_failure> resume(std::int64_t index);
     decision::attempt_event read();
     void end(decision::attempt_failure failure);
-    bool spend_retry() { return m_serving.budgets().spend(m_job.wanted.service); }
+    bool spend_retry()
+    {
+        bool const allowed = m_serving.budgets().spend(m_job.wanted.service);
+        if (allowed)
+            observe_retry();
+        return allowed;
+    }
 
     std::string const& generation_id() const noexcept { return m_generation_id; }
     std::string const& server() const noexcept { return m_server.name; }
@@ -52,6 +59,8 @@
     void adopt(chosen_server server, std::string generation_id);
     /// Says how the last attempt ended; without it, it counts as cancelled.
     void set_outcome(attempt_outcome outcome) noexcept { m_final_outcome = outcome; }
+    /// The process was paused for longer than a caller waits before it continues elsewhere.
+    bool was_paused() const;
     /// Tells the engine to drop the generation; does not wait for its answer.
     void cancel();
 
@@ -72,6 +81,7 @@
     decision::attempt_event idle_or_silent() const;
     decision::attempt_event failed(decision::attempt_failure what, std::string reason) const;
     void record_crash();
+    bool port_is_closed() const;
     void release(attempt_outcome outcome);
 
     entry_state& m_state;
@@ -90,8 +100,12 @@
     /// Created once the status has been received.
     std::unique_ptr<backend::event_reader> m_reader;
     std::chrono::steady_clock::time_point m_last_event;
+    /// Resumes since the last event.
+    int m_resumes = 0;
     bool m_connection_was_lost = false;
     bool m_server_died = false;
+    std::chrono::steady_clock::time_point m_last_read = std::chrono::steady_clock::now();
+    bool m_was_paused = false;
 };
 
 } // namespace jasminepier::entry
--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr std::size_t most_addresses = 8;
-
 base::result<void> require_method(http_request const& request, std::string const& method)
 {
     if (request.getMethod() != method)
@@ -71,12 +69,14 @@
         line.field("reason", failure.message);
 }
 
-void answer_failure(base::error const& failure, http_response& response)
+void answer_failure(base::error const& failure, http_request& request, http_response& response)
 {
     observe_failure(failure.kind);
     log_failure(failure, response.get("X-Request-Id", ""));
-    if (!response.sent())
-        send_error(response, failure);
+    if (response.sent())
+        return;
+    discard_body(request);
+    send_error(response, failure);
 }
 
 fleet_state state_of(configuration::snapshot const& snapshot)
@@ -121,7 +121,7 @@
                      {
                          // The rest of an unread body must not be taken for the next request.
                          response.setKeepAlive(false);
-                         answer_failure(failure, response);
+                         answer_failure(failure, request, response);
                      });
     }
     catch (std::exception const& failure)
@@ -145,12 +145,12 @@
         return send_metrics(response), base::result<void>{};
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
-    if (path == "/ready")
-        return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (path == "/v1/entry-addresses")
-        return send_json(response, 200, list_addresses()), base::result<void>{};
+        return send_json(response, 200, list_addresses(request)), base::result<void>{};
     if (m_serving.phase() == stop_phase::refusing)
         return base::fail(base::error_kind::node_stopping, "this node is stopping");
+    if (path == "/ready")
+        return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     return serve_customer(path, request, response);
 }
 
@@ -195,18 +195,21 @@
     return send_json(response, 200, model_entry(service->name, model)), base::result<void>{};
 }
 
-base::json_object front_handler::list_addresses() const
+base::json_object front_handler::list_addresses(http_request const& request) const
 {
-    bool const stopping = m_serving.phase() != stop_phase::serving;
+    auto const snapshot = m_state.snapshot();
+    member_map members;
+    for (auto const& record : m_link.members())
+        members[record.node_id] = record;
+    answering_node const self{m_serving.settings().own_address,
+                              m_serving.phase() != stop_phase::serving};
+    auto const seed = base::stable_hash(request.clientAddress().toString());
     base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& record : m_link.nearest_nodes(most_addresses))
+    for (auto const& chosen : choose_addresses(*snapshot, members, self, seed))
     {
-        auto const address = record.host + ":" + std::to_string(record.entry_port);
-        if (stopping && address == m_serving.settings().own_address)
-            continue;
         base::json_object entry = new Poco::JSON::Object;
-        entry->set("address", address);
-        entry->set("zone", record.zone);
+        entry->set("address", chosen.address);
+        entry->set("zone", chosen.zone);
         addresses->add(entry);
     }
     base::json_object body = new Poco::JSON::Object;
