Decision: Add length estimates, occupancy, queue, routing and cold start

A deterministic core: every call takes the time, and random choices come from a seeded source. Not yet used by the entry process and not yet measured.

--- /dev/null
+++ b/libraries/decision/decision_core.cpp
@@ -0,0 +1,368 @@
+#include "decision/decision_core.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminepier::decision
+{
+
+decision_core::decision_core(core_settings settings)
+    : m_settings(std::move(settings)), m_random(m_settings.seed),
+      m_servers(m_settings.node, m_settings.switches),
+      m_router(m_servers, m_settings.switches, m_settings.zone)
+{
+}
+
+std::uint32_t decision_core::intern(std::unordered_map<std::string, std::uint32_t>& ids,
+                                    std::string const& name)
+{
+    return ids.try_emplace(name, static_cast<std::uint32_t>(ids.size() + 1)).first->second;
+}
+
+std::uint32_t decision_core::pool_of(std::string const& service, std::string const& model)
+{
+    auto const [found, added] = m_pool_ids.try_emplace(std::pair{service, model},
+                                                       static_cast<std::uint32_t>(m_pools.size()));
+    if (added)
+    {
+        auto& pool = m_pools.emplace_back();
+        pool.service = service;
+        pool.model = model;
+        pool.queue.set_fair(m_settings.switches.fair_queuing == use::on);
+        fill_pool(pool);
+    }
+    return found->second;
+}
+
+void decision_core::fill_pool(pool_state& pool)
+{
+    std::vector<std::uint32_t> members;
+    for (std::uint32_t index = 0; index < m_servers.size(); ++index)
+        if (m_servers.at(index).listed && m_servers.at(index).service == pool.service)
+            members.push_back(index);
+    pool.servers.assign(std::move(members), m_servers);
+}
+
+void decision_core::apply_configuration(configuration::snapshot const& snapshot,
+                                        base::time_point now)
+{
+    m_preset = snapshot.active_preset;
+    m_weights.clear();
+    for (auto const& [name, customer] : snapshot.customers)
+        m_weights[name] = customer.weight;
+    m_servers.apply_configuration(snapshot, now);
+    auto const zone = snapshot.zones.find(m_settings.zone);
+    m_router.set_region(zone == snapshot.zones.end() ? "" : zone->second.region);
+    for (auto& pool : m_pools)
+        fill_pool(pool);
+}
+
+void decision_core::apply_report(std::string_view server, load_view load,
+                                 base::time_point measured_at, base::time_point now)
+{
+    if (auto const index = m_servers.apply_report(server, std::move(load), measured_at, now))
+        subtract_own_part(*index);
+}
+
+void decision_core::subtract_own_part(std::uint32_t index)
+{
+    auto& server = m_servers.at(index);
+    double own_kv = 0;
+    int own_seen = 0;
+    double held = 0;
+    for (auto const slot : server.generations)
+    {
+        auto const& one = m_generations[slot];
+        held = m_pools[one.pool].profile.held;
+        if (one.sent_at >= server.measured_at)
+            continue;
+        own_kv += static_cast<double>(one.prompt + one.produced);
+        ++own_seen;
+    }
+    server.own_unreported = static_cast<int>(server.generations.size()) - own_seen;
+    server.foreign_running = std::max(0, server.load.running + server.load.waiting - own_seen);
+    double const reported = static_cast<double>(server.load.kv_used_tokens) +
+                            static_cast<double>(server.load.waiting) * held;
+    server.foreign_kv = server.foreign_running == 0 ? 0 : std::max(0.0, reported - own_kv);
+}
+
+void decision_core::note_cache_event(std::string_view server, std::uint64_t prefix_hash,
+                                     bool stored)
+{
+    auto const index = m_servers.find(server);
+    if (!index)
+        return;
+    for (auto& pool : m_pools)
+        if (pool.service == m_servers.at(*index).service)
+            pool.servers.note_prefix(prefix_hash, *index, stored);
+}
+
+void decision_core::lose_server(std::string_view server, base::time_point now)
+{
+    if (auto const index = m_servers.find(server))
+        m_servers.at(*index).lost_at = now;
+}
+
+void decision_core::update_profile(pool_state& pool, base::time_point now)
+{
+    double const elapsed = std::chrono::duration<double>(now - pool.updated_at).count();
+    if (elapsed < 1)
+        return;
+    pool.updated_at = now;
+    // Weights of the newest second; a few seconds of history smooth the noise of small nodes.
+    constexpr double newest = 0.3;
+    pool.sent_rate.scale(1 - newest);
+    pool.sent_rate.add_scaled(pool.sent, newest / elapsed);
+    pool.sent = {};
+    for (std::size_t kind = 0; kind < pool.service_rate.size(); ++kind)
+    {
+        auto& rate = pool.service_rate[kind];
+        double const measured = pool.dispatched_cost[kind] / elapsed;
+        bool const waits = pool.queue.size(static_cast<configuration::work_kind>(kind)) > 0;
+        rate = !waits ? 0 : rate == 0 ? measured : (1 - newest) * rate + newest * measured;
+        pool.dispatched_cost[kind] = 0;
+    }
+    auto& profile = pool.profile;
+    if (pool.own_count >= 4)
+        for (std::size_t i = 0; i < horizons.size(); ++i)
+        {
+            profile.ratio[i] += newest * (pool.own.mean[i] / pool.own.mean[0] - profile.ratio[i]);
+            profile.variance[i] +=
+                newest * (pool.own.variance[i] / pool.own_count - profile.variance[i]);
+        }
+    if (pool.own_count >= 1)
+        profile.held += newest * (pool.own.mean[0] / pool.own_count - profile.held);
+    // Other nodes are taken to send like this one, in proportion to what they run.
+    constexpr std::size_t most_read = 64;
+    double foreign = 0;
+    double own = 0;
+    auto const& members = pool.servers.servers();
+    for (std::size_t i = 0; i < std::min(members.size(), most_read); ++i)
+    {
+        foreign += m_servers.at(members[i]).foreign_running;
+        own += m_servers.at(members[i]).own_running;
+    }
+    profile.foreign_rate = pool.sent_rate;
+    if (!members.empty())
+        profile.foreign_rate.scale(foreign / std::max(1.0, own) /
+                                   static_cast<double>(members.size()));
+}
+
+double decision_core::fill_limit(pool_state const& pool, configuration::work_kind kind) const
+{
+    double limit = m_preset.fill_limit;
+    if (m_settings.switches.reserves == use::off)
+        return limit;
+    // What other kinds use of their reserve now need not be kept free for them.
+    for (std::size_t other = 0; other < pool.own_by_kind.size(); ++other)
+    {
+        if (other == static_cast<std::size_t>(kind))
+            continue;
+        double const used = pool.own.mean[0] > 0 ? m_preset.fill_limit * pool.own_by_kind[other] /
+                                                       std::max(1.0, pool.own.mean[0])
+                                                 : 0;
+        limit -= std::max(0.0, m_preset.kinds[other].reserved_share - used);
+    }
+    return limit;
+}
+
+demand decision_core::predict(length_key const& key, std::int64_t prompt, std::int64_t produced,
+                              std::int64_t limit) const
+{
+    return predict_demand(m_lengths.distribution(key), prompt + produced, produced, limit);
+}
+
+std::uint64_t decision_core::submit(submission const& request, base::time_point now)
+{
+    auto const ticket = m_next_ticket++;
+    auto const pool_index = pool_of(request.service, request.model);
+    auto& pool = m_pools[pool_index];
+    if (pool.servers.servers().empty())
+        return refuse(ticket, base::error_kind::no_server, 2, "no_server_listed");
+    auto const& limits = m_preset.limits(request.kind);
+    waiting_request waiting;
+    waiting.pool = pool_index;
+    waiting.key = {intern(m_customer_ids, request.customer), intern(m_model_ids, request.model),
+                   request.kind};
+    waiting.prompt = request.prompt_tokens;
+    waiting.limit = m_preset.maximum_output_tokens;
+    if (request.maximum_tokens > 0)
+        waiting.limit = std::min(waiting.limit, request.maximum_tokens);
+    waiting.prefix_hash = request.prefix_hash;
+    for (auto const& name : request.excluded)
+        if (auto const index = m_servers.find(name))
+            waiting.excluded.push_back(*index);
+    waiting.submitted_at = now;
+    base::milliseconds longest(limits.maximum_wait_milliseconds);
+    if (request.maximum_wait.count() > 0)
+        longest = std::min(longest, request.maximum_wait);
+    waiting.deadline = now + longest;
+    auto const weight = m_weights.find(request.customer);
+    double const output = std::min(static_cast<double>(waiting.limit),
+                                   m_lengths.distribution(waiting.key).remaining(0).mean);
+    queued_request entry{ticket,
+                         waiting.key.customer,
+                         request.kind,
+                         weight == m_weights.end() ? 1 : weight->second,
+                         static_cast<double>(request.prompt_tokens) + output,
+                         waiting.deadline};
+    if (m_settings.switches.early_refusal == use::on && refuse_early(pool, entry, now))
+        return ticket;
+    m_waiting.emplace(ticket, std::move(waiting));
+    auto const evicted = pool.queue.push(entry, static_cast<std::size_t>(limits.maximum_queued));
+    if (evicted)
+    {
+        m_waiting.erase(*evicted);
+        refuse(*evicted, base::error_kind::overloaded, 2, "queue_full");
+    }
+    return ticket;
+}
+
+bool decision_core::refuse_early(pool_state const& pool, queued_request const& entry,
+                                 base::time_point now)
+{
+    auto const rate = pool.service_rate[static_cast<std::size_t>(entry.kind)];
+    if (rate <= 0)
+        return false;
+    double const wait = pool.queue.work_ahead(entry.kind, entry.customer, entry.weight) / rate;
+    double const allowed = std::chrono::duration<double>(entry.deadline - now).count();
+    if (wait <= allowed)
+        return false;
+    constexpr double longest_advice = 60;
+    refuse(entry.ticket, base::error_kind::overloaded,
+           static_cast<int>(std::clamp(std::ceil(wait - allowed), 1.0, longest_advice)),
+           "predicted_wait_exceeds_deadline");
+    return true;
+}
+
+std::uint64_t decision_core::refuse(std::uint64_t ticket, base::error_kind kind, int retry_after,
+                                    std::string_view reason)
+{
+    decision_result result;
+    result.ticket = ticket;
+    result.refusal = kind;
+    result.retry_after_seconds = retry_after;
+    result.reason = reason;
+    m_refusals.push_back(std::move(result));
+    return ticket;
+}
+
+bool decision_core::withdraw(std::uint64_t ticket)
+{
+    auto const found = m_waiting.find(ticket);
+    if (found == m_waiting.end())
+        return false;
+    m_pools[found->second.pool].queue.remove(ticket);
+    m_waiting.erase(found);
+    return true;
+}
+
+std::size_t decision_core::queued() const
+{
+    return m_waiting.size();
+}
+
+void decision_core::poll(base::time_point now, std::vector<decision_result>& decisions)
+{
+    for (std::uint32_t index = 0; index < m_pools.size(); ++index)
+    {
+        update_profile(m_pools[index], now);
+        if (m_pools[index].queue.size() > 0)
+            poll_pool(index, now, decisions);
+    }
+    for (auto& refusal : m_refusals)
+        decisions.push_back(std::move(refusal));
+    m_refusals.clear();
+}
+
+void decision_core::poll_pool(std::uint32_t index, base::time_point now,
+                              std::vector<decision_result>& decisions)
+{
+    auto& pool = m_pools[index];
+    expire(pool, now, decisions);
+    std::array<configuration::work_kind, configuration::work_kind_count> kinds{};
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+        kinds[i] = static_cast<configuration::work_kind>(i);
+    std::stable_sort(kinds.begin(), kinds.end(),
+                     [&](auto left, auto right)
+                     { return m_preset.limits(left).rank < m_preset.limits(right).rank; });
+    // A kind that waits for room holds back every kind of lower importance, which would otherwise
+    // take each piece of memory as it becomes free.
+    int blocked_rank = 1000;
+    for (auto const kind : kinds)
+    {
+        if (m_preset.limits(kind).rank > blocked_rank)
+            break;
+        while (pool.queue.front(kind) != nullptr)
+            if (!dispatch_front(pool, kind, now, decisions))
+            {
+                blocked_rank = m_preset.limits(kind).rank;
+                break;
+            }
+    }
+}
+
+void decision_core::expire(pool_state& pool, base::time_point now,
+                           std::vector<decision_result>& decisions)
+{
+    for (auto const ticket : pool.queue.expire(now))
+    {
+        auto const found = m_waiting.find(ticket);
+        auto const last = found->second.last_obstacle;
+        bool const no_server = last == obstacle::zone_out || last == obstacle::leaving ||
+                               last == obstacle::unreachable || last == obstacle::other_model;
+        decision_result result;
+        result.ticket = ticket;
+        result.refusal =
+            no_server ? base::error_kind::no_server : base::error_kind::deadline_exceeded;
+        result.retry_after_seconds = base::answer_for(result.refusal).retry_after_seconds;
+        result.reason = no_server ? to_string(last) : "deadline_passed_in_queue";
+        result.waited =
+            std::chrono::duration_cast<base::milliseconds>(now - found->second.submitted_at);
+        decisions.push_back(std::move(result));
+        m_waiting.erase(found);
+    }
+}
+
+bool decision_core::dispatch_front(pool_state& pool, configuration::work_kind kind,
+                                   base::time_point now, std::vector<decision_result>& decisions)
+{
+    auto const ticket = pool.queue.front(kind)->ticket;
+    auto const found = m_waiting.find(ticket);
+    auto& request = found->second;
+    auto const added = predict(request.key, request.prompt, 0, request.limit);
+    route_query const query{pool.model,
+                            added,
+                            request.prefix_hash,
+                            request.excluded,
+                            fill_limit(pool, kind),
+                            m_preset.margin_deviations,
+                            m_preset.candidates};
+    auto const chosen =
+        m_router.choose(pool.servers, pool.profile, query, now, m_random, m_candidates);
+    if (!chosen)
+    {
+        request.last_obstacle =
+            m_candidates.empty() ? obstacle::unreachable : m_candidates.front().why;
+        for (auto const& one : m_candidates)
+            if (one.why >= obstacle::cold_full)
+                request.last_obstacle = one.why;
+        return false;
+    }
+    decision_result result;
+    result.ticket = ticket;
+    result.outcome = verdict::dispatched;
+    result.server = *chosen;
+    result.priority = m_preset.limits(kind).rank;
+    result.reason = "lowest_score";
+    result.waited = std::chrono::duration_cast<base::milliseconds>(now - request.submitted_at);
+    result.candidates = m_candidates;
+    decisions.push_back(std::move(result));
+    start(ticket, request, *chosen, added, now);
+    pool.dispatched_cost[static_cast<std::size_t>(kind)] += pool.queue.front(kind)->cost;
+    pool.queue.pop(kind);
+    m_waiting.erase(found);
+    return true;
+}
+
+} // namespace jasminepier::decision
--- /dev/null
+++ b/libraries/decision/server_table.cpp
@@ -0,0 +1,191 @@
+#include "decision/server_table.hpp"
+
+#include <algorithm>
+
+namespace jasminepier::decision
+{
+
+std::string_view to_string(obstacle value) noexcept
+{
+    constexpr std::array<std::string_view, 8> names{"fits",        "zone_out",    "leaving",
+                                                    "unreachable", "other_model", "cold_full",
+                                                    "batch_full",  "memory_full"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+server_state& server_table::add_or_find(std::string const& name)
+{
+    auto const [found, added] = m_index.try_emplace(name, size());
+    if (added)
+    {
+        m_servers.emplace_back();
+        m_servers.back().name = name;
+        m_servers.back().cold.turn_cold(0);
+    }
+    return m_servers[found->second];
+}
+
+void server_table::apply_configuration(configuration::snapshot const& snapshot,
+                                       base::time_point now)
+{
+    std::vector<std::string> nodes;
+    for (auto const& [name, node] : snapshot.nodes)
+        nodes.push_back(name);
+    bool const nodes_changed = nodes != m_nodes;
+    if (nodes_changed)
+    {
+        m_nodes = std::move(nodes);
+        m_nodes_changed_at = now;
+    }
+    for (auto& server : m_servers)
+        server.listed = false;
+    for (auto const& [name, source] : snapshot.servers)
+    {
+        auto const known = m_index.contains(name);
+        auto& server = add_or_find(name);
+        bool const in_service = snapshot.zone_in_service(source.zone);
+        if (known && in_service && !server.zone_in_service)
+            server.zone_returned_at = now;
+        else if (!known)
+            server.zone_returned_at = now - zone_ramp_time;
+        server.zone_in_service = in_service;
+        server.listed = true;
+        server.leaving = source.leaving;
+        server.service = source.service;
+        server.zone = source.zone;
+        auto const zone = snapshot.zones.find(source.zone);
+        server.region = zone == snapshot.zones.end() ? "" : zone->second.region;
+        if (server.cold.cold() && (nodes_changed || !known))
+            assign_slots(server, now);
+    }
+}
+
+void server_table::assign_slots(server_state& server, base::time_point now) const
+{
+    auto const slots = count_own_slots(server.name, m_nodes, m_self, server.cold.allowance());
+    server.cold.assign_slots(slots, m_nodes_changed_at, now);
+}
+
+std::optional<std::uint32_t> server_table::find(std::string_view name) const
+{
+    auto const found = m_index.find(std::string(name));
+    if (found == m_index.end())
+        return std::nullopt;
+    return found->second;
+}
+
+void server_table::turn_cold(std::uint32_t index, base::time_point now)
+{
+    auto& server = m_servers[index];
+    server.cold.turn_cold(server.load.cold_capacity);
+    assign_slots(server, now);
+}
+
+void server_table::apply_cold_state(server_state& server, load_view const& load,
+                                    base::time_point now)
+{
+    // The first report of a server that says warm is trusted: a restarted entry process would
+    // otherwise leave a loaded fleet unused for minutes. Token times contradict a wrong one.
+    bool const first = !server.reported;
+    bool const replaced = !first && load.instance != server.load.instance;
+    bool const says_cold = load.state == reported_state::cold;
+    if (replaced || (says_cold && !server.cold.cold()))
+    {
+        server.cold.turn_cold(load.cold_capacity);
+        assign_slots(server, now);
+    }
+    if (says_cold)
+    {
+        server.cold.note_cold_report();
+        return;
+    }
+    if (first && !says_cold)
+        server.cold.turn_warm();
+    else if (load.state == reported_state::warm &&
+             server.cold.note_warm_report(server.full_batch()))
+        assign_slots(server, now);
+}
+
+std::optional<std::uint32_t> server_table::apply_report(std::string_view name, load_view load,
+                                                        base::time_point measured_at,
+                                                        base::time_point now)
+{
+    auto const index = find(name);
+    if (!index)
+        return std::nullopt;
+    auto& server = m_servers[*index];
+    if (server.reported && measured_at < server.measured_at)
+        return std::nullopt;
+    // An observer that cannot reach the server knows neither its instance nor its load.
+    if (load.state == reported_state::unreachable)
+    {
+        server.load.state = reported_state::unreachable;
+        return std::nullopt;
+    }
+    if (server.lost_at && measured_at > *server.lost_at)
+        server.lost_at.reset();
+    apply_cold_state(server, load, now);
+    server.load = std::move(load);
+    server.measured_at = measured_at;
+    server.reported = true;
+    return index;
+}
+
+obstacle server_table::find_obstacle(server_state const& server, std::string const& model,
+                                     base::time_point now) const
+{
+    if (!server.listed || server.leaving || server.load.state == reported_state::leaving)
+        return obstacle::leaving;
+    if (!server.zone_in_service)
+        return obstacle::zone_out;
+    if (server.lost_at || server.load.state == reported_state::unreachable)
+        return obstacle::unreachable;
+    auto const& models = server.load.models;
+    if (!models.empty() && !model.empty() &&
+        std::find(models.begin(), models.end(), model) == models.end())
+        return obstacle::other_model;
+    if (m_switches.cold_slots == use::on && server.cold.cold())
+    {
+        bool const own_full = server.own_running >= server.cold.usable_slots(now);
+        bool const all_full = server.load.running + server.load.waiting + server.own_unreported >=
+                              server.cold.allowance();
+        if (own_full || all_full)
+            return obstacle::cold_full;
+    }
+    if (m_switches.admission == use::on &&
+        server.own_running + server.foreign_running >= server.full_batch())
+        return obstacle::batch_full;
+    return obstacle::none;
+}
+
+demand server_table::predict(server_state const& server, demand_profile const& profile,
+                             base::time_point now) const
+{
+    demand total = server.own;
+    double const age = std::chrono::duration<double>(now - server.measured_at).count();
+    for (std::size_t i = 0; i < horizons.size(); ++i)
+    {
+        total.mean[i] += server.foreign_kv * profile.ratio[i];
+        total.variance[i] += server.foreign_running * profile.variance[i];
+    }
+    // A report that is missing for long says nothing about the rate; the zone or server checks
+    // decide then.
+    if (m_switches.foreign_sends == use::on && server.reported)
+        total.add_scaled(profile.foreign_rate, std::clamp(age, 0.0, 5.0));
+    if (m_switches.growth == use::off)
+        for (std::size_t i = 1; i < horizons.size(); ++i)
+            total.mean[i] = total.variance[i] = 0;
+    return total;
+}
+
+double server_table::ramp(server_state const& server, base::time_point now) const
+{
+    if (m_switches.zone_ramp == use::off)
+        return 1;
+    double const since = std::chrono::duration<double>(now - server.zone_returned_at).count();
+    double const whole = std::chrono::duration<double>(zone_ramp_time).count();
+    return std::clamp(zone_ramp_start + (1 - zone_ramp_start) * since / whole, zone_ramp_start,
+                      1.0);
+}
+
+} // namespace jasminepier::decision
