--- /dev/null
+++ b/benchmarks/replay/replay.cpp
@@ -0,0 +1,59 @@
+#include "benchmarks/replay/replay.hpp"
+
+namespace jasminepier::benchmarks
+{
+
+figures replay_core(trace const& source, simulation_settings const& settings,
+                    decision::policy_switches const& switches)
+{
+    simulation<decision::decision_core> run(source, settings,
+                                            [&](decision::core_settings core)
+                                            {
+                                                core.switches = switches;
+                                                return std::make_unique<decision::decision_core>(
+                                                    std::move(core));
+                                            });
+    return run.run();
+}
+
+figures replay_baseline(trace const& source, simulation_settings const& settings,
+                        baseline_kind kind)
+{
+    simulation<baseline_node> run(source, settings,
+                                  [&](decision::core_settings const& core)
+                                  { return std::make_unique<baseline_node>(kind, core); });
+    return run.run();
+}
+
+std::vector<ablation> list_ablations()
+{
+    using decision::policy_switches;
+    std::vector<ablation> list;
+    auto const add = [&](char const* name, decision::use policy_switches::*part)
+    {
+        policy_switches switches;
+        switches.*part = decision::use::off;
+        list.push_back({name, switches});
+    };
+    add("admission", &policy_switches::admission);
+    add("learned_lengths", &policy_switches::learned_lengths);
+    add("growth", &policy_switches::growth);
+    add("foreign_sends", &policy_switches::foreign_sends);
+    add("margin", &policy_switches::margin);
+    add("reserves", &policy_switches::reserves);
+    add("fair_queuing", &policy_switches::fair_queuing);
+    add("prefix_affinity", &policy_switches::prefix_affinity);
+    add("zone_distance", &policy_switches::zone_distance);
+    add("random_ties", &policy_switches::random_ties);
+    add("cold_slots", &policy_switches::cold_slots);
+    add("zone_ramp", &policy_switches::zone_ramp);
+    add("early_refusal", &policy_switches::early_refusal);
+    return list;
+}
+
+configuration::preset replay_preset()
+{
+    return {};
+}
+
+} // namespace jasminepier::benchmarks
