--- a/benchmarks/replay/trace.cpp
+++ b/benchmarks/replay/trace.cpp
@@ -17,7 +17,7 @@
 
 /// Requests per second at which the 12 engines are about fully used with the ordinary mix, found
 /// with the load curve of this program.
-constexpr double saturating_rate = 30;
+constexpr double saturating_rate = 45;
 
 /// A double in [0, 1) that is the same with every standard library.
 double uniform(base::random_source& random)
--- a/libraries/decision/decision_core.cpp
+++ b/libraries/decision/decision_core.cpp
@@ -70,12 +70,16 @@
     double own_kv = 0;
     int own_seen = 0;
     double held = 0;
+    server.own_recent = {};
     for (auto const slot : server.generations)
     {
         auto const& one = m_generations[slot];
         held = m_pools[one.pool].profile.held;
         if (one.sent_at >= server.measured_at)
+        {
+            server.own_recent += one.predicted;
             continue;
+        }
         own_kv += static_cast<double>(one.prompt + one.produced);
         ++own_seen;
     }
@@ -142,10 +146,10 @@
         foreign += m_servers.at(members[i]).foreign_running;
         own += m_servers.at(members[i]).own_running;
     }
+    profile.foreign_ratio += newest * (foreign / std::max(1.0, own) - profile.foreign_ratio);
     profile.foreign_rate = pool.sent_rate;
     if (!members.empty())
-        profile.foreign_rate.scale(foreign / std::max(1.0, own) /
-                                   static_cast<double>(members.size()));
+        profile.foreign_rate.scale(profile.foreign_ratio / static_cast<double>(members.size()));
 }
 
 double decision_core::fill_limit(pool_state const& pool, configuration::work_kind kind) const
--- a/libraries/decision/running_generations.cpp
+++ b/libraries/decision/running_generations.cpp
@@ -48,7 +48,10 @@
 void decision_core::add_demand(generation const& one, double sign)
 {
     auto& pool = m_pools[one.pool];
-    m_servers.at(one.server).own.add_scaled(one.predicted, sign);
+    auto& server = m_servers.at(one.server);
+    server.own.add_scaled(one.predicted, sign);
+    if (one.sent_at >= server.measured_at)
+        server.own_recent.add_scaled(one.predicted, sign);
     pool.own.add_scaled(one.predicted, sign);
     pool.own_by_kind[static_cast<std::size_t>(one.key.kind)] += sign * one.predicted.mean[0];
 }
--- a/libraries/decision/server_table.cpp
+++ b/libraries/decision/server_table.cpp
@@ -158,6 +158,25 @@
     return obstacle::none;
 }
 
+namespace
+{
+
+/// Adds what other nodes have sent since the report: at least their usual rate, and as much as this
+/// node has sent, because all nodes see the same room in the same report.
+void add_foreign_sends(demand& total, server_state const& server, demand_profile const& profile,
+                       double age)
+{
+    for (std::size_t i = 0; i < horizons.size(); ++i)
+    {
+        total.mean[i] += std::max(age * profile.foreign_rate.mean[i],
+                                  profile.foreign_ratio * server.own_recent.mean[i]);
+        total.variance[i] += std::max(age * profile.foreign_rate.variance[i],
+                                      profile.foreign_ratio * server.own_recent.variance[i]);
+    }
+}
+
+} // namespace
+
 demand server_table::predict(server_state const& server, demand_profile const& profile,
                              base::time_point now) const
 {
@@ -171,7 +190,7 @@
     // A report that is missing for long says nothing about the rate; the zone or server checks
     // decide then.
     if (m_switches.foreign_sends == use::on && server.reported)
-        total.add_scaled(profile.foreign_rate, std::clamp(age, 0.0, 5.0));
+        add_foreign_sends(total, server, profile, std::clamp(age, 0.0, 5.0));
     if (m_switches.growth == use::off)
         for (std::size_t i = 1; i < horizons.size(); ++i)
             total.mean[i] = total.variance[i] = 0;
--- a/libraries/decision/server_table.hpp
+++ b/libraries/decision/server_table.hpp
@@ -56,6 +56,8 @@
     double held = 400;
     /// Demand that other nodes add to one server per second.
     demand foreign_rate;
+    /// What other nodes run, relative to what this node runs.
+    double foreign_ratio = 0;
 };
 
 /// What keeps a server from taking a request.
@@ -93,6 +95,8 @@
     /// Demand of this node's own generations.
     demand own;
     int own_running = 0;
+    /// The part of `own` that was sent after the last report was measured.
+    demand own_recent;
     /// This node's own generations that started after the last report was measured.
     int own_unreported = 0;
     /// The reported load without this node's part.
