Decision: Let the reported foreign memory age with its report

Cause: room grew only when a report arrived, so that queued requests left in bursts and memory stayed unused between reports. Change: foreign memory is taken at the tokens that its generations have produced since.

--- a/libraries/decision/server_table.cpp
+++ b/libraries/decision/server_table.cpp
@@ -175,6 +175,16 @@
     }
 }
 
+/// Returns the value at `ahead` tokens of a line through the values at the horizons.
+double interpolate(std::array<double, horizons.size()> const& values, double ahead)
+{
+    std::size_t i = 1;
+    while (i + 1 < horizons.size() && horizons[i] < ahead)
+        ++i;
+    double const part = (ahead - horizons[i - 1]) / (horizons[i] - horizons[i - 1]);
+    return std::max(0.0, values[i - 1] + std::min(part, 1.0) * (values[i] - values[i - 1]));
+}
+
 } // namespace
 
 demand server_table::predict(server_state const& server, demand_profile const& profile,
@@ -182,9 +192,12 @@
 {
     demand total = server.own;
     double const age = std::chrono::duration<double>(now - server.measured_at).count();
+    // Since the report was measured, the foreign generations have moved on by this many tokens.
+    double const moved =
+        server.usual_gap > 0 ? std::clamp(age, 0.0, 5.0) * 1000 / server.usual_gap : 0;
     for (std::size_t i = 0; i < horizons.size(); ++i)
     {
-        total.mean[i] += server.foreign_kv * profile.ratio[i];
+        total.mean[i] += server.foreign_kv * interpolate(profile.ratio, horizons[i] + moved);
         total.variance[i] += server.foreign_running * profile.variance[i];
     }
     // A report that is missing for long says nothing about the rate; the zone or server checks
