--- a/benchmarks/replay/figures.cpp
+++ b/benchmarks/replay/figures.cpp
@@ -23,6 +23,43 @@
     ++m_total;
 }
 
+void duration_counts::merge(duration_counts const& other)
+{
+    if (other.m_bins.size() > m_bins.size())
+        m_bins.resize(other.m_bins.size());
+    for (std::size_t bin = 0; bin < other.m_bins.size(); ++bin)
+        m_bins[bin] += other.m_bins[bin];
+    m_total += other.m_total;
+}
+
+void group_figures::merge(group_figures const& other)
+{
+    arrived += other.arrived;
+    refused += other.refused;
+    abandoned += other.abandoned;
+    lost += other.lost;
+    completed += other.completed;
+    tokens += other.tokens;
+    refused_tokens += other.refused_tokens;
+    stall_seconds += other.stall_seconds;
+    gaps.merge(other.gaps);
+    first_token.merge(other.first_token);
+}
+
+void figures::merge(figures const& other)
+{
+    all.merge(other.all);
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+        kinds[kind].merge(other.kinds[kind]);
+    largest_customer.merge(other.largest_customer);
+    smallest_customer.merge(other.smallest_customer);
+    preemptions += other.preemptions;
+    cold_overloads += other.cold_overloads;
+    sudden_cold_overloads += other.sudden_cold_overloads;
+    crashes += other.crashes;
+    broken += other.broken;
+}
+
 double duration_counts::quantile(double q) const
 {
     auto const wanted = static_cast<std::uint64_t>(q * static_cast<double>(m_total));
--- a/benchmarks/replay/figures.hpp
+++ b/benchmarks/replay/figures.hpp
@@ -17,6 +17,7 @@
     void add(double milliseconds);
     /// Returns the duration that a share `q` does not exceed, milliseconds; 0 without durations.
     double quantile(double q) const;
+    void merge(duration_counts const& other);
     std::uint64_t total() const noexcept { return m_total; }
 
 private:
@@ -43,6 +44,7 @@
     duration_counts gaps;
     duration_counts first_token;
 
+    void merge(group_figures const& other);
     std::int64_t not_served() const noexcept { return refused + abandoned + lost; }
 };
 
@@ -61,6 +63,9 @@
     std::int64_t crashes = 0;
     /// Generations broken off by an engine that failed or stopped.
     std::int64_t broken = 0;
+
+    /// Adds the figures of a replay with another seed.
+    void merge(figures const& other);
 };
 
 } // namespace jasminepier::benchmarks
--- a/benchmarks/replay/main.cpp
+++ b/benchmarks/replay/main.cpp
@@ -4,7 +4,10 @@
 #include <CLI/CLI.hpp>
 
 #include <cstdio>
-#include <iostream>
+#include <functional>
+#include <future>
+#include <string>
+#include <vector>
 
 namespace
 {
@@ -14,20 +17,26 @@
 
 void print_header()
 {
-    std::printf("%-11s %-18s %9s %8s %7s %7s %7s %8s %8s %7s %6s %8s %5s %5s %9s\n", "trace",
-                "policy", "stall_s", "preempt", "p50_ms", "p99_ms", "p999_ms", "ft95_ms", "q_ft95",
-                "refused", "aband", "lost", "cold", "sudn", "tokens");
+    std::printf("%-10s %-17s %8s %7s %6s %6s %7s %7s %7s %7s %6s %5s %5s %5s %4s %7s %7s %9s\n",
+                "trace", "policy", "stall_s", "preempt", "p50_ms", "p99_ms", "p999_ms", "ft95_ms",
+                "q_ft95", "refused", "aband", "lost", "p_uns", "q_uns", "cold", "small_u",
+                "sm_ft95", "tokens");
 }
 
 void print_row(std::string const& trace_name, std::string const& policy, figures const& f)
 {
-    auto const& question = f.kinds[static_cast<std::size_t>(configuration::work_kind::question)];
-    std::printf(
-        "%-11s %-18s %9.1f %8ld %7.1f %7.1f %7.1f %8.0f %8.0f %7ld %6ld %8ld %5ld %5ld %9ld\n",
-        trace_name.c_str(), policy.c_str(), f.all.stall_seconds, f.preemptions,
-        f.all.gaps.quantile(0.5), f.all.gaps.quantile(0.99), f.all.gaps.quantile(0.999),
-        f.all.first_token.quantile(0.95), question.first_token.quantile(0.95), f.all.refused,
-        f.all.abandoned, f.all.lost, f.cold_overloads, f.sudden_cold_overloads, f.all.tokens);
+    using configuration::work_kind;
+    auto const& question = f.kinds[static_cast<std::size_t>(work_kind::question)];
+    auto const& proposal = f.kinds[static_cast<std::size_t>(work_kind::proposal)];
+    std::printf("%-10s %-17s %8.1f %7ld %6.1f %6.1f %7.1f %7.0f %7.0f %7ld %6ld %5ld %5ld %5ld "
+                "%4ld %7ld %7.0f %9ld\n",
+                trace_name.c_str(), policy.c_str(), f.all.stall_seconds, f.preemptions,
+                f.all.gaps.quantile(0.5), f.all.gaps.quantile(0.99), f.all.gaps.quantile(0.999),
+                f.all.first_token.quantile(0.95), question.first_token.quantile(0.95),
+                f.all.refused, f.all.abandoned, f.all.lost, proposal.not_served(),
+                question.not_served(), f.cold_overloads - f.sudden_cold_overloads,
+                f.smallest_customer.not_served(), f.smallest_customer.first_token.quantile(0.95),
+                f.all.tokens);
     std::fflush(stdout);
 }
 
@@ -48,39 +57,70 @@
     print_group("smallest_customer", f.smallest_customer);
 }
 
-void compare(std::string const& name, simulation_settings const& settings, bool groups)
+using replay_function = std::function<figures(trace const&, simulation_settings const&)>;
+
+/// Replays `repeats` traces with consecutive seeds, a few at once, and adds their figures up.
+figures replay_all(std::string const& name, double load, int repeats,
+                   simulation_settings const& settings, replay_function const& replay)
 {
-    auto const source = make_trace(name, settings.seed);
-    auto const show = [&](char const* policy, figures const& f)
+    constexpr int at_once = 3;
+    figures sum;
+    for (int done = 0; done < repeats; done += at_once)
     {
-        print_row(name, policy, f);
-        if (groups)
-            print_groups(f);
-    };
-    show("decision_core", replay_core(source, settings));
-    show("round_robin", replay_baseline(source, settings, baseline_kind::round_robin));
-    show("least_outstanding", replay_baseline(source, settings, baseline_kind::least_outstanding));
+        std::vector<std::future<figures>> running;
+        for (int i = done; i < std::min(repeats, done + at_once); ++i)
+            running.push_back(std::async(std::launch::async,
+                                         [&, i]
+                                         {
+                                             auto own = settings;
+                                             own.seed += static_cast<std::uint64_t>(i);
+                                             return replay(make_trace(name, own.seed, load), own);
+                                         }));
+        for (auto& one : running)
+            sum.merge(one.get());
+    }
+    return sum;
+}
+
+figures run_core(trace const& source, simulation_settings const& settings)
+{
+    return replay_core(source, settings);
+}
+
+figures run_round_robin(trace const& source, simulation_settings const& settings)
+{
+    return replay_baseline(source, settings, baseline_kind::round_robin);
+}
+
+figures run_least_outstanding(trace const& source, simulation_settings const& settings)
+{
+    return replay_baseline(source, settings, baseline_kind::least_outstanding);
 }
 
-void print_load_curve(simulation_settings const& settings)
+void compare(std::string const& name, double load, int repeats, simulation_settings const& settings,
+             bool groups)
 {
-    for (double const load : {0.4, 0.6, 0.8, 1.0, 1.2, 1.5})
+    auto const show = [&](char const* policy, replay_function const& replay)
     {
-        auto const source = make_trace("constant", settings.seed, load);
-        char name[16];
-        std::snprintf(name, sizeof name, "load %.1f", load);
-        print_row(name, "decision_core", replay_core(source, settings));
-        print_row(name, "least_outstanding",
-                  replay_baseline(source, settings, baseline_kind::least_outstanding));
-    }
+        auto const f = replay_all(name, load, repeats, settings, replay);
+        auto const shown = load == 1 ? name : "load " + std::to_string(load).substr(0, 3);
+        print_row(shown, policy, f);
+        if (groups)
+            print_groups(f);
+    };
+    show("decision_core", run_core);
+    show("round_robin", run_round_robin);
+    show("least_outstanding", run_least_outstanding);
 }
 
-void print_ablations(std::string const& name, simulation_settings const& settings)
+void print_ablations(std::string const& name, int repeats, simulation_settings const& settings)
 {
-    auto const source = make_trace(name, settings.seed);
-    print_row(name, "whole policy", replay_core(source, settings));
+    print_row(name, "whole policy", replay_all(name, 1, repeats, settings, run_core));
     for (auto const& one : list_ablations())
-        print_row(name, "-" + one.name, replay_core(source, settings, one.switches));
+        print_row(name, "-" + one.name,
+                  replay_all(name, 1, repeats, settings,
+                             [&](trace const& source, simulation_settings const& own)
+                             { return replay_core(source, own, one.switches); }));
 }
 
 } // namespace
@@ -94,6 +134,7 @@
     std::string table = "compare";
     std::vector<std::string> names = trace_names();
     bool groups = false;
+    int repeats = 1;
     app.add_option("--table", table, "Table to print")
         ->check(CLI::IsMember({"compare", "load", "ablation"}));
     app.add_option("--trace", names, "Traces to replay");
@@ -101,17 +142,19 @@
     app.add_option("--fill-limit", settings.preset.fill_limit, "Overrides the preset");
     app.add_option("--margin", settings.preset.margin_deviations, "Overrides the preset");
     app.add_option("--candidates", settings.preset.candidates, "Overrides the preset");
+    app.add_option("--repeats", repeats, "Seeds replayed; figures are sums over them");
     app.add_flag("--groups", groups, "Also print each kind and the largest and smallest customer");
     CLI11_PARSE(app, argc, argv);
     print_header();
     if (table == "load")
-        print_load_curve(settings);
+        for (double const load : {0.4, 0.6, 0.8, 0.9, 1.0001, 1.1, 1.2, 1.5})
+            compare("constant", load, repeats, settings, groups);
     for (auto const& name : names)
     {
         if (table == "compare")
-            compare(name, settings, groups);
+            compare(name, 1, repeats, settings, groups);
         if (table == "ablation")
-            print_ablations(name, settings);
+            print_ablations(name, repeats, settings);
     }
     return 0;
 }
--- a/benchmarks/replay/simulation_events.hpp
+++ b/benchmarks/replay/simulation_events.hpp
@@ -121,7 +121,9 @@
         engine.cold_since = now();
         return;
     }
-    m_zone_out = one.kind == incident_kind::zone_returns ? -1 : one.index;
+    bool const returns =
+        one.kind == incident_kind::zone_returns || one.kind == incident_kind::zone_back;
+    m_zone_out = returns ? -1 : one.index;
     for (int engine = 0; engine < engine_count; ++engine)
     {
         if (zone_of(engine) != one.index)
--- a/benchmarks/replay/trace.cpp
+++ b/benchmarks/replay/trace.cpp
@@ -120,6 +120,8 @@
         return {180, 0.75, 0.95, tail::heavy};
     if (name == "zone")
         return {240, 0.50, 0.55, tail::ordinary};
+    if (name == "zone_warm")
+        return {240, 0.50, 0.55, tail::ordinary};
     if (name == "cold")
         return {240, 0.45, 0.55, tail::ordinary};
     if (name == "crash")
@@ -136,6 +138,10 @@
         made.incidents = {{t * 0.25, incident_kind::zone_out, 0},
                           {t * 0.42, incident_kind::zone_stops, 0},
                           {t * 0.54, incident_kind::zone_returns, 0}};
+    // Here the engines keep running, as after an alarm that proved false.
+    if (name == "zone_warm")
+        made.incidents = {{t * 0.25, incident_kind::zone_out, 0},
+                          {t * 0.54, incident_kind::zone_back, 0}};
     if (name == "cold")
         for (int i = 0; i < 4; ++i)
             made.incidents.push_back(
@@ -153,8 +159,8 @@
 
 std::vector<std::string> const& trace_names()
 {
-    static std::vector<std::string> const names{"ordinary", "peak", "heavy_tail",
-                                                "zone",     "cold", "crash"};
+    static std::vector<std::string> const names{"ordinary",  "peak", "heavy_tail", "zone",
+                                                "zone_warm", "cold", "crash"};
     return names;
 }
 
--- a/benchmarks/replay/trace.hpp
+++ b/benchmarks/replay/trace.hpp
@@ -38,6 +38,8 @@
     zone_stops,
     /// The engines start again, cold, and operators put the zone back in service.
     zone_returns,
+    /// Operators put the zone back in service; its engines have run on.
+    zone_back,
     engine_turns_cold,
 };
 
--- a/libraries/decision/policy.hpp
+++ b/libraries/decision/policy.hpp
@@ -31,6 +31,8 @@
     use zone_distance = use::on;
     /// Choice at random among nearly equal candidates.
     use random_ties = use::on;
+    /// No sends to a server that has preempted until nothing waits there.
+    use preemption_pause = use::on;
     use cold_slots = use::on;
     use zone_ramp = use::on;
     use early_refusal = use::on;
--- a/libraries/decision/server_table.cpp
+++ b/libraries/decision/server_table.cpp
@@ -7,9 +7,9 @@
 
 std::string_view to_string(obstacle value) noexcept
 {
-    constexpr std::array<std::string_view, 8> names{"fits",        "zone_out",    "leaving",
+    constexpr std::array<std::string_view, 9> names{"fits",        "zone_out",    "leaving",
                                                     "unreachable", "other_model", "cold_full",
-                                                    "batch_full",  "memory_full"};
+                                                    "preempting",  "batch_full",  "memory_full"};
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -125,6 +125,10 @@
     if (server.lost_at && measured_at > *server.lost_at)
         server.lost_at.reset();
     apply_cold_state(server, load, now);
+    if (load.preemptions > server.load.preemptions && server.reported)
+        server.preempting = true;
+    if (load.waiting == 0)
+        server.preempting = false;
     server.load = std::move(load);
     server.measured_at = measured_at;
     server.reported = true;
@@ -152,6 +156,8 @@
         if (own_full || all_full)
             return obstacle::cold_full;
     }
+    if (m_switches.preemption_pause == use::on && server.preempting)
+        return obstacle::preempting;
     if (m_switches.admission == use::on &&
         server.own_running + server.foreign_running >= server.full_batch())
         return obstacle::batch_full;
--- a/libraries/decision/server_table.hpp
+++ b/libraries/decision/server_table.hpp
@@ -41,6 +41,8 @@
     int cold_capacity = 0;
     /// 0 when not reported.
     int max_running = 0;
+    /// Preemptions since the instance started.
+    std::int64_t preemptions = 0;
     /// Empty when the server does not say; it is then taken to serve its service's models.
     std::vector<std::string> models;
 };
@@ -69,6 +71,8 @@
     unreachable,
     other_model,
     cold_full,
+    /// The server has preempted and has not yet resumed what it preempted.
+    preempting,
     batch_full,
     memory_full,
 };
@@ -89,6 +93,8 @@
     load_view load;
     bool reported = false;
     base::time_point measured_at{};
+    /// Set by a report of new preemptions, cleared by one without waiting generations.
+    bool preempting = false;
     /// Set when the server was lost; it is excluded until a report measured later arrives.
     std::optional<base::time_point> lost_at;
 
