--- a/benchmarks/replay/baseline.hpp
+++ b/benchmarks/replay/baseline.hpp
@@ -75,7 +75,6 @@
         decision::policy_switches switches;
         switches.cold_slots = decision::use::off;
         switches.admission = decision::use::off;
-        switches.preemption_pause = decision::use::off;
         return switches;
     }
 
--- a/benchmarks/replay/fleet.cpp
+++ b/benchmarks/replay/fleet.cpp
@@ -64,7 +64,6 @@
     view.kv_used_tokens = model.kv_used_tokens();
     view.kv_capacity_tokens = model.settings().kv_capacity_tokens;
     view.cold_capacity = model.settings().cold_capacity;
-    view.preemptions = model.preemptions();
     view.max_running = model.settings().max_running;
     return view;
 }
--- a/benchmarks/replay/main.cpp
+++ b/benchmarks/replay/main.cpp
@@ -113,12 +113,13 @@
     show("least_outstanding", run_least_outstanding);
 }
 
-void print_ablations(std::string const& name, int repeats, simulation_settings const& settings)
+void print_ablations(std::string const& name, double load, int repeats,
+                     simulation_settings const& settings)
 {
-    print_row(name, "whole policy", replay_all(name, 1, repeats, settings, run_core));
+    print_row(name, "whole policy", replay_all(name, load, repeats, settings, run_core));
     for (auto const& one : list_ablations())
         print_row(name, "-" + one.name,
-                  replay_all(name, 1, repeats, settings,
+                  replay_all(name, load, repeats, settings,
                              [&](trace const& source, simulation_settings const& own)
                              { return replay_core(source, own, one.switches); }));
 }
@@ -135,6 +136,7 @@
     std::vector<std::string> names = trace_names();
     bool groups = false;
     int repeats = 1;
+    double load = 1;
     app.add_option("--table", table, "Table to print")
         ->check(CLI::IsMember({"compare", "load", "ablation"}));
     app.add_option("--trace", names, "Traces to replay");
@@ -143,18 +145,19 @@
     app.add_option("--margin", settings.preset.margin_deviations, "Overrides the preset");
     app.add_option("--candidates", settings.preset.candidates, "Overrides the preset");
     app.add_option("--repeats", repeats, "Seeds replayed; figures are sums over them");
+    app.add_option("--load", load, "Scales the arrival rate of the traces");
     app.add_flag("--groups", groups, "Also print each kind and the largest and smallest customer");
     CLI11_PARSE(app, argc, argv);
     print_header();
     if (table == "load")
-        for (double const load : {0.4, 0.6, 0.8, 0.9, 1.0001, 1.1, 1.2, 1.5})
-            compare("constant", load, repeats, settings, groups);
+        for (double const step : {0.4, 0.6, 0.8, 0.9, 1.0001, 1.1, 1.2, 1.5})
+            compare("constant", step, repeats, settings, groups);
     for (auto const& name : names)
     {
         if (table == "compare")
-            compare(name, 1, repeats, settings, groups);
+            compare(name, load, repeats, settings, groups);
         if (table == "ablation")
-            print_ablations(name, repeats, settings);
+            print_ablations(name, load, repeats, settings);
     }
     return 0;
 }
--- a/benchmarks/replay/replay.cpp
+++ b/benchmarks/replay/replay.cpp
@@ -44,10 +44,7 @@
     add("fair_queuing", &policy_switches::fair_queuing);
     add("prefix_affinity", &policy_switches::prefix_affinity);
     add("zone_distance", &policy_switches::zone_distance);
-    add("random_ties", &policy_switches::random_ties);
-    add("preemption_pause", &policy_switches::preemption_pause);
     add("cold_slots", &policy_switches::cold_slots);
-    add("zone_ramp", &policy_switches::zone_ramp);
     add("early_refusal", &policy_switches::early_refusal);
     return list;
 }
--- a/libraries/decision/decision_core.cpp
+++ b/libraries/decision/decision_core.cpp
@@ -107,6 +107,26 @@
         m_servers.at(*index).lost_at = now;
 }
 
+void decision_core::update_service_rates(pool_state& pool, double elapsed)
+{
+    // The dispatches of one second vary much at a single node; 20 s of history make a usable mean.
+    constexpr double least_weight = 0.05;
+    for (std::size_t kind = 0; kind < pool.service_rate.size(); ++kind)
+    {
+        bool const waits = pool.queue.size(static_cast<configuration::work_kind>(kind)) > 0;
+        auto& updates = pool.backlog_updates[kind];
+        updates = waits && pool.backlogged[kind] ? updates + 1 : 0;
+        auto& rate = pool.service_rate[kind];
+        double const measured = pool.dispatched_cost[kind] / elapsed;
+        if (updates == 0)
+            rate = 0;
+        else
+            rate += std::max(least_weight, 1.0 / updates) * (measured - rate);
+        pool.backlogged[kind] = waits;
+        pool.dispatched_cost[kind] = 0;
+    }
+}
+
 void decision_core::update_profile(pool_state& pool, base::time_point now)
 {
     double const elapsed = std::chrono::duration<double>(now - pool.updated_at).count();
@@ -118,14 +138,7 @@
     pool.sent_rate.scale(1 - newest);
     pool.sent_rate.add_scaled(pool.sent, newest / elapsed);
     pool.sent = {};
-    for (std::size_t kind = 0; kind < pool.service_rate.size(); ++kind)
-    {
-        auto& rate = pool.service_rate[kind];
-        double const measured = pool.dispatched_cost[kind] / elapsed;
-        bool const waits = pool.queue.size(static_cast<configuration::work_kind>(kind)) > 0;
-        rate = !waits ? 0 : rate == 0 ? measured : (1 - newest) * rate + newest * measured;
-        pool.dispatched_cost[kind] = 0;
-    }
+    update_service_rates(pool, elapsed);
     auto& profile = pool.profile;
     if (pool.own_count >= 4)
         for (std::size_t i = 0; i < horizons.size(); ++i)
@@ -225,8 +238,10 @@
 bool decision_core::refuse_early(pool_state const& pool, queued_request const& entry,
                                  base::time_point now)
 {
-    auto const rate = pool.service_rate[static_cast<std::size_t>(entry.kind)];
-    if (rate <= 0)
+    constexpr int updates_needed = 5;
+    auto const kind = static_cast<std::size_t>(entry.kind);
+    auto const rate = pool.service_rate[kind];
+    if (rate <= 0 || pool.backlog_updates[kind] < updates_needed)
         return false;
     double const wait = pool.queue.work_ahead(entry.kind, entry.customer, entry.weight) / rate;
     double const allowed = std::chrono::duration<double>(entry.deadline - now).count();
@@ -365,6 +380,8 @@
     start(ticket, request, *chosen, added, now);
     pool.dispatched_cost[static_cast<std::size_t>(kind)] += pool.queue.front(kind)->cost;
     pool.queue.pop(kind);
+    if (pool.queue.size(kind) == 0)
+        pool.backlogged[static_cast<std::size_t>(kind)] = false;
     m_waiting.erase(found);
     return true;
 }
--- a/libraries/decision/decision_core.hpp
+++ b/libraries/decision/decision_core.hpp
@@ -112,8 +112,13 @@
         demand sent;
         demand sent_rate;
         std::array<double, configuration::work_kind_count> dispatched_cost{};
-        /// Tokens dispatched per second while the kind waits; 0 when it does not.
+        /// False when the kind's queue was empty at some time since the last update.
+        std::array<bool, configuration::work_kind_count> backlogged{};
+        /// Tokens dispatched per second while the kind was backlogged; 0 when it was not. A rate
+        /// that arrivals limit says nothing about the wait.
         std::array<double, configuration::work_kind_count> service_rate{};
+        /// Updates for which the kind has been backlogged without a break.
+        std::array<int, configuration::work_kind_count> backlog_updates{};
         base::time_point updated_at{};
     };
     struct waiting_request
@@ -149,6 +154,7 @@
                          std::string const& name);
     std::uint32_t pool_of(std::string const& service, std::string const& model);
     void fill_pool(pool_state& pool);
+    void update_service_rates(pool_state& pool, double elapsed);
     void update_profile(pool_state& pool, base::time_point now);
     void subtract_own_part(std::uint32_t server);
     std::uint64_t refuse(std::uint64_t ticket, base::error_kind kind, int retry_after,
--- a/libraries/decision/policy.hpp
+++ b/libraries/decision/policy.hpp
@@ -29,12 +29,7 @@
     use fair_queuing = use::on;
     use prefix_affinity = use::on;
     use zone_distance = use::on;
-    /// Choice at random among nearly equal candidates.
-    use random_ties = use::on;
-    /// No sends to a server that has preempted until nothing waits there.
-    use preemption_pause = use::on;
     use cold_slots = use::on;
-    use zone_ramp = use::on;
     use early_refusal = use::on;
 };
 
@@ -47,11 +42,6 @@
 /// several times slower, yet may stay below the absolute limit when its batch is small.
 inline constexpr double slow_factor_of_usual = 3;
 
-/// A returning zone's servers start with this part of their fill limit and reach all of it after
-/// `zone_ramp_time`.
-inline constexpr double zone_ramp_start = 0.10;
-inline constexpr std::chrono::seconds zone_ramp_time{60};
-
 /// Score added for a server in another zone or region, in parts of a server's memory. A hop between
 /// zones costs 1.5 ms one way, which is worth less than a few generations in the batch.
 inline constexpr double other_zone_score = 0.02;
@@ -59,8 +49,6 @@
 inline constexpr double cold_score = 0.20;
 /// Score taken off for a server that is expected to hold the prompt prefix.
 inline constexpr double prefix_score = 0.10;
-/// Candidates whose scores differ by less are taken as equal: the error of a prediction is larger.
-inline constexpr double equal_score = 0.02;
 /// Servers looked at per decision for each candidate wanted; the rest of the fleet is not read.
 inline constexpr int looks_per_candidate = 4;
 
--- a/libraries/decision/router.cpp
+++ b/libraries/decision/router.cpp
@@ -68,8 +68,7 @@
         result.occupancy = peak_demand(total, deviations) / capacity;
         // An empty server takes anything: a request larger than the limit runs alone or never.
         bool const empty = server.own_running + server.foreign_running == 0;
-        if (m_switches.admission == use::on && !empty &&
-            result.occupancy > query.fill_limit * m_table.ramp(server, now))
+        if (m_switches.admission == use::on && !empty && result.occupancy > query.fill_limit)
             result.why = obstacle::memory_full;
     }
     else
@@ -111,18 +110,16 @@
     for (std::size_t look = 0; look < looks && usable < query.candidates; ++look)
         usable += consider(servers[(start + look * stride) % servers.size()]) ? 1 : 0;
 
-    double best = 1e9;
-    for (auto const& one : seen)
-        if (one.why == obstacle::none)
-            best = std::min(best, one.score);
-    if (best == 1e9)
-        return std::nullopt;
-    double const slack = m_switches.random_ties == use::on ? equal_score : 0;
+    // The random sample keeps nodes with the same report apart; a random choice among nearly equal
+    // candidates on top of it measured no better.
     std::optional<std::uint32_t> chosen;
-    std::uint64_t equals = 0;
+    double best = 0;
     for (auto const& one : seen)
-        if (one.why == obstacle::none && one.score <= best + slack && random() % ++equals == 0)
+        if (one.why == obstacle::none && (!chosen || one.score < best))
+        {
             chosen = one.server;
+            best = one.score;
+        }
     return chosen;
 }
 
--- a/libraries/decision/server_table.cpp
+++ b/libraries/decision/server_table.cpp
@@ -7,9 +7,9 @@
 
 std::string_view to_string(obstacle value) noexcept
 {
-    constexpr std::array<std::string_view, 9> names{"fits",        "zone_out",    "leaving",
+    constexpr std::array<std::string_view, 8> names{"fits",        "zone_out",    "leaving",
                                                     "unreachable", "other_model", "cold_full",
-                                                    "preempting",  "batch_full",  "memory_full"};
+                                                    "batch_full",  "memory_full"};
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -44,10 +44,6 @@
         auto const known = m_index.contains(name);
         auto& server = add_or_find(name);
         bool const in_service = snapshot.zone_in_service(source.zone);
-        if (known && in_service && !server.zone_in_service)
-            server.zone_returned_at = now;
-        else if (!known)
-            server.zone_returned_at = now - zone_ramp_time;
         server.zone_in_service = in_service;
         server.listed = true;
         server.leaving = source.leaving;
@@ -125,10 +121,6 @@
     if (server.lost_at && measured_at > *server.lost_at)
         server.lost_at.reset();
     apply_cold_state(server, load, now);
-    if (load.preemptions > server.load.preemptions && server.reported)
-        server.preempting = true;
-    if (load.waiting == 0)
-        server.preempting = false;
     server.load = std::move(load);
     server.measured_at = measured_at;
     server.reported = true;
@@ -156,8 +148,6 @@
         if (own_full || all_full)
             return obstacle::cold_full;
     }
-    if (m_switches.preemption_pause == use::on && server.preempting)
-        return obstacle::preempting;
     if (m_switches.admission == use::on &&
         server.own_running + server.foreign_running >= server.full_batch())
         return obstacle::batch_full;
@@ -216,14 +206,4 @@
     return total;
 }
 
-double server_table::ramp(server_state const& server, base::time_point now) const
-{
-    if (m_switches.zone_ramp == use::off)
-        return 1;
-    double const since = std::chrono::duration<double>(now - server.zone_returned_at).count();
-    double const whole = std::chrono::duration<double>(zone_ramp_time).count();
-    return std::clamp(zone_ramp_start + (1 - zone_ramp_start) * since / whole, zone_ramp_start,
-                      1.0);
-}
-
 } // namespace jasminepier::decision
--- a/libraries/decision/server_table.hpp
+++ b/libraries/decision/server_table.hpp
@@ -41,8 +41,6 @@
     int cold_capacity = 0;
     /// 0 when not reported.
     int max_running = 0;
-    /// Preemptions since the instance started.
-    std::int64_t preemptions = 0;
     /// Empty when the server does not say; it is then taken to serve its service's models.
     std::vector<std::string> models;
 };
@@ -71,8 +69,6 @@
     unreachable,
     other_model,
     cold_full,
-    /// The server has preempted and has not yet resumed what it preempted.
-    preempting,
     batch_full,
     memory_full,
 };
@@ -88,13 +84,10 @@
     bool listed = false;
     bool leaving = false;
     bool zone_in_service = true;
-    base::time_point zone_returned_at{};
 
     load_view load;
     bool reported = false;
     base::time_point measured_at{};
-    /// Set by a report of new preemptions, cleared by one without waiting generations.
-    bool preempting = false;
     /// Set when the server was lost; it is excluded until a report measured later arrives.
     std::optional<base::time_point> lost_at;
 
@@ -146,8 +139,6 @@
     /// Returns the predicted demand of everything on `server`.
     demand predict(server_state const& server, demand_profile const& profile,
                    base::time_point now) const;
-    /// Returns the part of the fill limit that a server of a returning zone may use, 0 to 1.
-    double ramp(server_state const& server, base::time_point now) const;
     std::vector<std::string> const& nodes() const noexcept { return m_nodes; }
 
 private:
