--- a/libraries/decision/decision_core.cpp
+++ b/libraries/decision/decision_core.cpp
@@ -51,8 +51,11 @@
     for (auto const& [name, customer] : snapshot.customers)
         m_weights[name] = customer.weight;
     m_servers.apply_configuration(snapshot, now);
+    auto const self = snapshot.nodes.find(m_settings.node);
+    if (self != snapshot.nodes.end())
+        m_settings.zone = self->second.zone;
     auto const zone = snapshot.zones.find(m_settings.zone);
-    m_router.set_region(zone == snapshot.zones.end() ? "" : zone->second.region);
+    m_router.set_place(m_settings.zone, zone == snapshot.zones.end() ? "" : zone->second.region);
     for (auto& pool : m_pools)
         fill_pool(pool);
 }
@@ -343,6 +346,11 @@
     }
 }
 
+bool decision_core::read_whole(pool_state const& pool, waiting_request const& request) const
+{
+    return m_candidates.size() + request.excluded.size() >= pool.servers.servers().size();
+}
+
 bool decision_core::dispatch_front(pool_state& pool, configuration::work_kind kind,
                                    base::time_point now, std::vector<decision_result>& decisions)
 {
@@ -366,7 +374,13 @@
         for (auto const& one : m_candidates)
             if (one.why >= obstacle::cold_full)
                 request.last_obstacle = one.why;
-        return false;
+        if (request.last_obstacle >= obstacle::cold_full || !read_whole(pool, request))
+            return false;
+        // Waiting would not help: the caller's retry or another entry node may.
+        pool.queue.remove(ticket);
+        refuse(ticket, base::error_kind::no_server, 2, to_string(request.last_obstacle));
+        m_waiting.erase(found);
+        return true;
     }
     decision_result result;
     result.ticket = ticket;
--- a/libraries/decision/decision_core.hpp
+++ b/libraries/decision/decision_core.hpp
@@ -17,8 +17,9 @@
 
 struct core_settings
 {
-    /// Name of this entry node and its zone.
+    /// Name of this entry node.
     std::string node;
+    /// Its zone, used while the configuration does not list the node.
     std::string zone;
     std::uint64_t seed = 1;
     policy_switches switches;
@@ -163,6 +164,8 @@
     void poll_pool(std::uint32_t index, base::time_point now,
                    std::vector<decision_result>& decisions);
     void expire(pool_state& pool, base::time_point now, std::vector<decision_result>& decisions);
+    /// Returns true when the last choice has looked at every server of the pool.
+    bool read_whole(pool_state const& pool, waiting_request const& request) const;
     /// Returns false when the first request of the kind fits on no server.
     bool dispatch_front(pool_state& pool, configuration::work_kind kind, base::time_point now,
                         std::vector<decision_result>& decisions);
--- a/libraries/decision/policy.hpp
+++ b/libraries/decision/policy.hpp
@@ -47,6 +47,9 @@
 inline constexpr double other_zone_score = 0.02;
 inline constexpr double other_region_score = 0.30;
 inline constexpr double cold_score = 0.20;
+/// Score added after a failed attempt until a later report, so that a dead server is not the least
+/// loaded one. It is no exclusion, because a slow call fails as well.
+inline constexpr double failure_score = 0.50;
 /// Score taken off for a server that is expected to hold the prompt prefix.
 inline constexpr double prefix_score = 0.10;
 /// Servers looked at per decision for each candidate wanted; the rest of the fleet is not read.
--- a/libraries/decision/router.cpp
+++ b/libraries/decision/router.cpp
@@ -74,7 +74,8 @@
     else
         result.occupancy =
             static_cast<double>(server.own_running + server.foreign_running) / server.full_batch();
-    result.score = result.occupancy + distance(server) + (server.cold.cold() ? cold_score : 0);
+    result.score = result.occupancy + distance(server) + (server.cold.cold() ? cold_score : 0) +
+                   (server.failed_at ? failure_score : 0);
     return result;
 }
 
--- a/libraries/decision/router.hpp
+++ b/libraries/decision/router.hpp
@@ -72,7 +72,11 @@
                                         route_query const& query, base::time_point now,
                                         base::random_source& random,
                                         std::vector<candidate>& seen) const;
-    void set_region(std::string region) { m_region = std::move(region); }
+    void set_place(std::string zone, std::string region)
+    {
+        m_zone = std::move(zone);
+        m_region = std::move(region);
+    }
 
 private:
     candidate evaluate(std::uint32_t index, demand_profile const& profile, route_query const& query,
--- a/libraries/decision/running_generations.cpp
+++ b/libraries/decision/running_generations.cpp
@@ -123,6 +123,8 @@
         if (server.cold.note_good(server.full_batch()))
             m_servers.assign_slots(server, now);
     }
+    if (end == generation_end::failed)
+        server.failed_at = now;
     add_demand(one, -1);
     --m_pools[one.pool].own_count;
     --server.own_running;
--- a/libraries/decision/server_table.cpp
+++ b/libraries/decision/server_table.cpp
@@ -120,6 +120,8 @@
     }
     if (server.lost_at && measured_at > *server.lost_at)
         server.lost_at.reset();
+    if (server.failed_at && measured_at > *server.failed_at)
+        server.failed_at.reset();
     apply_cold_state(server, load, now);
     server.load = std::move(load);
     server.measured_at = measured_at;
--- a/libraries/decision/server_table.hpp
+++ b/libraries/decision/server_table.hpp
@@ -91,6 +91,9 @@
     /// Set when the server was lost; it is excluded until a report measured later arrives.
     std::optional<base::time_point> lost_at;
 
+    /// Set by a failed attempt, cleared by a report measured later.
+    std::optional<base::time_point> failed_at;
+
     /// Demand of this node's own generations.
     demand own;
     int own_running = 0;
