--- a/benchmarks/replay/main.cpp
+++ b/benchmarks/replay/main.cpp
@@ -1,5 +1,6 @@
 /// Replays traces through the decision core and the baselines and prints what they cost.
 #include "benchmarks/replay/replay.hpp"
+#include "benchmarks/replay/speed.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -138,7 +139,7 @@
     int repeats = 1;
     double load = 1;
     app.add_option("--table", table, "Table to print")
-        ->check(CLI::IsMember({"compare", "load", "ablation"}));
+        ->check(CLI::IsMember({"compare", "load", "ablation", "speed"}));
     app.add_option("--trace", names, "Traces to replay");
     app.add_option("--seed", settings.seed, "Seed of the traces and the decisions");
     app.add_option("--fill-limit", settings.preset.fill_limit, "Overrides the preset");
@@ -148,6 +149,11 @@
     app.add_option("--load", load, "Scales the arrival rate of the traces");
     app.add_flag("--groups", groups, "Also print each kind and the largest and smallest customer");
     CLI11_PARSE(app, argc, argv);
+    if (table == "speed")
+    {
+        print_speed();
+        return 0;
+    }
     print_header();
     if (table == "load")
         for (double const step : {0.4, 0.6, 0.8, 0.9, 1.0001, 1.1, 1.2, 1.5})
