--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 #include <cstdio>
 
@@ -135,7 +136,10 @@
     m_waiters.emplace(ticket, &own);
     poll_core();
     wait_for_decision(lock, own);
-    return take_over(request, *own.result);
+    auto chosen = take_over(request, *own.result);
+    if (!chosen)
+        m_core.finish(ticket, decision::generation_end::cancelled, m_clock.now());
+    return chosen;
 }
 
 void entry_state::poll_core()
@@ -198,6 +202,8 @@
     if (found == m_snapshot->servers.end())
         return base::fail(base::error_kind::no_server, "server " + name + " has been removed");
     line.field("server", name).field("zone", found->second.zone);
+    observe_route({request.service, name, found->second.zone, std::string(decided.reason),
+                   static_cast<int>(decided.candidates.size())});
     return chosen_server{name, found->second.host, found->second.port, decided.ticket,
                          decided.priority};
 }
