--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -203,7 +203,7 @@
         return base::fail(base::error_kind::no_server, "server " + name + " has been removed");
     line.field("server", name).field("zone", found->second.zone);
     observe_route({request.service, name, found->second.zone, std::string(decided.reason),
-                   static_cast<int>(decided.candidates.size())});
+                   static_cast<int>(decided.candidates.size()), request.request_id});
     return chosen_server{name, found->second.host, found->second.port, decided.ticket,
                          decided.priority};
 }
