--- /dev/null
+++ b/benchmarks/replay/figures.cpp
@@ -0,0 +1,76 @@
+#include "benchmarks/replay/figures.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminepier::benchmarks
+{
+namespace
+{
+
+constexpr double smallest_milliseconds = 0.1;
+double const bin_width = std::log(1.01);
+
+} // namespace
+
+void duration_counts::add(double milliseconds)
+{
+    double const ratio = std::max(milliseconds, smallest_milliseconds) / smallest_milliseconds;
+    auto const bin = static_cast<std::size_t>(std::log(ratio) / bin_width);
+    if (bin >= m_bins.size())
+        m_bins.resize(bin + 1);
+    ++m_bins[bin];
+    ++m_total;
+}
+
+void duration_counts::merge(duration_counts const& other)
+{
+    if (other.m_bins.size() > m_bins.size())
+        m_bins.resize(other.m_bins.size());
+    for (std::size_t bin = 0; bin < other.m_bins.size(); ++bin)
+        m_bins[bin] += other.m_bins[bin];
+    m_total += other.m_total;
+}
+
+void group_figures::merge(group_figures const& other)
+{
+    arrived += other.arrived;
+    refused += other.refused;
+    abandoned += other.abandoned;
+    lost += other.lost;
+    completed += other.completed;
+    tokens += other.tokens;
+    refused_tokens += other.refused_tokens;
+    stall_seconds += other.stall_seconds;
+    gaps.merge(other.gaps);
+    first_token.merge(other.first_token);
+}
+
+void figures::merge(figures const& other)
+{
+    all.merge(other.all);
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+        kinds[kind].merge(other.kinds[kind]);
+    largest_customer.merge(other.largest_customer);
+    smallest_customer.merge(other.smallest_customer);
+    preemptions += other.preemptions;
+    cold_overloads += other.cold_overloads;
+    sudden_cold_overloads += other.sudden_cold_overloads;
+    crashes += other.crashes;
+    broken += other.broken;
+}
+
+double duration_counts::quantile(double q) const
+{
+    auto const wanted = static_cast<std::uint64_t>(q * static_cast<double>(m_total));
+    std::uint64_t sum = 0;
+    for (std::size_t bin = 0; bin < m_bins.size(); ++bin)
+    {
+        sum += m_bins[bin];
+        if (sum > wanted)
+            return smallest_milliseconds * std::exp((static_cast<double>(bin) + 0.5) * bin_width);
+    }
+    return 0;
+}
+
+} // namespace jasminepier::benchmarks
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -1,21 +1,103 @@
 #include "services/entry/entry_state.hpp"
 
+#include "base/hash.hpp"
 #include "base/log.hpp"
 #include "services/entry/entry_metrics.hpp"
 
+#include <cstdio>
+
 namespace jasminepier::entry
 {
 
+namespace
+{
+
+/// Interval at which waiting requests are looked at when nothing else happens.
+constexpr base::milliseconds poll_interval{20};
+
+decision::reported_state to_reported_state(std::int32_t state)
+{
+    switch (state)
+    {
+    case 0:
+        return decision::reported_state::cold;
+    case 1:
+        return decision::reported_state::warm;
+    case 2:
+        return decision::reported_state::leaving;
+    default:
+        return decision::reported_state::unreachable;
+    }
+}
+
+decision::generation_end to_generation_end(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::completed:
+        return decision::generation_end::completed;
+    case attempt_outcome::cancelled:
+        return decision::generation_end::cancelled;
+    case attempt_outcome::failed:
+        break;
+    }
+    return decision::generation_end::failed;
+}
+
+/// Writes the candidates as server:occupancy:score:obstacle, separated by commas.
+std::string describe(std::vector<decision::candidate> const& candidates,
+                     decision::server_table const& servers)
+{
+    std::string text;
+    for (auto const& one : candidates)
+    {
+        char figures[48];
+        std::snprintf(figures, sizeof figures, ":%.3f:%.3f:", one.occupancy, one.score);
+        text += (text.empty() ? "" : ",") + servers.at(one.server).name + figures;
+        text += to_string(one.why);
+    }
+    return text;
+}
+
+} // namespace
+
+entry_state::entry_state(std::string node)
+    : m_core(decision::core_settings{std::move(node), "", base::stable_hash(base::random_id()), {}})
+{
+}
+
 void entry_state::apply(inner_protocol::control_update const& update)
 {
     std::lock_guard lock(m_mutex);
     auto const objects = inner_protocol::from_thrift(update.objects);
     if (m_store.merge(objects))
+    {
         m_snapshot = configuration::build_snapshot(m_store, m_snapshot.get());
+        m_core.apply_configuration(*m_snapshot, m_clock.now());
+    }
     for (auto const& digest : update.loads)
-        m_loads[digest.server_id] = digest;
+        apply_load(digest);
     m_load_sequence = update.load_sequence;
     m_ready = update.ready;
+    poll_core();
+}
+
+void entry_state::apply_load(inner_protocol::load_digest const& digest)
+{
+    m_loads[digest.server_id] = digest;
+    decision::load_view load;
+    load.instance = digest.instance;
+    load.state = to_reported_state(digest.state);
+    load.running = digest.running;
+    load.waiting = digest.waiting;
+    load.kv_used_tokens = digest.kv_used_tokens;
+    load.kv_capacity_tokens = digest.kv_capacity_tokens;
+    load.cold_capacity = digest.cold_capacity;
+    load.max_running = digest.max_running;
+    load.models = digest.models;
+    auto const now = m_clock.now();
+    m_core.apply_report(digest.server_id, std::move(load),
+                        now - base::milliseconds(digest.age_milliseconds), now);
 }
 
 configuration::snapshot_ptr entry_state::snapshot() const
@@ -38,64 +120,118 @@
 
 base::result<chosen_server> entry_state::acquire(acquire_request const& request)
 {
-    std::lock_guard lock(m_mutex);
-    configuration::server const* best = nullptr;
-    int candidates = 0;
-    for (auto const& [name, server] : m_snapshot->servers)
+    std::unique_lock lock(m_mutex);
+    decision::submission wanted;
+    wanted.service = request.service;
+    wanted.model = request.model;
+    wanted.customer = request.customer;
+    wanted.kind = request.kind;
+    wanted.prompt_tokens = request.prompt_tokens;
+    wanted.maximum_tokens = request.maximum_tokens;
+    wanted.prefix_hash = request.prefix_hash;
+    wanted.maximum_wait = request.maximum_wait;
+    wanted.excluded.assign(request.excluded.begin(), request.excluded.end());
+    waiter own;
+    auto const ticket = m_core.submit(wanted, m_clock.now());
+    m_waiters.emplace(ticket, &own);
+    poll_core();
+    wait_for_decision(lock, own);
+    auto chosen = take_over(request, *own.result);
+    if (!chosen)
+        m_core.finish(ticket, decision::generation_end::cancelled, m_clock.now());
+    return chosen;
+}
+
+void entry_state::poll_core()
+{
+    m_decisions.clear();
+    m_core.poll(m_clock.now(), m_decisions);
+    for (auto& decided : m_decisions)
     {
-        if (server.service != request.service || server.leaving ||
-            request.excluded.contains(name) || !m_snapshot->zone_in_service(server.zone))
+        auto const found = m_waiters.find(decided.ticket);
+        if (found == m_waiters.end())
             continue;
-        auto const load = m_loads.find(name);
-        // States 2 and 3 are leaving and unreachable.
-        if (load != m_loads.end() && load->second.state >= 2)
+        found->second->result = std::move(decided);
+        found->second->decided.notify_one();
+        m_waiters.erase(found);
+    }
+}
+
+void entry_state::wait_for_decision(std::unique_lock<std::mutex>& lock, waiter& own)
+{
+    while (!own.result)
+    {
+        if (m_poller_active)
+        {
+            own.decided.wait(lock);
             continue;
-        ++candidates;
-        if (best == nullptr || m_outstanding[name] < m_outstanding[best->name])
-            best = &server;
+        }
+        m_poller_active = true;
+        own.decided.wait_for(lock, poll_interval);
+        m_poller_active = false;
+        poll_core();
     }
-    if (best == nullptr)
-        return base::fail(base::error_kind::no_server,
-                          "no server of " + request.service + " is available");
-    ++m_outstanding[best->name];
-    auto const ticket = m_next_ticket++;
-    m_attempts.emplace(ticket, attempt{best->name});
-    base::log_line(base::log_level::info, "route")
-        .field("request_id", request.request_id)
+    // The next waiter takes over the polling.
+    if (!m_poller_active && !m_waiters.empty())
+        m_waiters.begin()->second->decided.notify_one();
+}
+
+base::result<chosen_server> entry_state::take_over(acquire_request const& request,
+                                                   decision::decision_result const& decided) const
+{
+    bool const dispatched = decided.outcome == decision::verdict::dispatched;
+    base::log_line line(base::log_level::info, dispatched ? "route" : "refuse");
+    line.field("request_id", request.request_id)
         .field("service", request.service)
-        .field("server", best->name)
-        .field("zone", best->zone)
-        .field("candidates", candidates)
-        .field("reason", "least_outstanding");
-    observe_route({request.service, best->name, best->zone, "least_outstanding", candidates,
-                   request.request_id});
-    return chosen_server{best->name, best->host, best->port, ticket,
-                         m_snapshot->active_preset.limits(request.kind).rank};
+        .field("model", request.model)
+        .field("customer", request.customer)
+        .field("kind", to_string(request.kind))
+        .field("waited_milliseconds", decided.waited.count())
+        .field("candidates", describe(decided.candidates, m_core.servers()))
+        .field("reason", decided.reason);
+    if (!dispatched)
+    {
+        line.field("error", to_string(decided.refusal))
+            .field("retry_after_seconds", decided.retry_after_seconds);
+        return base::fail(decided.refusal, "no server can take the request now (" +
+                                               std::string(decided.reason) + "); retry after " +
+                                               std::to_string(decided.retry_after_seconds) + " s");
+    }
+    auto const& name = m_core.servers().at(decided.server).name;
+    auto const found = m_snapshot->servers.find(name);
+    if (found == m_snapshot->servers.end())
+        return base::fail(base::error_kind::no_server, "server " + name + " has been removed");
+    line.field("server", name).field("zone", found->second.zone);
+    observe_route({request.service, name, found->second.zone, std::string(decided.reason),
+                   static_cast<int>(decided.candidates.size()), request.request_id});
+    return chosen_server{name, found->second.host, found->second.port, decided.ticket,
+                         decided.priority};
 }
 
-std::optional<inner_protocol::load_digest> entry_state::load(std::string const& server) const
+void entry_state::note_tokens(std::uint64_t ticket, std::int64_t count)
 {
     std::lock_guard lock(m_mutex);
-    auto const found = m_loads.find(server);
-    return found == m_loads.end() ? std::nullopt : std::optional(found->second);
+    m_core.note_tokens(ticket, count, m_clock.now());
 }
 
-void entry_state::note_tokens(std::uint64_t, std::int64_t) {}
-
-void entry_state::finish(std::uint64_t ticket, attempt_outcome)
+void entry_state::finish(std::uint64_t ticket, attempt_outcome outcome)
 {
     std::lock_guard lock(m_mutex);
-    auto const found = m_attempts.find(ticket);
-    if (found == m_attempts.end())
-        return;
-    --m_outstanding[found->second.server];
-    m_attempts.erase(found);
+    m_core.finish(ticket, to_generation_end(outcome), m_clock.now());
+    poll_core();
 }
 
 void entry_state::note_server_lost(std::string const& server)
 {
     std::lock_guard lock(m_mutex);
-    m_loads[server].state = 3;
+    m_core.lose_server(server, m_clock.now());
+}
+
+std::optional<inner_protocol::load_digest> entry_state::load(std::string const& server) const
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_loads.find(server);
+    return found == m_loads.end() ? std::nullopt : std::optional(found->second);
 }
 
 } // namespace jasminepier::entry
--- a/services/entry/entry_state.hpp
+++ b/services/entry/entry_state.hpp
@@ -3,6 +3,7 @@
 
 #include "base/clock.hpp"
 #include "configuration/snapshot.hpp"
+#include "decision/decision_core.hpp"
 #include "inner_protocol/conversion.hpp"
 
 #include <condition_variable>
@@ -63,6 +64,10 @@
 class entry_state
 {
 public:
+    /// `node` is the name of this entry VM in the configuration; slots of cold servers and the
+    /// zone depend on it.
+    explicit entry_state(std::string node = "node-1");
+
     /// Takes over what the control process sent and builds the new snapshot.
     void apply(inner_protocol::control_update const& update);
     configuration::snapshot_ptr snapshot() const;
@@ -84,18 +89,30 @@
     std::optional<inner_protocol::load_digest> load(std::string const& server) const;
 
 private:
-    struct attempt
+    /// A worker that waits in `acquire`; its decision is handed over by whichever worker polls.
+    struct waiter
     {
-        std::string server;
+        std::condition_variable decided;
+        std::optional<decision::decision_result> result;
     };
 
+    /// Lets the core decide and hands the decisions to their waiters. Needs the lock.
+    void poll_core();
+    /// Waits until `own` is decided. One waiter at a time polls at intervals for all of them.
+    void wait_for_decision(std::unique_lock<std::mutex>& lock, waiter& own);
+    base::result<chosen_server> take_over(acquire_request const& request,
+                                          decision::decision_result const& decided) const;
+    void apply_load(inner_protocol::load_digest const& digest);
+
     mutable std::mutex m_mutex;
+    base::steady_clock_source m_clock;
     configuration::versioned_store m_store;
     configuration::snapshot_ptr m_snapshot = std::make_shared<configuration::snapshot>();
     std::map<std::string, inner_protocol::load_digest> m_loads;
-    std::map<std::string, int> m_outstanding;
-    std::unordered_map<std::uint64_t, attempt> m_attempts;
-    std::uint64_t m_next_ticket = 1;
+    decision::decision_core m_core;
+    std::unordered_map<std::uint64_t, waiter*> m_waiters;
+    std::vector<decision::decision_result> m_decisions;
+    bool m_poller_active = false;
     std::int64_t m_load_sequence = 0;
     bool m_ready = false;
 };
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -95,7 +95,7 @@
 
     serving_settings.engine_silence = std::chrono::milliseconds(silence);
     serving_settings.own_address = host + ":" + std::to_string(entry_port);
-    entry::entry_state state;
+    entry::entry_state state(node_id);
     entry::serving_state serving(serving_settings);
     entry::control_link link(state, serving, host, control_port);
     base::background_thread const exchanging(std::chrono::milliseconds(200),
