--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -2,7 +2,9 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "metrics/exposition.hpp"
 #include "services/entry/completion_handler.hpp"
+#include "services/entry/entry_metrics.hpp"
 
 #include <Poco/URI.h>
 
@@ -11,6 +13,8 @@
 namespace
 {
 
+constexpr std::size_t most_addresses = 8;
+
 base::result<void> require_method(http_request const& request, std::string const& method)
 {
     if (request.getMethod() != method)
@@ -56,20 +60,55 @@
     serving_state& m_serving;
 };
 
+/// The messages about invalid requests quote what the caller sent, which may be a prompt or a key;
+/// they go to the caller only.
+void log_failure(base::error const& failure, std::string const& request_id)
+{
+    auto const& row = base::answer_for(failure.kind);
+    base::log_line line(base::log_level::info, "request_failed");
+    line.field("request_id", request_id).field("kind", row.code);
+    if (row.type != "invalid_request_error")
+        line.field("reason", failure.message);
+}
+
 void answer_failure(base::error const& failure, http_response& response)
 {
-    base::log_line(base::log_level::info, "request_failed")
-        .field("request_id", response.get("X-Request-Id", ""))
-        .field("kind", base::to_string(failure.kind))
-        .field("reason", failure.message);
+    observe_failure(failure.kind);
+    log_failure(failure, response.get("X-Request-Id", ""));
     if (!response.sent())
         send_error(response, failure);
 }
 
+fleet_state state_of(configuration::snapshot const& snapshot)
+{
+    for (auto const& [name, zone] : snapshot.zones)
+        if (zone.state == configuration::zone_state::out_of_service)
+            return fleet_state::zone_out;
+    return fleet_state::all_zones_in_service;
+}
+
+void send_metrics(http_response& response)
+{
+    auto const text = write_entry_metrics();
+    response.setContentType(metrics::exposition_content_type);
+    response.sendBuffer(text.data(), text.size());
+}
+
+base::result<void> show_request(configuration::customer const& customer, std::string const& id,
+                                http_response& response)
+{
+    auto const record = recent_requests().find(id, customer.name);
+    if (!record)
+        return base::fail(base::error_kind::not_found, "no record of request '" + id + "'");
+    send_json(response, 200, to_json(*record));
+    return {};
+}
+
 } // namespace
 
 void front_handler::handleRequest(http_request& request, http_response& response)
 {
+    request_observation const observation(state_of(*m_state.snapshot()));
     running_request const counted(m_serving);
     response.set("X-Request-Id", base::random_id());
     // A caller must not send its next request on a connection that the stopping process will close.
@@ -87,6 +126,7 @@
     }
     catch (std::exception const& failure)
     {
+        observe_disconnect();
         base::log_line(base::log_level::info, "request_aborted")
             .field("request_id", response.get("X-Request-Id", ""))
             .field("reason", failure.what());
@@ -101,6 +141,8 @@
     std::string const path = Poco::URI(request.getURI()).getPath();
     if (path == "/health")
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
+    if (path == "/metrics")
+        return send_metrics(response), base::result<void>{};
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
     if (path == "/ready")
@@ -116,19 +158,26 @@
                                                  http_response& response)
 {
     std::string const service_prefix = "/v1/services/";
+    std::string const request_prefix = "/v1/requests/";
     BOOST_LEAF_AUTO(customer, authenticate(request));
     if (path == "/v1/models" || path.starts_with("/v1/models/"))
     {
         BOOST_LEAF_CHECK(require_method(request, "GET"));
         return serve_models(path, response);
     }
+    if (path.starts_with(request_prefix))
+        return show_request(customer, path.substr(request_prefix.size()), response);
     if (path == "/v1/chat/completions")
     {
         BOOST_LEAF_CHECK(require_method(request, "POST"));
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return serve_completion(m_state, m_serving, customer, request, response);
     }
     if (path.starts_with(service_prefix))
+    {
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return m_plain.serve(customer, request, response);
+    }
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
@@ -148,17 +197,16 @@
 
 base::json_object front_handler::list_addresses() const
 {
-    auto const snapshot = m_state.snapshot();
     bool const stopping = m_serving.phase() != stop_phase::serving;
     base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& [name, node] : snapshot->nodes)
+    for (auto const& record : m_link.nearest_nodes(most_addresses))
     {
-        auto const address = node.host + ":" + std::to_string(node.entry_port);
-        if (node.leaving || (stopping && address == m_serving.settings().own_address))
+        auto const address = record.host + ":" + std::to_string(record.entry_port);
+        if (stopping && address == m_serving.settings().own_address)
             continue;
         base::json_object entry = new Poco::JSON::Object;
         entry->set("address", address);
-        entry->set("zone", node.zone);
+        entry->set("zone", record.zone);
         addresses->add(entry);
     }
     base::json_object body = new Poco::JSON::Object;
--- a/services/entry/front_handler.hpp
+++ b/services/entry/front_handler.hpp
@@ -1,6 +1,7 @@
 /// Distributes callers' HTTP requests to their handlers.
 #pragma once
 
+#include "services/entry/control_link.hpp"
 #include "services/entry/entry_state.hpp"
 #include "services/entry/http_answer.hpp"
 #include "services/entry/plain_handler.hpp"
@@ -18,13 +19,14 @@
     entry_state& state;
     serving_state& serving;
     plain_calls& plain;
+    control_link const& link;
 };
 
 class front_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
     explicit front_handler(front_parts const& parts)
-        : m_state(parts.state), m_serving(parts.serving), m_plain(parts.plain)
+        : m_state(parts.state), m_serving(parts.serving), m_plain(parts.plain), m_link(parts.link)
     {
     }
     void handleRequest(http_request& request, http_response& response) override;
@@ -40,6 +42,7 @@
     entry_state& m_state;
     serving_state& m_serving;
     plain_calls& m_plain;
+    control_link const& m_link;
 };
 
 class front_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
