--- a/benchmarks/claims_cost/main.cpp
+++ b/benchmarks/claims_cost/main.cpp
@@ -89,6 +89,7 @@
     auto const begin = std::chrono::steady_clock::now();
     auto const end = begin + std::chrono::seconds(4);
     std::vector<std::jthread> threads;
+    threads.reserve(static_cast<std::size_t>(callers));
     for (int i = 0; i < callers; ++i)
         threads.emplace_back(
             [&]
@@ -129,6 +130,7 @@
     auto const pid = running.program("entry-1").pid();
     auto const before = resident_kilobytes(pid);
     std::vector<std::future<double>> open;
+    open.reserve(open_orders);
     for (int i = 0; i < open_orders; ++i)
         open.push_back(std::async(std::launch::async, [&running, path, claimed]
                                   { return send(running, path, claimed); }));
