--- a/services/entry/control_link.cpp
+++ b/services/entry/control_link.cpp
@@ -3,7 +3,6 @@
 #include "base/log.hpp"
 
 #include <algorithm>
-#include <random>
 
 namespace jasminepier::entry
 {
@@ -122,28 +121,4 @@
     return m_members;
 }
 
-std::vector<inner_protocol::member_record> control_link::nearest_nodes(std::size_t count) const
-{
-    auto nodes = members();
-    if (nodes.empty())
-        return nodes;
-    auto const self = nodes.front();
-    std::erase_if(nodes,
-                  [](inner_protocol::member_record const& record) {
-                      return record.state > inner_protocol::member_state::suspect || !record.ready;
-                  });
-    std::shuffle(nodes.begin(), nodes.end(), base::random_source(std::random_device{}()));
-    auto const distance = [&](inner_protocol::member_record const& record)
-    {
-        if (record.zone == self.zone)
-            return 0;
-        return record.region == self.region ? 1 : 2;
-    };
-    std::stable_sort(nodes.begin(), nodes.end(),
-                     [&](auto const& left, auto const& right)
-                     { return distance(left) < distance(right); });
-    nodes.resize(std::min(nodes.size(), count));
-    return nodes;
-}
-
 } // namespace jasminepier::entry
--- a/services/entry/control_link.hpp
+++ b/services/entry/control_link.hpp
@@ -35,9 +35,6 @@
 
     /// All nodes as the control process sees them, this one first; empty before the first answer.
     std::vector<inner_protocol::member_record> members() const;
-    /// At most `count` live, ready nodes that do not leave: those of the own zone first, then those
-    /// of the own region, in an order that differs between calls so that callers spread.
-    std::vector<inner_protocol::member_record> nearest_nodes(std::size_t count) const;
 
 private:
     inner_protocol::entry_report make_report() const;
--- a/tests/whole_answers_test.cpp
+++ b/tests/whole_answers_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cstdlib>
 #include <numeric>
+#include <sstream>
+#include <thread>
 
 namespace jasminepier::tests
 {
@@ -34,7 +36,19 @@
         for (int node = 1; node <= nodes; ++node)
             running->start_node(node);
         for (int node = 1; node <= nodes; ++node)
+        {
             ASSERT_TRUE(running->wait_until_ready(node));
+            // The first load report may say that an engine does not listen yet.
+            auto const port = static_cast<std::uint16_t>(entry_port_base + node);
+            ASSERT_TRUE(wait_until(
+                [&]
+                {
+                    return running
+                               ->call(port, "POST", "/v1/chat/completions",
+                                      stream_body(1, "ready?", false))
+                               .status == 200;
+                }));
+        }
     }
     void set_fault(int engines, std::string const& fault)
     {
@@ -81,11 +95,13 @@
             {
                 if (first > second)
                     continue;
-                set_fault(1, "{\"" + first + "\":7,\"" + second +
-                                 "\":" + (first == second ? "7" : "12") + "}");
+                std::ostringstream fault;
+                fault << "{\"" << first << "\":7,\"" << second
+                      << "\":" << (first == second ? 7 : 12) << "}";
+                set_fault(1, fault.str());
                 received_answer answer;
                 stream_client(*running, 1, stream_body(20), proposal).read(answer);
-                SCOPED_TRACE(first + " " + second + (streamed ? " streamed" : " held"));
+                SCOPED_TRACE(fault.str() + (streamed ? " streamed" : " held"));
                 expect_whole(answer, 20);
             }
         set_fault(1, R"({"cut_at":5})");
@@ -161,5 +177,24 @@
             }
 }
 
+// Guards against an entry process that wakes up, finds its caller gone and cancels the generation
+// that the caller continues at another node.
+TEST_F(whole_answers, outlive_a_waking_entry_process)
+{
+    start("127.0.12.15", 1, 2, true);
+    auto const body = stream_body(1000);
+    received_answer answer;
+    auto first = std::make_unique<stream_client>(*running, 1, body);
+    first->read(answer, 10);
+    running->program("entry-1").send_signal(SIGSTOP);
+    first.reset();
+    stream_client second(*running, 2, body, {{"Last-Event-ID", answer.last_id}});
+    // Longer than the pause that an entry process notices.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    running->program("entry-1").send_signal(SIGCONT);
+    second.read(answer);
+    expect_whole(answer, 1000);
+}
+
 } // namespace
 } // namespace jasminepier::tests
