--- a/services/control/placement_runner.cpp
+++ b/services/control/placement_runner.cpp
@@ -15,6 +15,8 @@
 /// hardly grow with the fleet and placement still goes on when the first few are all gone.
 constexpr base::milliseconds reserve_interval{300000};
 constexpr std::size_t first_nodes = 3;
+/// Orders are repeated after 30 s; an older report would repeat orders that were carried out.
+constexpr base::milliseconds oldest_report{10000};
 /// Together below the lease's safety margin.
 constexpr backend::exchange_timeouts order_timeouts{base::milliseconds(500),
                                                     base::milliseconds(1500)};
@@ -85,7 +87,7 @@
     placement::reported_placements servers;
     auto const first_unusable = static_cast<int>(backend::server_state::leaving);
     for (auto const& digest : m_state.loads_since(0).second)
-        if (digest.state < first_unusable)
+        if (digest.state < first_unusable && digest.age_milliseconds < oldest_report.count())
             servers[digest.server_id] = {digest.models, digest.role};
     return servers;
 }
