--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr std::size_t most_addresses = 8;
+
 base::result<void> require_method(http_request const& request, std::string const& method)
 {
     if (request.getMethod() != method)
@@ -146,7 +148,7 @@
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
     if (path == "/v1/entry-addresses")
-        return send_json(response, 200, list_addresses(request)), base::result<void>{};
+        return send_json(response, 200, list_addresses()), base::result<void>{};
     if (m_serving.phase() == stop_phase::refusing)
         return base::fail(base::error_kind::node_stopping, "this node is stopping");
     if (path == "/ready")
@@ -170,10 +172,14 @@
     if (path == "/v1/chat/completions")
     {
         BOOST_LEAF_CHECK(require_method(request, "POST"));
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return serve_completion(m_state, m_serving, customer, request, response);
     }
     if (path.starts_with(service_prefix))
+    {
+        BOOST_LEAF_CHECK(m_link.check_admission());
         return m_plain.serve(customer, request, response);
+    }
     return base::fail(base::error_kind::not_found, "unknown path " + path);
 }
 
@@ -191,18 +197,18 @@
     return send_json(response, 200, model_entry(service->name, model)), base::result<void>{};
 }
 
-base::json_object front_handler::list_addresses(http_request const& request) const
+base::json_object front_handler::list_addresses() const
 {
-    auto const snapshot = m_state.snapshot();
-    answering_node const self{m_serving.settings().own_address,
-                              m_serving.phase() != stop_phase::serving};
-    auto const seed = base::stable_hash(request.clientAddress().toString());
+    bool const stopping = m_serving.phase() != stop_phase::serving;
     base::json_array addresses = new Poco::JSON::Array;
-    for (auto const& chosen : choose_addresses(*snapshot, m_serving.members(), self, seed))
+    for (auto const& record : m_link.nearest_nodes(most_addresses))
     {
+        auto const address = record.host + ":" + std::to_string(record.entry_port);
+        if (stopping && address == m_serving.settings().own_address)
+            continue;
         base::json_object entry = new Poco::JSON::Object;
-        entry->set("address", chosen.address);
-        entry->set("zone", chosen.zone);
+        entry->set("address", address);
+        entry->set("zone", record.zone);
         addresses->add(entry);
     }
     base::json_object body = new Poco::JSON::Object;
