--- a/services/control/control_state.cpp
+++ b/services/control/control_state.cpp
@@ -82,8 +82,7 @@
         received.models = held.digest.models;
         received.role = held.digest.role;
     }
-    held = {++m_load_sequence, now - base::milliseconds(digest.age_milliseconds),
-            std::move(received)};
+    held = {++m_load_sequence, now - base::milliseconds(digest.age_milliseconds), received};
 }
 
 std::pair<std::int64_t, std::vector<inner_protocol::load_digest>>
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -14,7 +14,6 @@
 
 constexpr int node_count = 3;
 constexpr int background = 100;
-constexpr int last_background = background + node_count;
 
 /// Parts of the mechanism that a test switches off to show that its check notices.
 struct mechanism
@@ -247,7 +246,7 @@
         world.attempt(world.schedule.choose(node_count), i % 2 == 0 ? "a" : "b",
                       base::milliseconds(world.schedule.choose(4) * 1500));
     world.run();
-    if (auto const wrong = judge(world); !wrong.empty())
+    if (auto wrong = judge(world); !wrong.empty())
         return wrong;
     world.heal();
     if (world.pending())
--- a/tests/decision_core_test.cpp
+++ b/tests/decision_core_test.cpp
@@ -279,6 +279,7 @@
     start(1);
     report(0, 0);
     std::vector<std::uint64_t> tickets;
+    tickets.reserve(20);
     for (int i = 0; i < 20; ++i)
         tickets.push_back(submit(0.1));
     poll(0.1);
