Entry, Base: Wait for open orders at a stop, check the order of locks

Cause: a stopping entry process ended while an order's answer was outstanding, so its outcome became unknown; the lock order of the design page was stated but not checked. Change: the stop waits up to ten minutes for open claims; base::ordered_mutex refuses locks against the stated order; request-path gives each stream its own prompt.

--- a/benchmarks/request_path/main.cpp
+++ b/benchmarks/request_path/main.cpp
@@ -65,7 +65,7 @@
     bool complete = false;
 };
 
-stream_result run_stream(backend::endpoint const& target, int tokens)
+stream_result run_stream(backend::endpoint const& target, int tokens, std::size_t number)
 {
     stream_result seen;
     auto const started = clock_type::now();
@@ -77,8 +77,8 @@
             request.headers["Authorization"] = "Bearer demo-key";
             request.headers["Content-Type"] = "application/json";
             request.body =
-                R"({"model":"demo","stream":true,"messages":[{"role":"user","content":"tokens=)" +
-                std::to_string(tokens) + "\"}]}";
+                R"({"model":"demo","stream":true,"messages":[{"role":"user","content":"Stream )" +
+                std::to_string(number) + " tokens=" + std::to_string(tokens) + "\"}]}";
             BOOST_LEAF_CHECK(exchange.send(request));
             BOOST_LEAF_AUTO(status, exchange.receive_status());
             if (status != 200)
@@ -167,11 +167,11 @@
     backend::endpoint const entry{running.host(), tests::entry_port_base + 1};
     for (std::size_t i = 0; i < routed.size(); ++i)
     {
-        threads.emplace_back([&, i] { routed[i] = run_stream(entry, chosen.tokens); });
+        threads.emplace_back([&, i] { routed[i] = run_stream(entry, chosen.tokens, i); });
         auto const engine = 1 + static_cast<int>(i) % chosen.engines;
         backend::endpoint const target{
             running.host(), static_cast<std::uint16_t>(tests::engine_port_base + engine)};
-        threads.emplace_back([&, i, target] { direct[i] = run_stream(target, chosen.tokens); });
+        threads.emplace_back([&, i, target] { direct[i] = run_stream(target, chosen.tokens, i); });
         // Streams start over about two seconds, as independent callers would.
         std::this_thread::sleep_for(std::chrono::microseconds(2000000 / streams));
     }
--- a/libraries/claims/claim_recorder.hpp
+++ b/libraries/claims/claim_recorder.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/log.hpp"
+#include "base/ordered_mutex.hpp"
 #include "claims/claim_types.hpp"
 #include "platform/object.hpp"
 
@@ -143,7 +144,7 @@
     Clock& m_clock;
     claim_table& m_table;
     claim_settings const& m_settings;
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::claim_recorder> m_mutex;
     std::vector<task> m_tasks;
 };
 
--- a/libraries/claims/claim_table.hpp
+++ b/libraries/claims/claim_table.hpp
@@ -1,6 +1,8 @@
 /// The claims that this process has open.
 #pragma once
 
+#include "base/ordered_mutex.hpp"
+
 #include <mutex>
 #include <string>
 #include <unordered_map>
@@ -81,7 +83,7 @@
         m_open[nonce] = progress;
     }
 
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::claim_table> m_mutex;
     std::size_t m_limit;
     std::unordered_map<std::string, claim_progress> m_open;
 };
--- a/libraries/decision/crash_suspects.hpp
+++ b/libraries/decision/crash_suspects.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
 
 #include <cstdint>
 #include <map>
@@ -63,7 +64,7 @@
     bool insert(crash_event const& event, base::time_point now);
     void drop_expired(base::time_point now);
 
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::crash_suspects> m_mutex;
     /// The time of each death; the earliest that was reported.
     std::map<key, base::time_point> m_events;
     std::set<std::string> m_occupied;
--- a/libraries/decision/hedge_policy.hpp
+++ b/libraries/decision/hedge_policy.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
 
 #include <algorithm>
 #include <array>
@@ -82,7 +83,7 @@
     }
 
 private:
-    std::mutex m_mutex;
+    base::ordered_mutex<base::lock_level::hedge_policy> m_mutex;
     std::map<std::string, service_hedging> m_services;
 };
 
--- a/libraries/decision/retry_policy.hpp
+++ b/libraries/decision/retry_policy.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
 #include "configuration/types.hpp"
 
 #include <algorithm>
@@ -101,7 +102,7 @@
     }
 
 private:
-    std::mutex m_mutex;
+    base::ordered_mutex<base::lock_level::retry_budgets> m_mutex;
     std::map<std::string, retry_budget> m_budgets;
 };
 
--- a/libraries/metrics/family.hpp
+++ b/libraries/metrics/family.hpp
@@ -1,6 +1,7 @@
 /// Series of one metric, one per combination of label values, bounded in number.
 #pragma once
 
+#include "base/ordered_mutex.hpp"
 #include "metrics/instruments.hpp"
 
 #include <functional>
@@ -84,7 +85,7 @@
 private:
     std::string m_name;
     std::string m_help;
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::metrics> m_mutex;
     label_bounds m_bounds;
     std::function<std::unique_ptr<Instrument>()> m_make;
     std::map<label_values, std::unique_ptr<Instrument>> m_series;
--- a/services/control/control_state.hpp
+++ b/services/control/control_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
 #include "configuration/replica.hpp"
 #include "configuration/snapshot.hpp"
 #include "inner_protocol/conversion.hpp"
@@ -52,7 +53,7 @@
     };
     void rebuild();
 
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::control_state> m_mutex;
     configuration::replica m_replica;
     configuration::snapshot_ptr m_snapshot = std::make_shared<configuration::snapshot>();
     std::map<std::string, held_load> m_loads;
--- a/services/control/node_agent.hpp
+++ b/services/control/node_agent.hpp
@@ -1,6 +1,7 @@
 /// Runs the failure detector of this node: datagrams, ticks, and what peers report.
 #pragma once
 
+#include "base/ordered_mutex.hpp"
 #include "inner_protocol/datagram.hpp"
 #include "membership/failure_detector.hpp"
 #include "membership/platform_reading.hpp"
@@ -57,7 +58,7 @@
     inner_protocol::datagram_socket m_socket;
     std::vector<membership::contact> const m_seeds;
     base::time_point const m_started;
-    std::mutex m_mutex;
+    base::ordered_mutex<base::lock_level::node_agent> m_mutex;
     base::random_source m_random;
     membership::failure_detector m_detector;
     membership::revision_sync m_sync;
--- a/services/entry/control_link.hpp
+++ b/services/entry/control_link.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
 #include "inner_protocol/rpc.hpp"
 #include "services/entry/entry_state.hpp"
 #include "services/entry/serving_state.hpp"
@@ -43,7 +44,7 @@
     entry_state& m_state;
     serving_state& m_serving;
     inner_protocol::rpc_client<inner_protocol::control_nodeClient> m_control;
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::control_link> m_mutex;
     std::vector<inner_protocol::member_record> m_members;
     std::optional<base::time_point> m_last_answer;
     std::int64_t m_known_revision = 0;
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -157,7 +157,7 @@
     }
 }
 
-void entry_state::wait_for_decision(std::unique_lock<std::mutex>& lock, waiter& own)
+void entry_state::wait_for_decision(std::unique_lock<table_mutex>& lock, waiter& own)
 {
     while (!own.result)
     {
--- a/services/entry/entry_state.hpp
+++ b/services/entry/entry_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
 #include "configuration/snapshot.hpp"
 #include "decision/decision_core.hpp"
 #include "inner_protocol/conversion.hpp"
@@ -89,22 +90,24 @@
     std::optional<inner_protocol::load_digest> load(std::string const& server) const;
 
 private:
+    using table_mutex = base::ordered_mutex<base::lock_level::server_table>;
+
     /// A worker that waits in `acquire`; its decision is handed over by whichever worker polls.
     struct waiter
     {
-        std::condition_variable decided;
+        std::condition_variable_any decided;
         std::optional<decision::decision_result> result;
     };
 
     /// Lets the core decide and hands the decisions to their waiters. Needs the lock.
     void poll_core();
     /// Waits until `own` is decided. One waiter at a time polls at intervals for all of them.
-    void wait_for_decision(std::unique_lock<std::mutex>& lock, waiter& own);
+    void wait_for_decision(std::unique_lock<table_mutex>& lock, waiter& own);
     base::result<chosen_server> take_over(acquire_request const& request,
                                           decision::decision_result const& decided) const;
     void apply_load(inner_protocol::load_digest const& digest);
 
-    mutable std::mutex m_mutex;
+    mutable table_mutex m_mutex;
     base::steady_clock_source m_clock;
     configuration::versioned_store m_store;
     configuration::snapshot_ptr m_snapshot = std::make_shared<configuration::snapshot>();
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -18,10 +18,12 @@
 
 /// Section 4.4 of the design page: first the addresses cached by callers run out, then the running
 /// requests end. `drain_limit` of 0 waits for them without a limit.
-void stop_gracefully(entry::serving_state& serving, Poco::Net::HTTPServer& server,
-                     std::chrono::seconds drain_limit)
+void stop_gracefully(entry::serving_state& serving, entry::plain_calls const& plain,
+                     Poco::Net::HTTPServer& server, std::chrono::seconds drain_limit)
 {
     constexpr std::chrono::seconds address_margin{5};
+    // A service may take five minutes to answer an order; recording the answer comes on top.
+    constexpr std::chrono::minutes outcome_wait{10};
     auto const address_wait =
         std::chrono::seconds(serving.settings().address_time_to_live_seconds) + address_margin;
     serving.set_phase(entry::stop_phase::leaving);
@@ -42,8 +44,15 @@
     server.stop();
     while (serving.running() > 0 && within_limit())
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    // An order whose outcome is lost with this process can only be answered as unknown. A platform
+    // that stays down must not keep the process for ever.
+    auto const outcome_end = std::chrono::steady_clock::now() + outcome_wait;
+    while (plain.open_claims() > 0 && within_limit() &&
+           std::chrono::steady_clock::now() < outcome_end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
     base::log_line(base::log_level::info, "stopping")
         .field("phase", "ended")
+        .field("open_claims", plain.open_claims())
         .field("running", serving.running());
 }
 
@@ -115,6 +124,6 @@
                                  pool, socket, parameters);
     server.start();
     base::wait_for_stop_signal();
-    stop_gracefully(serving, server, std::chrono::seconds(drain_limit));
+    stop_gracefully(serving, plain, server, std::chrono::seconds(drain_limit));
     std::_Exit(0);
 }
--- a/services/entry/order_calls.hpp
+++ b/services/entry/order_calls.hpp
@@ -48,6 +48,9 @@
         return m_claims.progress(nonce);
     }
 
+    /// Orders that have been sent or whose outcome is not recorded yet.
+    std::size_t open_claims() const { return m_claims.open_claims() + m_claims.pending_writes(); }
+
 private:
     /// Sweeps when this node is one of the few that the node list names for it.
     void sweep();
--- a/services/entry/plain_handler.hpp
+++ b/services/entry/plain_handler.hpp
@@ -26,6 +26,9 @@
         return m_orders.progress(nonce);
     }
 
+    /// Orders that have been sent or whose outcome is not recorded yet.
+    std::size_t open_claims() const { return m_orders.open_claims(); }
+
 private:
     base::result<claims::service_answer> execute(plain_call const& call);
 
--- a/services/entry/request_log.hpp
+++ b/services/entry/request_log.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/json.hpp"
+#include "base/ordered_mutex.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -74,7 +75,7 @@
 
 private:
     std::size_t const m_capacity;
-    mutable std::mutex m_mutex;
+    mutable base::ordered_mutex<base::lock_level::request_log> m_mutex;
     std::unordered_map<std::string, request_record> m_records;
     std::deque<std::string> m_order;
 };
--- a/tests/at_most_once_process_test.cpp
+++ b/tests/at_most_once_process_test.cpp
@@ -143,6 +143,23 @@
     EXPECT_EQ(executions(running, "elm"), 1);
 }
 
+// Guards against a planned stop that forgets the outcome of an order whose caller no longer waits.
+TEST(at_most_once_process, a_stop_waits_for_the_outcome)
+{
+    setenv("JASMINEPIER_ADDRESS_TIME_TO_LIVE", "0", 1);
+    two_nodes running("127.0.14.9");
+    unsetenv("JASMINEPIER_ADDRESS_TIME_TO_LIVE");
+    // The first order waits for the first load report; the next one is sent at once.
+    EXPECT_EQ(running.order(entry_one, "elm", "k0").status, 200);
+    // Longer than the 5 s for which a stopping process still takes requests.
+    running.set_faults(shop_port, R"({"delay_milliseconds":12000})");
+    EXPECT_TRUE(says(running.order(entry_one, "oak", "k1", "300"), "in_progress", "unknown"));
+    running.program("entry-1").send_signal(SIGTERM);
+    EXPECT_EQ(running.program("entry-1").wait_for_exit(60), 0);
+    EXPECT_EQ(running.order(entry_two, "oak").status, 200);
+    EXPECT_EQ(executions(running, "oak"), 1);
+}
+
 // Guards against a false "not run" and against a blocked key when the platform is down, loses an
 // answer, or applies a write after the entry process has given up on it.
 TEST(at_most_once_process, tells_the_truth_while_the_platform_fails)
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -1,6 +1,7 @@
 #include "base/error.hpp"
 #include "base/hash.hpp"
 #include "base/json.hpp"
+#include "base/ordered_mutex.hpp"
 
 #include <gtest/gtest.h>
 
@@ -37,4 +38,21 @@
     EXPECT_TRUE(refused);
 }
 
+// Guards against two tables that are locked in both orders, which can deadlock under load.
+TEST(ordered_mutex, refuses_the_wrong_order_and_recovers)
+{
+    ordered_mutex<lock_level::server_table> outer;
+    ordered_mutex<lock_level::metrics> inner;
+    {
+        std::lock_guard const first(outer);
+        std::lock_guard const second(inner);
+    }
+    {
+        std::lock_guard const first(inner);
+        EXPECT_THROW(outer.lock(), std::system_error);
+        EXPECT_THROW(inner.lock(), std::system_error);
+    }
+    std::lock_guard const after(outer);
+}
+
 } // namespace jasminepier::base
