Control, Ctl: Report who holds the placement lease

Cause: node_status had fields for the lease that nothing filled, so operators could not see the holder. Change: the control process reports the fencing number while it holds the lease; node list shows it; placement_process_test finds the holder by this call and no longer by a log line.

--- a/services/control/control_handler.cpp
+++ b/services/control/control_handler.cpp
@@ -55,6 +55,8 @@
     reply.applied_revision = m_state.applied_revision();
     reply.ready = m_agent.ready();
     reply.isolated = m_agent.isolated();
+    reply.fencing_number = m_state.held_fencing_number();
+    reply.placement_holder = reply.fencing_number > 0;
     reply.members = m_agent.members();
     reply.loads = m_state.loads_since(0).second;
     reply.watching_platform = m_state.watching_platform();
--- a/services/control/control_state.hpp
+++ b/services/control/control_state.hpp
@@ -7,6 +7,7 @@
 #include "configuration/snapshot.hpp"
 #include "inner_protocol/conversion.hpp"
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -44,6 +45,10 @@
     void set_watching_platform(bool watching);
     bool watching_platform() const;
 
+    /// The fencing number of the placement lease while this node holds it, else 0.
+    void set_held_fencing_number(std::int64_t number) noexcept { m_held_fencing_number = number; }
+    std::int64_t held_fencing_number() const noexcept { return m_held_fencing_number; }
+
 private:
     struct held_load
     {
@@ -61,6 +66,7 @@
     std::int64_t m_applied_revision = 0;
     std::optional<base::time_point> m_platform_contact;
     bool m_watching_platform = false;
+    std::atomic<std::int64_t> m_held_fencing_number{0};
 };
 
 } // namespace jasminepier::control
--- a/services/control/placement_runner.cpp
+++ b/services/control/placement_runner.cpp
@@ -52,7 +52,7 @@
     return {};
 }
 
-placement_runner::placement_runner(control_state const& state, std::string node_id,
+placement_runner::placement_runner(control_state& state, std::string node_id,
                                    platform::http_object_store_settings const& platform,
                                    placement::reconciliation_settings pacing)
     : m_state(state), m_node_id(std::move(node_id)), m_store(platform), m_sender(state),
@@ -80,10 +80,13 @@
     m_next_step =
         now + (rank() < first_nodes || m_controller.held() ? renewal_interval : reserve_interval);
     m_controller.step(reported());
+    m_state.set_held_fencing_number(m_controller.held() ? m_controller.fencing_number() : 0);
 }
 
 placement::reported_placements placement_runner::reported() const
 {
+    // FIXME: Above 16 nodes a node hears only of the servers that it uses, so the holder places
+    // nothing on the others; it has to ask their observers.
     placement::reported_placements servers;
     auto const first_unusable = static_cast<int>(backend::server_state::leaving);
     for (auto const& digest : m_state.loads_since(0).second)
--- a/services/control/placement_runner.hpp
+++ b/services/control/placement_runner.hpp
@@ -23,7 +23,7 @@
 class placement_runner
 {
 public:
-    placement_runner(control_state const& state, std::string node_id,
+    placement_runner(control_state& state, std::string node_id,
                      platform::http_object_store_settings const& platform,
                      placement::reconciliation_settings pacing);
 
@@ -33,7 +33,7 @@
     /// Returns the node's position among all nodes that may hold the lease.
     std::size_t rank() const;
 
-    control_state const& m_state;
+    control_state& m_state;
     std::string m_node_id;
     platform::http_object_store m_store;
     http_order_sender m_sender;
--- a/tests/placement_process_test.cpp
+++ b/tests/placement_process_test.cpp
@@ -1,4 +1,5 @@
 #include "base/json.hpp"
+#include "inner_protocol/rpc.hpp"
 #include "tests/support/deployment.hpp"
 
 #include <gtest/gtest.h>
@@ -44,13 +45,30 @@
                        [&](auto const& each) { return each.model == model; });
 }
 
-/// The node whose log shows that it gained the lease last, 0 when none did.
+/// The fencing number that the node says it holds, 0 when it does not hold the lease.
+std::int64_t held_number(deployment& running, int node)
+{
+    inner_protocol::rpc_client<inner_protocol::control_nodeClient> client(
+        running.host(), control_port_base + node, std::chrono::milliseconds(2000));
+    return base::handle(
+        [&]() -> base::result<std::int64_t>
+        {
+            return client.call(
+                [](inner_protocol::control_nodeClient& peer)
+                {
+                    inner_protocol::node_status_reply status;
+                    peer.node_status(status);
+                    return status.placement_holder ? status.fencing_number : std::int64_t{0};
+                });
+        },
+        [](base::error const&) { return std::int64_t{0}; });
+}
+
+/// The node that says it holds the lease, 0 when none does.
 int holder(deployment& running)
 {
     for (int node = 1; node <= 2; ++node)
-        if (running.program("control-" + std::to_string(node))
-                .output()
-                .find("placement_lease_gained") != std::string::npos)
+        if (held_number(running, node) > 0)
             return node;
     return 0;
 }
@@ -69,8 +87,10 @@
     running.put("placement", "engine-1", R"({"models":["demo","first"]})");
     ASSERT_TRUE(
         wait_until([&] { return received(running, 1, "first"); }, std::chrono::seconds(60)));
+    // The status changes at the end of the round that sent the order.
+    ASSERT_TRUE(wait_until([&] { return holder(running) != 0; }));
     auto const paused = holder(running);
-    ASSERT_NE(paused, 0);
+    auto const first_number = held_number(running, paused);
     auto const name = "control-" + std::to_string(paused);
     running.program(name).send_signal(SIGSTOP);
     running.put("placement", "engine-1", R"({"models":["demo","second"]})");
@@ -79,6 +99,7 @@
         wait_until([&] { return received(running, 1, "second"); }, std::chrono::seconds(90)));
     EXPECT_TRUE(
         wait_until([&] { return received(running, 2, "second"); }, std::chrono::seconds(90)));
+    EXPECT_TRUE(wait_until([&] { return held_number(running, 3 - paused) > first_number; }));
     running.program(name).send_signal(SIGCONT);
     running.put("placement", "engine-1", R"({"models":["demo","third"]})");
     EXPECT_TRUE(
--- a/utilities/ctl/node_commands.cpp
+++ b/utilities/ctl/node_commands.cpp
@@ -14,14 +14,18 @@
         [&]() -> base::result<int>
         {
             BOOST_LEAF_AUTO(views, ask_nodes(current));
-            table rows{{"name", "zone", "address", "state", "revision", "applied"}, {}};
+            table rows{
+                {"name", "zone", "address", "state", "revision", "applied", "placement lease"}, {}};
             for (auto const& view : views)
                 rows.rows.push_back(
                     {view.node.name, view.node.zone,
                      view.node.host + ":" + std::to_string(view.node.entry_port),
                      describe(view, views),
                      view.status ? std::to_string(view.status->configuration_revision) : "",
-                     view.status ? std::to_string(view.status->applied_revision) : ""});
+                     view.status ? std::to_string(view.status->applied_revision) : "",
+                     view.status && view.status->placement_holder
+                         ? std::to_string(view.status->fencing_number)
+                         : ""});
             write(std::cout, current.format, rows);
             return exit_done;
         });
