Control, Stand-ins: Say why two threads pull the configuration

Cause: found when reading the code as a newcomer: a thread named after another idea, and a figurative comment. Change: names and comments only. Measured: builds; clang-format is clean.

--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -158,8 +158,9 @@
     thread const gossiping(milliseconds(0), [&] { agent.step(); });
     thread const watching(milliseconds(100), [&] { watcher.step(); });
     thread const pulling(milliseconds(50), [&] { control::pull_configuration_step(agent, state); });
-    thread const hedging(milliseconds(100),
-                         [&] { control::pull_configuration_step(agent, state); });
+    // A second thread, so that one slow peer does not delay a change.
+    thread const pulling_again(milliseconds(100),
+                               [&] { control::pull_configuration_step(agent, state); });
     thread const exchanging(milliseconds(200), [&] { control::exchange_members_step(agent); });
     thread const collecting(milliseconds(1000), [&] { collector.step(); });
     std::unique_ptr<control::metrics_listener> metrics;
--- a/stand_ins/engine/engine_host.cpp
+++ b/stand_ins/engine/engine_host.cpp
@@ -206,7 +206,8 @@
             continue;
         }
         auto const step = m_model.step();
-        // A cold engine that gets more work than it can carry falls over, as the process would.
+        // A cold engine that gets more work than it can carry fails; the process ends as a real
+        // engine's would.
         if (step.failed)
             std::_Exit(70);
         lock.unlock();
