Store: Separate the object API's client from its dialect

The platform that jasminepier is to run on spells the same object API differently. The client keeps calls, time limits and outcomes; a dialect gives paths, formats and the meaning of statuses. The folder is now libraries/store, so that platform/ is free for the adapter.

--- a/benchmarks/configuration_scale/main.cpp
+++ b/benchmarks/configuration_scale/main.cpp
@@ -31,9 +31,9 @@
     return std::to_string(value);
 }
 
-std::vector<platform::object> make_objects(fleet const& size)
+std::vector<store::object> make_objects(fleet const& size)
 {
-    std::vector<platform::object> objects;
+    std::vector<store::object> objects;
     auto add = [&](std::string const& kind, std::string const& name, std::string const& value) {
         objects.push_back(
             {kind, name, static_cast<std::int64_t>(objects.size()) + 1, value, false});
@@ -78,7 +78,7 @@
     auto const started = std::chrono::steady_clock::now();
     for (int i = 0; i < changes; ++i)
     {
-        std::vector<platform::object> const changed{
+        std::vector<store::object> const changed{
             {"zone", "zone-1", store.revision() + 1,
              R"({"region":"region-1","state":"out_of_service"})", false}};
         store.merge(changed);
--- a/fuzz/configuration_object.cpp
+++ b/fuzz/configuration_object.cpp
@@ -44,7 +44,7 @@
     std::string const& kind = kinds[data[0] % kinds.size()];
     std::string const name = kind == "active-preset" ? "current" : "event-id";
     configuration::versioned_store store;
-    std::vector<platform::object> const objects{{kind, name, 1, value, false}};
+    std::vector<store::object> const objects{{kind, name, 1, value, false}};
     store.merge(objects);
     auto const snapshot = configuration::build_snapshot(store, nullptr);
     fuzz::require(snapshot->revision == 1);
--- a/fuzz/platform_answer.cpp
+++ b/fuzz/platform_answer.cpp
@@ -1,20 +1,20 @@
 /// Answers of the platform: lists and watches. The first byte chooses between them.
 #include "fuzz/harness.hpp"
-#include "platform/answer.hpp"
+#include "store/answer.hpp"
 
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size)
 {
     using namespace jasminepier;
     if (size == 0)
         return 0;
-    auto const kind = data[0] % 2 == 0 ? platform::page_kind::list : platform::page_kind::events;
+    auto const kind = data[0] % 2 == 0 ? store::page_kind::list : store::page_kind::events;
     fuzz::run_parser(
         [&]() -> base::result<void>
         {
             BOOST_LEAF_AUTO(
-                page, platform::parse_page(std::string(fuzz::as_text(data + 1, size - 1)), kind));
+                page, store::parse_page(std::string(fuzz::as_text(data + 1, size - 1)), kind));
             for (auto const& object : page.objects)
-                fuzz::require(!object.deleted || kind == platform::page_kind::events);
+                fuzz::require(!object.deleted || kind == store::page_kind::events);
             return {};
         });
     return 0;
--- a/libraries/claims/claim_recorder.hpp
+++ b/libraries/claims/claim_recorder.hpp
@@ -4,7 +4,7 @@
 #include "base/log.hpp"
 #include "base/ordered_mutex.hpp"
 #include "claims/claim_types.hpp"
-#include "platform/object.hpp"
+#include "store/object.hpp"
 
 #include <algorithm>
 #include <mutex>
@@ -14,7 +14,7 @@
 namespace jasminepier::claims
 {
 
-template <platform::object_store Store, waiting_clock Clock>
+template <store::object_store Store, waiting_clock Clock>
 class claim_recorder
 {
 public:
@@ -96,9 +96,9 @@
                 ? m_store.create(claim_kind, work.name, value)
                 : m_store.update({claim_kind, work.name, *work.version, value, false});
         work.version.reset();
-        if (wrote.status == platform::write_status::applied)
+        if (wrote.status == store::write_status::applied)
             return true;
-        if (wrote.status != platform::write_status::conflict)
+        if (wrote.status != store::write_status::conflict)
             return false;
         return !needs_write(work, wrote.current) || attempt(work);
     }
@@ -107,11 +107,11 @@
     {
         bool failed = false;
         auto const seen = base::handle(
-            [&]() -> base::result<platform::object> { return m_store.get(claim_kind, work.name); },
+            [&]() -> base::result<store::object> { return m_store.get(claim_kind, work.name); },
             [&](base::error const& failure)
             {
                 failed = failure.kind != base::error_kind::not_found;
-                return platform::object{claim_kind, work.name, 0, "", true};
+                return store::object{claim_kind, work.name, 0, "", true};
             });
         if (failed)
             return false;
@@ -119,7 +119,7 @@
     }
 
     /// Decides from the stored object whether a write is still needed, and at which version.
-    bool needs_write(task& work, platform::object const& seen) const
+    bool needs_write(task& work, store::object const& seen) const
     {
         if (seen.deleted)
         {
--- a/libraries/claims/claim_sweep.hpp
+++ b/libraries/claims/claim_sweep.hpp
@@ -4,7 +4,7 @@
 #include "base/json.hpp"
 #include "base/log.hpp"
 #include "claims/claim_types.hpp"
-#include "platform/object.hpp"
+#include "store/object.hpp"
 
 namespace jasminepier::claims
 {
@@ -26,7 +26,7 @@
 /// The nodes that sweep take turns through one object, so that the calls do not grow with their
 /// number. Every deletion names the version at which the claim was judged: a claim that was taken
 /// over after it was listed, or that a stale list shows, is not deleted.
-template <platform::object_store Store, waiting_clock Clock>
+template <store::object_store Store, waiting_clock Clock>
 class claim_sweep
 {
 public:
@@ -70,13 +70,13 @@
                 if (last <= now && now - last < m_settings.interval_seconds)
                     return false;
                 held.value = value;
-                return m_store.update(held).status == platform::write_status::applied;
+                return m_store.update(held).status == store::write_status::applied;
             },
             [&](base::error const& failure)
             {
                 return failure.kind == base::error_kind::not_found &&
                        m_store.create(turn_kind, turn_name, value).status ==
-                           platform::write_status::applied;
+                           store::write_status::applied;
             });
     }
 
@@ -100,7 +100,7 @@
     }
 
     /// Returns true when a write was made.
-    bool judge(platform::object const& listed)
+    bool judge(store::object const& listed)
     {
         return base::handle(
             [&]() -> base::result<bool>
--- a/libraries/claims/claimant.hpp
+++ b/libraries/claims/claimant.hpp
@@ -15,7 +15,7 @@
 
 /// Shared by all workers of a process. No lock is held during calls to the platform, to peers or to
 /// services.
-template <platform::object_store Store, claim_peers Peers, waiting_clock Clock>
+template <store::object_store Store, claim_peers Peers, waiting_clock Clock>
 class claimant
 {
 public:
@@ -37,7 +37,7 @@
         {
             if (auto const* result = std::get_if<prepared_claim>(&next))
                 return close(own, *result);
-            if (auto const* seen = std::get_if<platform::object>(&next))
+            if (auto const* seen = std::get_if<store::object>(&next))
                 next = decide(own, *seen);
             else
                 next = write(own, std::get<write_at>(next).version);
@@ -97,7 +97,7 @@
         std::int64_t version;
     };
     /// What to do next: end, look at an object, or write the claim at a version.
-    using step = std::variant<prepared_claim, platform::object, write_at>;
+    using step = std::variant<prepared_claim, store::object, write_at>;
 
     static step stop(base::error_kind kind, std::string message)
     {
@@ -166,13 +166,13 @@
                          : m_store.update({claim_kind, own.request.name, version, value, false});
         switch (wrote.status)
         {
-        case platform::write_status::applied:
+        case store::write_status::applied:
             return prepared_claim{held_claim{own.request, own.nonce, wrote.current.version}};
-        case platform::write_status::conflict:
+        case store::write_status::conflict:
             return wrote.current;
-        case platform::write_status::refused:
+        case store::write_status::refused:
             return stop(base::error_kind::platform_unavailable, "the platform refused the claim");
-        case platform::write_status::unknown:
+        case store::write_status::unknown:
             break;
         }
         own.lost_write_version = version;
@@ -182,23 +182,23 @@
     }
 
     /// Returns nothing when the platform does not answer; an absent object is one marked deleted.
-    std::optional<platform::object> read(std::string const& name)
+    std::optional<store::object> read(std::string const& name)
     {
         return base::handle(
-            [&]() -> base::result<std::optional<platform::object>>
+            [&]() -> base::result<std::optional<store::object>>
             {
                 BOOST_LEAF_AUTO(seen, m_store.get(claim_kind, name));
                 return std::optional(seen);
             },
-            [&](base::error const& failure) -> std::optional<platform::object>
+            [&](base::error const& failure) -> std::optional<store::object>
             {
                 if (failure.kind == base::error_kind::not_found)
-                    return platform::object{claim_kind, name, 0, "", true};
+                    return store::object{claim_kind, name, 0, "", true};
                 return std::nullopt;
             });
     }
 
-    step decide(attempt const& own, platform::object const& seen)
+    step decide(attempt const& own, store::object const& seen)
     {
         if (seen.deleted)
             return write_at{0};
@@ -232,7 +232,7 @@
         return await_owner(own, seen, *record);
     }
 
-    step await_owner(attempt const& own, platform::object const& seen, claim_record const& record)
+    step await_owner(attempt const& own, store::object const& seen, claim_record const& record)
     {
         auto const patience_end = m_clock.now() + m_settings.peer_patience;
         auto wait = m_settings.first_wait;
@@ -272,13 +272,13 @@
     }
 
     /// Records that the owner is gone. The owner, if it lives, may still replace this by `done`.
-    step declare_unknown(platform::object const& seen, claim_record record)
+    step declare_unknown(store::object const& seen, claim_record record)
     {
         record.state = claim_state::unknown;
         record.time = m_clock.unix_seconds();
         auto const wrote =
             m_store.update({claim_kind, seen.name, seen.version, write_claim(record), false});
-        if (wrote.status == platform::write_status::conflict)
+        if (wrote.status == store::write_status::conflict)
             return wrote.current;
         return stop(base::error_kind::outcome_unknown, "the node that ran the order is gone");
     }
--- a/libraries/configuration/replica.cpp
+++ b/libraries/configuration/replica.cpp
@@ -10,7 +10,7 @@
 {
     if (listings.empty())
         return false;
-    std::vector<platform::object> changes;
+    std::vector<store::object> changes;
     std::int64_t oldest = listings.front().page.version;
     for (auto const& listing : listings)
     {
@@ -27,13 +27,13 @@
 }
 
 void replica::delete_absent(kind_listing const& listing,
-                            std::vector<platform::object>& changes) const
+                            std::vector<store::object>& changes) const
 {
     std::set<std::string> present;
     for (auto const& listed : listing.page.objects)
         present.insert(listed.name);
     m_store.for_each(
-        [&](platform::object const& held)
+        [&](store::object const& held)
         {
             if (held.kind != listing.kind || held.version > listing.page.version ||
                 present.contains(held.name))
@@ -47,7 +47,7 @@
         });
 }
 
-bool replica::merge_watch(std::int64_t from, platform::object_page const& page)
+bool replica::merge_watch(std::int64_t from, store::object_page const& page)
 {
     bool const changed = m_store.merge(page.objects);
     if (from <= m_complete)
@@ -56,9 +56,9 @@
 }
 
 bool replica::merge_peer(std::int64_t since, std::int64_t revision,
-                         std::vector<platform::object> const& objects)
+                         std::vector<store::object> const& objects)
 {
-    std::vector<platform::object> accepted;
+    std::vector<store::object> accepted;
     for (auto const& received : objects)
         if (received.version > m_complete || m_store.find(received.kind, received.name) != nullptr)
             accepted.push_back(received);
@@ -77,7 +77,7 @@
         return;
     }
     m_store.for_each_with_deleted(
-        [&](platform::object const& held)
+        [&](store::object const& held)
         {
             if (held.version <= m_complete)
                 m_confirmed = std::max(m_confirmed, held.version);
--- a/libraries/configuration/replica.hpp
+++ b/libraries/configuration/replica.hpp
@@ -14,7 +14,7 @@
 struct kind_listing
 {
     std::string kind;
-    platform::object_page page;
+    store::object_page page;
 };
 
 /// Merges listings, watch pages and pages of peers so that nothing is missed and nothing reverts.
@@ -30,20 +30,20 @@
     bool merge_listing(std::vector<kind_listing> const& listings);
 
     /// Merges the answer to a watch that began at `from`.
-    bool merge_watch(std::int64_t from, platform::object_page const& page);
+    bool merge_watch(std::int64_t from, store::object_page const& page);
 
     /// Merges a peer's objects since `since`; `revision` is the peer's confirmed revision. An
     /// object that is unknown here although this replica is complete beyond its version was
     /// deleted, and the peer does not know it yet.
     bool merge_peer(std::int64_t since, std::int64_t revision,
-                    std::vector<platform::object> const& objects);
+                    std::vector<store::object> const& objects);
 
     /// The highest version of an object up to which this replica is complete; 0 when it has none.
     std::int64_t confirmed_revision() const noexcept { return m_confirmed; }
     /// The version through which this replica is complete; a watch may start here.
     std::int64_t complete_through() const noexcept { return m_complete; }
 
-    std::vector<platform::object> since(std::int64_t revision) const
+    std::vector<store::object> since(std::int64_t revision) const
     {
         return m_store.since(revision);
     }
@@ -51,7 +51,7 @@
 
 private:
     void complete(std::int64_t version);
-    void delete_absent(kind_listing const& listing, std::vector<platform::object>& changes) const;
+    void delete_absent(kind_listing const& listing, std::vector<store::object>& changes) const;
 
     versioned_store m_store;
     std::int64_t m_complete = 0;
--- a/libraries/configuration/snapshot.cpp
+++ b/libraries/configuration/snapshot.cpp
@@ -15,7 +15,7 @@
 }
 
 template <class T, class Parse>
-base::result<void> add(std::map<std::string, T>& target, platform::object const& source,
+base::result<void> add(std::map<std::string, T>& target, store::object const& source,
                        base::json_object const& value, Parse parse)
 {
     BOOST_LEAF_AUTO(parsed, parse(source.name, value));
@@ -23,7 +23,7 @@
     return {};
 }
 
-base::result<void> add_object(snapshot& target, platform::object const& source)
+base::result<void> add_object(snapshot& target, store::object const& source)
 {
     BOOST_LEAF_AUTO(value, base::parse_json_object(source.value));
     if (source.kind == "zone")
@@ -79,7 +79,7 @@
     if (previous != nullptr)
         built->active_preset = previous->active_preset;
     store.for_each(
-        [&](platform::object const& source)
+        [&](store::object const& source)
         {
             base::handle([&]() -> base::result<void> { return add_object(*built, source); },
                          [&](base::error const& failure)
--- a/libraries/configuration/versioned_store.cpp
+++ b/libraries/configuration/versioned_store.cpp
@@ -5,7 +5,7 @@
 namespace jasminepier::configuration
 {
 
-bool versioned_store::merge(std::span<platform::object const> objects)
+bool versioned_store::merge(std::span<store::object const> objects)
 {
     bool changed = false;
     for (auto const& received : objects)
@@ -20,16 +20,16 @@
     return changed;
 }
 
-std::vector<platform::object> versioned_store::since(std::int64_t revision) const
+std::vector<store::object> versioned_store::since(std::int64_t revision) const
 {
-    std::vector<platform::object> newer;
+    std::vector<store::object> newer;
     for (auto const& [key, held] : m_objects)
         if (held.version > revision)
             newer.push_back(held);
     return newer;
 }
 
-platform::object const* versioned_store::find(std::string const& kind,
+store::object const* versioned_store::find(std::string const& kind,
                                               std::string const& name) const
 {
     auto const found = m_objects.find({kind, name});
--- a/libraries/configuration/versioned_store.hpp
+++ b/libraries/configuration/versioned_store.hpp
@@ -1,7 +1,7 @@
 /// A node's copy of all configuration objects; merging never goes back.
 #pragma once
 
-#include "platform/object.hpp"
+#include "store/object.hpp"
 
 #include <map>
 #include <span>
@@ -17,16 +17,16 @@
 {
 public:
     /// Takes over every object that is newer than the one held. Returns true when any was.
-    bool merge(std::span<platform::object const> objects);
+    bool merge(std::span<store::object const> objects);
 
     /// The highest version merged; 0 when empty.
     std::int64_t revision() const noexcept { return m_revision; }
 
     /// Returns all objects with a version above `revision`, deletions included.
-    std::vector<platform::object> since(std::int64_t revision) const;
+    std::vector<store::object> since(std::int64_t revision) const;
 
     /// Returns the object, or null when it is unknown or deleted.
-    platform::object const* find(std::string const& kind, std::string const& name) const;
+    store::object const* find(std::string const& kind, std::string const& name) const;
 
     /// Calls `visit(object const&)` for every object that is not deleted.
     template <class Visit>
@@ -46,7 +46,7 @@
     }
 
 private:
-    std::map<std::pair<std::string, std::string>, platform::object> m_objects;
+    std::map<std::pair<std::string, std::string>, store::object> m_objects;
     std::int64_t m_revision = 0;
 };
 
--- a/libraries/inner_protocol/conversion.hpp
+++ b/libraries/inner_protocol/conversion.hpp
@@ -2,14 +2,14 @@
 #pragma once
 
 #include "jasminepier_types.h"
-#include "platform/object.hpp"
+#include "store/object.hpp"
 
 #include <vector>
 
 namespace jasminepier::inner_protocol
 {
 
-inline configuration_object to_thrift(platform::object const& source)
+inline configuration_object to_thrift(store::object const& source)
 {
     configuration_object converted;
     converted.kind = source.kind;
@@ -20,9 +20,9 @@
     return converted;
 }
 
-inline std::vector<platform::object> from_thrift(std::vector<configuration_object> const& sources)
+inline std::vector<store::object> from_thrift(std::vector<configuration_object> const& sources)
 {
-    std::vector<platform::object> converted;
+    std::vector<store::object> converted;
     converted.reserve(sources.size());
     for (auto const& source : sources)
         converted.push_back(
--- a/libraries/placement/placement_controller.hpp
+++ b/libraries/placement/placement_controller.hpp
@@ -21,7 +21,7 @@
 using reported_placements = std::map<std::string, reported_placement>;
 
 /// Not synchronized; one thread calls `step`.
-template <platform::object_store Store, order_sender Sender, base::clock_source Clock>
+template <store::object_store Store, order_sender Sender, base::clock_source Clock>
 class placement_controller
 {
 public:
--- a/libraries/placement/placement_lease.hpp
+++ b/libraries/placement/placement_lease.hpp
@@ -3,7 +3,7 @@
 
 #include "base/clock.hpp"
 #include "base/json.hpp"
-#include "platform/object.hpp"
+#include "store/object.hpp"
 
 #include <optional>
 #include <string>
@@ -25,7 +25,7 @@
 /// No wall clock takes part: the holder counts from before its last renewal was sent, the others
 /// from when they first saw the object's version. A renewal is written before anyone sees it, so
 /// the holder's count always ends first.
-template <platform::object_store Store, base::clock_source Clock>
+template <store::object_store Store, base::clock_source Clock>
 class placement_lease
 {
 public:
@@ -74,23 +74,23 @@
         std::int64_t number = 0;
     };
 
-    std::optional<platform::object> read()
+    std::optional<store::object> read()
     {
         return base::handle(
-            [&]() -> base::result<std::optional<platform::object>>
+            [&]() -> base::result<std::optional<store::object>>
             {
                 BOOST_LEAF_AUTO(seen, m_store.get("lease", "placement"));
                 return std::optional(seen);
             },
-            [](base::error const& failure) -> std::optional<platform::object>
+            [](base::error const& failure) -> std::optional<store::object>
             {
                 if (failure.kind == base::error_kind::not_found)
-                    return platform::object{"lease", "placement", 0, "{}", true};
+                    return store::object{"lease", "placement", 0, "{}", true};
                 return std::nullopt;
             });
     }
 
-    static lease_value parse(platform::object const& seen)
+    static lease_value parse(store::object const& seen)
     {
         return base::handle(
             [&]() -> base::result<lease_value>
@@ -105,7 +105,7 @@
             [](base::error const&) { return lease_value{}; });
     }
 
-    void write(platform::object seen, std::int64_t number, base::time_point before)
+    void write(store::object seen, std::int64_t number, base::time_point before)
     {
         base::json_object value = new Poco::JSON::Object;
         value->set("holder", m_settings.node);
@@ -114,7 +114,7 @@
         seen.value = base::write_json(value);
         auto const wrote =
             seen.deleted ? m_store.create("lease", "placement", seen.value) : m_store.update(seen);
-        if (wrote.status != platform::write_status::applied)
+        if (wrote.status != store::write_status::applied)
             return;
         m_number = number;
         m_valid_until = before + m_settings.duration;
--- a/libraries/platform/answer.cpp
+++ b/libraries/store/answer.cpp
@@ -1,6 +1,6 @@
-#include "platform/answer.hpp"
+#include "store/answer.hpp"
 
-namespace jasminepier::platform
+namespace jasminepier::store
 {
 
 using base::error_kind;
@@ -45,4 +45,4 @@
     return page;
 }
 
-} // namespace jasminepier::platform
+} // namespace jasminepier::store
--- a/libraries/platform/answer.hpp
+++ b/libraries/store/answer.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "base/json.hpp"
-#include "platform/object.hpp"
+#include "store/object.hpp"
 
-namespace jasminepier::platform
+namespace jasminepier::store
 {
 
 enum class page_kind
@@ -21,4 +21,4 @@
 /// Parses a whole list or watch answer. Fails with bad_request or platform_unavailable.
 base::result<object_page> parse_page(std::string const& body, page_kind kind);
 
-} // namespace jasminepier::platform
+} // namespace jasminepier::store
--- /dev/null
+++ b/libraries/store/http_object_store.hpp
@@ -0,0 +1,126 @@
+/// The platform's object API over HTTP.
+#pragma once
+
+#include "base/json.hpp"
+#include "store/object.hpp"
+#include "store/object_dialect.hpp"
+#include "store/own_dialect.hpp"
+#include "store/store_connection.hpp"
+
+#include <chrono>
+
+namespace jasminepier::store
+{
+
+/// A client of the object API; each call opens one connection, so that instances may be shared by
+/// threads. Satisfies `object_store` for every dialect.
+template <object_dialect Dialect>
+class basic_http_object_store
+{
+public:
+    explicit basic_http_object_store(http_object_store_settings settings)
+        : m_settings(std::move(settings))
+    {
+    }
+
+    /// Fails with not_found, rate_limited or platform_unavailable.
+    base::result<object> get(std::string const& kind, std::string const& name)
+    {
+        BOOST_LEAF_AUTO(received, exchange(m_settings, Dialect::get(kind, name),
+                                           m_settings.call_timeout));
+        if (received.status != 200)
+            return base::fail(failure_of(received.status), "cannot read " + kind + "/" + name);
+        return Dialect::read_object(received.body, kind);
+    }
+
+    /// Reads all pages. The page's version is that of the first one, so a watch from there misses
+    /// nothing that changed while later pages were read.
+    base::result<object_page> list(std::string const& kind)
+    {
+        object_page whole;
+        std::string after;
+        for (bool first = true;; first = false)
+        {
+            BOOST_LEAF_AUTO(received, exchange(m_settings, Dialect::list(kind, after),
+                                               m_settings.call_timeout));
+            if (received.status != 200)
+                return base::fail(failure_of(received.status), "cannot list " + kind);
+            BOOST_LEAF_AUTO(page, Dialect::read_list(received.body, kind));
+            if (first)
+                whole.version = page.version;
+            for (auto& item : page.objects)
+                whole.objects.push_back(std::move(item));
+            if (!page.next_after)
+                return whole;
+            after = *page.next_after;
+        }
+    }
+
+    /// Creates the object only if no object of that name exists.
+    write_outcome create(std::string const& kind, std::string const& name,
+                         std::string const& value)
+    {
+        object const added{kind, name, 0, value, false};
+        return write(Dialect::create(added), added);
+    }
+    /// Replaces the value only if the stored version is still `changed.version`.
+    write_outcome update(object const& changed)
+    {
+        return write(Dialect::update(changed), changed);
+    }
+    /// Deletes the object only if the stored version is still `existing.version`.
+    write_outcome remove(object const& existing)
+    {
+        return write(Dialect::remove(existing), existing);
+    }
+
+    /// Waits until an object of `kinds` changes after `version` and returns the changes; an empty
+    /// page after the watch timeout. Fails with conflict when `version` is too old to watch from.
+    base::result<object_page> watch(std::int64_t version, std::vector<std::string> const& kinds)
+    {
+        BOOST_LEAF_AUTO(received,
+                        exchange(m_settings, Dialect::watch(version, kinds, m_settings.watch_timeout),
+                                 m_settings.watch_timeout + m_settings.call_timeout));
+        if (received.status != 200)
+            return base::fail(failure_of(received.status), "watch was refused");
+        return Dialect::read_events(received.body, kinds);
+    }
+
+private:
+    write_outcome write(store_call const& call, object const& target)
+    {
+        auto attempt = [&]() -> base::result<write_outcome>
+        {
+            BOOST_LEAF_AUTO(received, exchange(m_settings, call, m_settings.call_timeout));
+            write_outcome outcome;
+            auto const said = Dialect::read_write_status(received.status);
+            if (said == write_answer::refused)
+                outcome.status = write_status::refused;
+            if (said != write_answer::applied && said != write_answer::conflict)
+                return outcome;
+            outcome.status =
+                said == write_answer::applied ? write_status::applied : write_status::conflict;
+            outcome.current = base::handle(
+                [&] { return Dialect::read_object(received.body, target.kind); },
+                [&](base::error const&)
+                {
+                    // An answer without the object says that there is none.
+                    auto absent = target;
+                    absent.deleted = true;
+                    return absent;
+                });
+            return outcome;
+        };
+        // Any failure after the request may have left, a malformed answer included, tells nothing
+        // about whether the write took effect.
+        return base::handle(attempt, [](base::error const&) { return write_outcome{}; });
+    }
+
+    http_object_store_settings m_settings;
+};
+
+using http_object_store = basic_http_object_store<own_dialect>;
+
+static_assert(object_store<http_object_store>);
+
+} // namespace jasminepier::store
--- a/libraries/platform/object.hpp
+++ b/libraries/store/object.hpp
@@ -4,10 +4,11 @@
 #include "base/error.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
-namespace jasminepier::platform
+namespace jasminepier::store
 {
 
 /// One object as the platform stores it. `value` is JSON text. `version` grows with every write to
@@ -26,6 +27,8 @@
 {
     std::int64_t version = 0;
     std::vector<object> objects;
+    /// Set when a list goes on: the name after which the next page begins.
+    std::optional<std::string> next_after = std::nullopt;
 };
 
 /// What is known after a conditional write.
@@ -72,4 +75,4 @@
         } -> std::same_as<base::result<object_page>>;
 };
 
-} // namespace jasminepier::platform
+} // namespace jasminepier::store
--- /dev/null
+++ b/libraries/store/store_connection.hpp
@@ -0,0 +1,36 @@
+/// One HTTP call to the platform's store.
+#pragma once
+
+#include "base/error.hpp"
+#include "store/object_dialect.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace jasminepier::store
+{
+
+struct http_object_store_settings
+{
+    std::string host = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::chrono::milliseconds call_timeout{2000};
+    std::chrono::milliseconds watch_timeout{20000};
+};
+
+struct store_answer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Sends `call` on a new connection and reads the whole answer. Fails with platform_unavailable
+/// when there is none within `timeout`.
+base::result<store_answer> exchange(http_object_store_settings const& settings,
+                                    store_call const& call, std::chrono::milliseconds timeout);
+
+/// Returns the kind of error that a status other than 200 stands for.
+base::error_kind failure_of(int status) noexcept;
+
+} // namespace jasminepier::store
--- a/services/control/control_state.cpp
+++ b/services/control/control_state.cpp
@@ -17,7 +17,7 @@
         rebuild();
 }
 
-void control_state::merge_watch(std::int64_t from, platform::object_page const& page)
+void control_state::merge_watch(std::int64_t from, store::object_page const& page)
 {
     std::lock_guard lock(m_mutex);
     if (m_replica.merge_watch(from, page))
@@ -50,7 +50,7 @@
     return m_replica.confirmed_revision();
 }
 
-std::vector<platform::object> control_state::objects_since(std::int64_t revision) const
+std::vector<store::object> control_state::objects_since(std::int64_t revision) const
 {
     std::lock_guard lock(m_mutex);
     return m_replica.since(revision);
--- a/services/control/control_state.hpp
+++ b/services/control/control_state.hpp
@@ -22,14 +22,14 @@
 public:
     /// Each merge rebuilds the snapshot when anything was newer.
     void merge_listing(std::vector<configuration::kind_listing> const& listings);
-    void merge_watch(std::int64_t from, platform::object_page const& page);
+    void merge_watch(std::int64_t from, store::object_page const& page);
     void merge_peer(std::int64_t since, inner_protocol::configuration_page const& page);
     configuration::snapshot_ptr snapshot() const;
     /// The revision through which the configuration is complete; peers compare this one.
     std::int64_t revision() const;
     /// The version from which the platform may be watched.
     std::int64_t complete_through() const;
-    std::vector<platform::object> objects_since(std::int64_t revision) const;
+    std::vector<store::object> objects_since(std::int64_t revision) const;
 
     /// Stores a digest unless a newer one of the server is held.
     void set_load(inner_protocol::load_digest const& digest);
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -2,7 +2,7 @@
 #include "base/background_thread.hpp"
 #include "base/settings.hpp"
 #include "base/stop_signal.hpp"
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 #include "services/control/control_handler.hpp"
 #include "services/control/control_metrics.hpp"
 #include "services/control/load_collector.hpp"
@@ -40,7 +40,7 @@
     std::uint16_t entry_peer_port = 7003;
     std::uint16_t metrics_port = 0;
     std::string seeds;
-    platform::http_object_store_settings platform;
+    store::http_object_store_settings platform;
     placement::reconciliation_settings pacing;
 };
 
@@ -144,7 +144,7 @@
         return *status;
     base::configure_logging(parser.level());
 
-    platform::http_object_store store(settings.platform);
+    store::http_object_store store(settings.platform);
     control::control_state state;
     control::node_agent agent(state, own_record(settings), seeds_of(settings));
     control::platform_watcher watcher(store, state, agent);
--- a/services/control/placement_runner.cpp
+++ b/services/control/placement_runner.cpp
@@ -53,7 +53,7 @@
 }
 
 placement_runner::placement_runner(control_state& state, std::string node_id,
-                                   platform::http_object_store_settings const& platform,
+                                   store::http_object_store_settings const& platform,
                                    placement::reconciliation_settings pacing)
     : m_state(state), m_node_id(std::move(node_id)), m_store(platform), m_sender(state),
       m_controller(m_store, m_sender, m_clock, {m_node_id, base::random_id()}, pacing),
--- a/services/control/placement_runner.hpp
+++ b/services/control/placement_runner.hpp
@@ -3,7 +3,7 @@
 
 #include "base/background_thread.hpp"
 #include "placement/placement_controller.hpp"
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 #include "services/control/control_state.hpp"
 
 namespace jasminepier::control
@@ -24,7 +24,7 @@
 {
 public:
     placement_runner(control_state& state, std::string node_id,
-                     platform::http_object_store_settings const& platform,
+                     store::http_object_store_settings const& platform,
                      placement::reconciliation_settings pacing);
 
 private:
@@ -35,10 +35,10 @@
 
     control_state& m_state;
     std::string m_node_id;
-    platform::http_object_store m_store;
+    store::http_object_store m_store;
     http_order_sender m_sender;
     base::steady_clock_source m_clock;
-    placement::placement_controller<platform::http_object_store, http_order_sender,
+    placement::placement_controller<store::http_object_store, http_order_sender,
                                     base::steady_clock_source>
         m_controller;
     base::time_point m_next_step{};
--- a/services/control/platform_watcher.hpp
+++ b/services/control/platform_watcher.hpp
@@ -10,7 +10,7 @@
 namespace jasminepier::control
 {
 
-template <platform::object_store Store>
+template <store::object_store Store>
 class platform_watcher
 {
 public:
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -67,7 +67,7 @@
     std::uint16_t control_port = 7002;
     std::uint16_t entry_peer_port = 7003;
     std::string node_id = "node-1";
-    platform::http_object_store_settings platform_settings;
+    store::http_object_store_settings platform_settings;
     platform_settings.port = 9000;
     int workers = 1024;
     parser.add("host", host, "IP address of this entry VM")->check(base::ip_address());
--- a/services/entry/order_calls.cpp
+++ b/services/entry/order_calls.cpp
@@ -138,7 +138,7 @@
 }
 
 order_calls::order_calls(entry_state& state, std::string node_id,
-                         platform::http_object_store_settings const& platform)
+                         store::http_object_store_settings const& platform)
     : m_state(state), m_node_id(std::move(node_id)), m_store(platform), m_peers(state),
       m_claims(m_store, m_peers, m_clock, {m_node_id}), m_sweep(m_store, m_clock, {m_node_id}),
       m_retrying(retry_interval, [this] { m_claims.retry_background(); }),
--- a/services/entry/order_calls.hpp
+++ b/services/entry/order_calls.hpp
@@ -4,7 +4,7 @@
 #include "base/background_thread.hpp"
 #include "claims/claim_sweep.hpp"
 #include "claims/claimant.hpp"
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 #include "services/entry/entry_state.hpp"
 #include "services/entry/plain_call.hpp"
 
@@ -38,7 +38,7 @@
 {
 public:
     order_calls(entry_state& state, std::string node_id,
-                platform::http_object_store_settings const& platform);
+                store::http_object_store_settings const& platform);
 
     /// Answers by the call's deadline. A service that answers later has its answer recorded.
     claims::claim_answer execute(plain_call const& call);
@@ -57,11 +57,11 @@
 
     entry_state& m_state;
     std::string m_node_id;
-    platform::http_object_store m_store;
+    store::http_object_store m_store;
     node_peers m_peers;
     system_clock_source m_clock;
-    claims::claimant<platform::http_object_store, node_peers, system_clock_source> m_claims;
-    claims::claim_sweep<platform::http_object_store, system_clock_source> m_sweep;
+    claims::claimant<store::http_object_store, node_peers, system_clock_source> m_claims;
+    claims::claim_sweep<store::http_object_store, system_clock_source> m_sweep;
     base::background_thread m_retrying;
     base::background_thread m_sweeping;
 };
--- a/services/entry/plain_handler.hpp
+++ b/services/entry/plain_handler.hpp
@@ -12,7 +12,7 @@
 {
 public:
     plain_calls(entry_state& state, std::string node_id,
-                platform::http_object_store_settings const& platform)
+                store::http_object_store_settings const& platform)
         : m_state(state), m_orders(state, std::move(node_id), platform), m_lookups(state)
     {
     }
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -11,7 +11,7 @@
 // Guards against a configuration that reverts after a stale, repeated or reordered message.
 RC_GTEST_PROP(versioned_store, merging_ends_in_the_highest_version_in_any_order, ())
 {
-    std::vector<platform::object> history;
+    std::vector<store::object> history;
     auto const count = *rc::gen::inRange(1, 40);
     for (int i = 1; i <= count; ++i)
         history.push_back({"zone", std::to_string(*rc::gen::inRange(0, 4)), i,
@@ -24,7 +24,7 @@
     versioned_store reordered;
     for (auto const& object : shuffled)
     {
-        std::vector<platform::object> const single{object, shuffled.front()};
+        std::vector<store::object> const single{object, shuffled.front()};
         reordered.merge(single);
     }
     RC_ASSERT(reordered.revision() == in_order.revision());
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -32,15 +32,15 @@
 {
     int takes_effect_at = 0;
     int attempts = 0;
-    platform::object held{"zone", "a", 3, R"({"region":"x"})", false};
+    store::object held{"zone", "a", 3, R"({"region":"x"})", false};
 
-    base::result<platform::object> get(std::string const&, std::string const&) { return held; }
-    base::result<platform::object_page> list(std::string const&) { return platform::object_page{}; }
-    platform::write_outcome create(std::string const&, std::string const&, std::string const&)
+    base::result<store::object> get(std::string const&, std::string const&) { return held; }
+    base::result<store::object_page> list(std::string const&) { return store::object_page{}; }
+    store::write_outcome create(std::string const&, std::string const&, std::string const&)
     {
         return {};
     }
-    platform::write_outcome update(platform::object const& changed)
+    store::write_outcome update(store::object const& changed)
     {
         if (++attempts == takes_effect_at && changed.version == held.version)
         {
@@ -49,14 +49,14 @@
         }
         return {};
     }
-    platform::write_outcome remove(platform::object const&) { return {}; }
-    base::result<platform::object_page> watch(std::int64_t, std::vector<std::string> const&)
+    store::write_outcome remove(store::object const&) { return {}; }
+    base::result<store::object_page> watch(std::int64_t, std::vector<std::string> const&)
     {
-        return platform::object_page{};
+        return store::object_page{};
     }
 };
 
-platform::write_status write_to(silent_store store)
+store::write_status write_to(silent_store store)
 {
     return ctl::write_until_known(store, ctl::write_action::update,
                                   {"zone", "a", 3, R"({"region":"y"})", false},
@@ -69,8 +69,8 @@
 // Guards against an unanswered write that is reported as a success or as a failure.
 TEST(conditional_write, stays_unknown_unless_the_store_shows_the_content)
 {
-    EXPECT_EQ(write_to({0, 0}), platform::write_status::unknown);
-    EXPECT_EQ(write_to({2, 0}), platform::write_status::applied);
+    EXPECT_EQ(write_to({0, 0}), store::write_status::unknown);
+    EXPECT_EQ(write_to({2, 0}), store::write_status::applied);
 }
 
 // Guards against examples that the validation refuses.
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -122,9 +122,9 @@
 // the reads of a listing, that no later pull would fetch. The plain store shows the gap.
 TEST(replica, a_listing_with_a_gap_is_not_called_complete)
 {
-    platform::object const early{"zone", "a", 3, "{}", false};
-    platform::object const missed{"zone", "a", 5, "{}", false};
-    platform::object const late{"server", "s", 7, "{}", false};
+    store::object const early{"zone", "a", 3, "{}", false};
+    store::object const missed{"zone", "a", 5, "{}", false};
+    store::object const late{"server", "s", 7, "{}", false};
     configuration::replica copy;
     copy.merge_listing({{"zone", {4, {early}}}, {"server", {7, {late}}}});
     EXPECT_EQ(copy.store().revision(), 7);
@@ -138,8 +138,8 @@
 // the platform after the deletion. The plain store accepts it.
 TEST(replica, a_peer_cannot_bring_back_a_deleted_object)
 {
-    std::vector<platform::object> const old{{"zone", "gone", 2, "{}", false}};
-    platform::object const current{"zone", "a", 9, "{}", false};
+    std::vector<store::object> const old{{"zone", "gone", 2, "{}", false}};
+    store::object const current{"zone", "a", 9, "{}", false};
     configuration::replica copy;
     copy.merge_listing({{"zone", {9, {current}}}});
     copy.merge_peer(0, 2, old);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,7 +1,7 @@
 #include "tests/support/deployment.hpp"
 
 #include "configuration/types.hpp"
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 
 #include <array>
 #include <thread>
--- a/tests/support/simulated_store.hpp
+++ b/tests/support/simulated_store.hpp
@@ -1,7 +1,7 @@
 /// A simulated object store whose answers are lost, late and doubled as the simulation chooses.
 #pragma once
 
-#include "platform/object.hpp"
+#include "store/object.hpp"
 #include "stand_ins/platform/memory_store.hpp"
 #include "tests/support/simulation.hpp"
 
@@ -38,7 +38,7 @@
     /// Writes that take effect later, after their callers have given up.
     std::vector<std::function<void()>> late_writes;
     /// What every other read of a listing returns when the store is stale.
-    std::vector<platform::object> stale_claims;
+    std::vector<store::object> stale_claims;
     int calls = 0;
 
     bool happens(fault kind, int percent)
@@ -56,13 +56,13 @@
     }
 };
 
-/// One node's view of the store. Satisfies `platform::object_store`.
+/// One node's view of the store. Satisfies `store::object_store`.
 class simulated_store
 {
 public:
     explicit simulated_store(store_world& world) : m_world(world) {}
 
-    base::result<platform::object> get(std::string const& kind, std::string const& name)
+    base::result<store::object> get(std::string const& kind, std::string const& name)
     {
         if (!begin_read())
             return base::fail(base::error_kind::platform_unavailable, "cut");
@@ -73,11 +73,11 @@
         return convert(*found);
     }
 
-    base::result<platform::object_page> list(std::string const& kind)
+    base::result<store::object_page> list(std::string const& kind)
     {
         if (!begin_read())
             return base::fail(base::error_kind::platform_unavailable, "cut");
-        platform::object_page page;
+        store::object_page page;
         for (auto const& each : m_world.objects.list(kind).second)
             page.objects.push_back(convert(each));
         if (m_world.schedule.happens(50) && !m_world.stale_claims.empty())
@@ -88,26 +88,26 @@
         return page;
     }
 
-    platform::write_outcome create(std::string const& kind, std::string const& name,
+    store::write_outcome create(std::string const& kind, std::string const& name,
                                    std::string const& value)
     {
         return write(kind, name, stand_ins::must_not_exist, value);
     }
-    platform::write_outcome update(platform::object const& changed)
+    store::write_outcome update(store::object const& changed)
     {
         return write(changed.kind, changed.name, changed.version, changed.value);
     }
-    platform::write_outcome remove(platform::object const& existing)
+    store::write_outcome remove(store::object const& existing)
     {
         return write(existing.kind, existing.name, existing.version, std::nullopt);
     }
-    base::result<platform::object_page> watch(std::int64_t, std::vector<std::string> const&)
+    base::result<store::object_page> watch(std::int64_t, std::vector<std::string> const&)
     {
         return base::fail(base::error_kind::platform_unavailable, "not simulated");
     }
 
 private:
-    static platform::object convert(stand_ins::stored const& from)
+    static store::object convert(stand_ins::stored const& from)
     {
         return {from.kind, from.name, from.version, from.value, from.deleted};
     }
@@ -119,7 +119,7 @@
         return !m_world.happens(fault::cut, 15);
     }
 
-    platform::write_outcome write(std::string const& kind, std::string const& name,
+    store::write_outcome write(std::string const& kind, std::string const& name,
                                   std::int64_t condition, std::optional<std::string> const& value)
     {
         ++m_world.calls;
@@ -138,8 +138,8 @@
             return world.objects.write(kind, name, held, value);
         };
         if (m_world.happens(fault::cut, 15))
-            return {m_world.schedule.happens(50) ? platform::write_status::refused
-                                                 : platform::write_status::unknown,
+            return {m_world.schedule.happens(50) ? store::write_status::refused
+                                                 : store::write_status::unknown,
                     {}};
         if (m_world.happens(fault::duplicate, 20))
             m_world.late_writes.emplace_back(apply);
@@ -152,11 +152,11 @@
         m_world.schedule.step();
         if (m_world.happens(fault::lost_answer, 25))
             return {};
-        platform::write_outcome outcome;
-        outcome.status = answer.status == 200 ? platform::write_status::applied
-                                              : platform::write_status::conflict;
+        store::write_outcome outcome;
+        outcome.status = answer.status == 200 ? store::write_status::applied
+                                              : store::write_status::conflict;
         outcome.current =
-            answer.current ? convert(*answer.current) : platform::object{kind, name, 0, "", true};
+            answer.current ? convert(*answer.current) : store::object{kind, name, 0, "", true};
         return outcome;
     }
 
--- a/tests/support/virtual_fleet.cpp
+++ b/tests/support/virtual_fleet.cpp
@@ -21,10 +21,10 @@
     return m_version;
 }
 
-platform::object_page virtual_platform::list(std::int64_t lag) const
+store::object_page virtual_platform::list(std::int64_t lag) const
 {
-    platform::object_page page{std::max<std::int64_t>(0, m_version - lag), {}};
-    std::map<std::string, platform::object> held;
+    store::object_page page{std::max<std::int64_t>(0, m_version - lag), {}};
+    std::map<std::string, store::object> held;
     for (auto const& written : m_log)
         if (written.version <= page.version)
             held[written.name] = written;
@@ -34,9 +34,9 @@
     return page;
 }
 
-platform::object_page virtual_platform::watch(std::int64_t from, std::int64_t lag) const
+store::object_page virtual_platform::watch(std::int64_t from, std::int64_t lag) const
 {
-    platform::object_page page{std::max(from, m_version - lag), {}};
+    store::object_page page{std::max(from, m_version - lag), {}};
     for (auto const& written : m_log)
         if (written.version > from && written.version <= page.version)
             page.objects.push_back(written);
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -17,8 +17,8 @@
 public:
     std::int64_t put(std::string const& name, bool deleted = false);
     /// Everything as of `lag` versions ago.
-    platform::object_page list(std::int64_t lag) const;
-    platform::object_page watch(std::int64_t from, std::int64_t lag) const;
+    store::object_page list(std::int64_t lag) const;
+    store::object_page watch(std::int64_t from, std::int64_t lag) const;
     std::int64_t version() const noexcept { return m_version; }
 
     bool outage = false;
@@ -27,7 +27,7 @@
     std::uint64_t calls = 0;
 
 private:
-    std::vector<platform::object> m_log;
+    std::vector<store::object> m_log;
     std::int64_t m_version = 0;
 };
 
--- a/utilities/ctl/command_line.hpp
+++ b/utilities/ctl/command_line.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/error.hpp"
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 #include "utilities/ctl/table.hpp"
 
 #include <CLI/CLI.hpp>
@@ -33,12 +33,12 @@
 /// Settings of one run of the tool.
 struct context
 {
-    platform::http_object_store_settings platform;
+    store::http_object_store_settings platform;
     output_format format = output_format::table;
     std::string api_key;
     int node_timeout_milliseconds = 2000;
 
-    platform::http_object_store store() const { return platform::http_object_store(platform); }
+    store::http_object_store store() const { return store::http_object_store(platform); }
 };
 
 /// For commands without options of their own.
--- a/utilities/ctl/conditional_write.cpp
+++ b/utilities/ctl/conditional_write.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-void print_applied(context const& current, platform::object const& target,
-                   platform::write_outcome const& outcome)
+void print_applied(context const& current, store::object const& target,
+                   store::write_outcome const& outcome)
 {
     auto const name = target.kind + "/" + target.name;
     if (current.format == output_format::table)
@@ -27,7 +27,7 @@
 }
 
 /// Names what an operator chose; the whole content of a preset would hide it.
-std::string summary(platform::object const& held)
+std::string summary(store::object const& held)
 {
     if (held.kind != "active-preset")
         return held.value;
@@ -41,7 +41,7 @@
         [&](base::error const&) { return held.value; });
 }
 
-void print_conflict(platform::object const& target, platform::object const& held)
+void print_conflict(store::object const& target, store::object const& held)
 {
     std::cerr << "conflict: " << target.kind << '/' << target.name << " was changed by somebody "
               << "else; nothing of this command is in force\n";
@@ -68,21 +68,21 @@
     return written(left) == written(right);
 }
 
-int report(context const& current, platform::object const& target,
-           platform::write_outcome const& outcome)
+int report(context const& current, store::object const& target,
+           store::write_outcome const& outcome)
 {
     switch (outcome.status)
     {
-    case platform::write_status::applied:
+    case store::write_status::applied:
         print_applied(current, target, outcome);
         return exit_done;
-    case platform::write_status::conflict:
+    case store::write_status::conflict:
         print_conflict(target, outcome.current);
         return exit_conflict;
-    case platform::write_status::refused:
+    case store::write_status::refused:
         std::cerr << "the platform refused the write; nothing was written\n";
         return exit_failed;
-    case platform::write_status::unknown:
+    case store::write_status::unknown:
         break;
     }
     std::cerr << "unknown: the platform did not answer; the change of " << target.kind << '/'
@@ -90,7 +90,7 @@
     return exit_unknown;
 }
 
-int write_and_report(context const& current, write_action action, platform::object const& target)
+int write_and_report(context const& current, write_action action, store::object const& target)
 {
     auto store = current.store();
     return report(current, target, write_until_known(store, action, target));
--- a/utilities/ctl/input.cpp
+++ b/utilities/ctl/input.cpp
@@ -27,19 +27,19 @@
     return text;
 }
 
-base::result<std::optional<platform::object>>
-find_object(platform::http_object_store& store, std::string const& kind, std::string const& name)
+base::result<std::optional<store::object>>
+find_object(store::http_object_store& store, std::string const& kind, std::string const& name)
 {
     return boost::leaf::try_handle_some(
-        [&]() -> base::result<std::optional<platform::object>>
+        [&]() -> base::result<std::optional<store::object>>
         {
             BOOST_LEAF_AUTO(held, store.get(kind, name));
             return std::optional(held);
         },
-        [](base::error const& failure) -> base::result<std::optional<platform::object>>
+        [](base::error const& failure) -> base::result<std::optional<store::object>>
         {
             if (failure.kind == base::error_kind::not_found)
-                return std::optional<platform::object>{};
+                return std::optional<store::object>{};
             return boost::leaf::new_error(failure);
         });
 }
--- a/utilities/ctl/input.hpp
+++ b/utilities/ctl/input.hpp
@@ -1,7 +1,7 @@
 /// Reading of objects, files and confirmations.
 #pragma once
 
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 
 #include <optional>
 #include <string>
@@ -16,8 +16,8 @@
 base::result<std::string> read_input(std::string const& path);
 
 /// Returns the object, or nothing when it does not exist.
-base::result<std::optional<platform::object>>
-find_object(platform::http_object_store& store, std::string const& kind, std::string const& name);
+base::result<std::optional<store::object>>
+find_object(store::http_object_store& store, std::string const& kind, std::string const& name);
 
 /// Fails with bad_request unless `name` can be the name of an object: 1 to 63 lower-case letters,
 /// digits, dots, underscores and hyphens.
--- a/utilities/ctl/preset_commands.cpp
+++ b/utilities/ctl/preset_commands.cpp
@@ -30,7 +30,7 @@
     return base::write_json(configuration::to_json(parsed));
 }
 
-base::result<std::string> active_preset_name(std::optional<platform::object> const& active)
+base::result<std::string> active_preset_name(std::optional<store::object> const& active)
 {
     if (!active)
         return std::string{};
@@ -133,7 +133,7 @@
             value->set("content", content_json);
             // Tells this activation from another one of the same preset when an answer is lost.
             value->set("change_id", base::random_id());
-            platform::object const target{
+            store::object const target{
                 active_kind, active_name,
                 expected_version(options.if_version, active ? active->version : 0),
                 base::write_json(value), false};
--- a/utilities/ctl/zone_commands.cpp
+++ b/utilities/ctl/zone_commands.cpp
@@ -26,7 +26,7 @@
     std::int64_t version = 0;
 };
 
-base::result<std::vector<stored_zone>> list_zones(platform::http_object_store& store)
+base::result<std::vector<stored_zone>> list_zones(store::http_object_store& store)
 {
     BOOST_LEAF_AUTO(page, store.list("zone"));
     std::vector<stored_zone> zones;
@@ -46,7 +46,7 @@
         [](stored_zone const& held) { return held.zone.state == zone_state::in_service; }));
 }
 
-platform::object object_of(configuration::zone zone, zone_state state, std::int64_t version)
+store::object object_of(configuration::zone zone, zone_state state, std::int64_t version)
 {
     zone.state = state;
     return {"zone", zone.name, version, base::write_json(configuration::to_json(zone)), false};
@@ -81,9 +81,9 @@
 /// Two operators may each take out one of the last two zones: both see another zone in service, and
 /// the conditions of their writes are about different objects. Whoever finds no zone left after the
 /// own write takes that write back.
-base::result<int> keep_one_zone(context const& current, platform::http_object_store& store,
+base::result<int> keep_one_zone(context const& current, store::http_object_store& store,
                                 configuration::zone const& zone,
-                                platform::write_outcome const& outcome)
+                                store::write_outcome const& outcome)
 {
     BOOST_LEAF_AUTO(zones, list_zones(store));
     if (count_in_service(zones) > 0)
@@ -91,7 +91,7 @@
     auto const undo = object_of(zone, zone_state::in_service, outcome.current.version);
     auto const undone = write_until_known(store, write_action::update, undo);
     std::cerr << "conflict: another operator took the last other zone out at the same time\n";
-    if (undone.status != platform::write_status::applied)
+    if (undone.status != store::write_status::applied)
         return report(current, undo, undone);
     std::cerr << "in force now: zone " << zone.name << " is in service again, at version "
               << undone.current.version << '\n';
@@ -120,7 +120,7 @@
             auto const target = object_of(held.zone, zone_state::out_of_service,
                                           expected_version(options.if_version, held.version));
             auto const outcome = write_until_known(store, write_action::update, target);
-            if (outcome.status != platform::write_status::applied || confirmed)
+            if (outcome.status != store::write_status::applied || confirmed)
                 return report(current, target, outcome);
             return keep_one_zone(current, store, held.zone, outcome);
         });
