--- a/libraries/base/ordered_mutex.hpp
+++ b/libraries/base/ordered_mutex.hpp
@@ -16,6 +16,8 @@
     control_link,
     node_agent,
     control_state,
+    node_state,
+    connection_pool,
     server_table,
     crash_suspects,
     retry_budgets,
--- /dev/null
+++ b/libraries/http/message.cpp
@@ -0,0 +1,77 @@
+#include "http/message.hpp"
+
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <ostream>
+
+namespace jasminepier::http
+{
+namespace
+{
+
+constexpr std::array<std::string_view, 10> hop_by_hop_names{
+    "Connection", "Keep-Alive",      "Proxy-Authenticate", "Proxy-Authorization",
+    "TE",         "Trailer",         "Transfer-Encoding",  "Upgrade",
+    "Expect",     "Proxy-Connection"};
+
+} // namespace
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection_value)
+{
+    for (auto const known : hop_by_hop_names)
+        if (header_list::equal(name, known))
+            return true;
+    if (header_list::equal(name, "Content-Length"))
+        return true;
+    while (!connection_value.empty())
+    {
+        auto const comma = connection_value.find(',');
+        auto token = connection_value.substr(0, comma);
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (header_list::equal(token, name))
+            return true;
+        if (comma == std::string_view::npos)
+            break;
+        connection_value.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+std::string write_request(request const& message)
+{
+    std::string out;
+    out.reserve(512 + message.body.size());
+    out.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
+    for (auto const& field : message.headers)
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    bool const bodiless = message.method == "GET" || message.method == "HEAD" ||
+                          message.method == "DELETE" || message.method == "OPTIONS";
+    if (!message.body.empty() || !bodiless)
+        out.append("Content-Length: ").append(std::to_string(message.body.size())).append("\r\n");
+    out.append("\r\n").append(message.body);
+    return out;
+}
+
+std::string write_response_head(int status, std::string_view reason, header_list const& headers)
+{
+    std::string out;
+    out.reserve(256);
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    out.append(reason.empty() ? reason_of(status) : reason).append("\r\n");
+    for (auto const& field : headers)
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    return out.append("\r\n");
+}
+
+std::string_view reason_of(int status) noexcept
+{
+    auto const text = boost::beast::http::obsolete_reason(
+        boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+    return {text.data(), text.size()};
+}
+
+} // namespace jasminepier::http
--- /dev/null
+++ b/libraries/http/request_reader.hpp
@@ -0,0 +1,64 @@
+/// Incremental parsing of a caller's request.
+#pragma once
+
+#include "http/message.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+
+namespace jasminepier::http
+{
+
+struct request_size_limits
+{
+    std::uint32_t head_bytes = 64 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+};
+
+/// Turns received bytes into requests, one at a time. Requests whose end is ambiguous (a length
+/// beside a transfer coding, two lengths, codings other than chunked) are refused, since a server
+/// might read a second request out of them.
+class request_reader
+{
+public:
+    enum class state
+    {
+        idle,
+        reading_head,
+        reading_body,
+        complete,
+        malformed,
+        head_too_large,
+        body_too_large,
+    };
+
+    explicit request_reader(request_size_limits limits);
+
+    void feed(std::span<char const> bytes);
+    state current() const noexcept { return m_state; }
+    /// True once when the caller waits for "100 Continue" before it sends the body.
+    bool take_expect_continue() noexcept;
+    /// Returns the complete request and goes on with the bytes behind it.
+    request take_request();
+    void set_limits(request_size_limits limits) noexcept { m_limits = limits; }
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void start();
+    void parse();
+    bool check_head();
+
+    request_size_limits m_limits;
+    state m_state = state::idle;
+    bool m_expects_continue = false;
+    std::unique_ptr<parser> m_parser;
+    boost::beast::flat_buffer m_buffer;
+};
+
+} // namespace jasminepier::http
--- /dev/null
+++ b/libraries/http/response_reader.cpp
@@ -0,0 +1,110 @@
+#include "http/response_reader.hpp"
+
+#include <boost/asio/buffer.hpp>
+
+#include <limits>
+
+namespace jasminepier::http
+{
+namespace
+{
+
+namespace beast_http = boost::beast::http;
+
+// A server's header beyond this size is no answer that a caller could use.
+constexpr std::uint32_t maximum_head_bytes = 64 * 1024;
+
+} // namespace
+
+response_reader::response_reader(bool expect_body) : m_expect_body(expect_body)
+{
+    start();
+}
+
+void response_reader::start()
+{
+    m_parser = std::make_unique<parser>();
+    m_parser->eager(true);
+    m_parser->header_limit(maximum_head_bytes);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->skip(!m_expect_body);
+}
+
+void response_reader::feed(std::span<char const> bytes)
+{
+    auto const target = m_buffer.prepare(bytes.size());
+    boost::asio::buffer_copy(target, boost::asio::buffer(bytes.data(), bytes.size()));
+    m_buffer.commit(bytes.size());
+    parse();
+}
+
+void response_reader::feed_end()
+{
+    if (m_state != state::reading_head && m_state != state::reading_body)
+        return;
+    boost::beast::error_code failure;
+    m_parser->put_eof(failure);
+    if (!failure && m_parser->is_done())
+    {
+        if (m_state == state::reading_head)
+            read_head();
+        m_state = state::complete;
+    }
+}
+
+void response_reader::parse()
+{
+    while (m_buffer.size() > 0 &&
+           (m_state == state::reading_head || m_state == state::reading_body))
+    {
+        boost::beast::error_code failure;
+        auto const used = m_parser->put(m_buffer.data(), failure);
+        m_buffer.consume(used);
+        if (m_parser->is_header_done() && m_state == state::reading_head)
+        {
+            if (m_parser->get().result_int() / 100 == 1 && m_parser->is_done())
+            {
+                start();
+                continue;
+            }
+            read_head();
+            m_state = state::reading_body;
+        }
+        if (failure == beast_http::error::need_more)
+            return;
+        if (failure)
+        {
+            m_state = state::malformed;
+            return;
+        }
+        if (m_parser->is_done())
+            m_state = state::complete;
+        else if (used == 0)
+            return;
+    }
+}
+
+void response_reader::read_head()
+{
+    auto const& message = m_parser->get();
+    m_head.status = static_cast<int>(message.result_int());
+    m_head.reason = std::string(message.reason());
+    for (auto const& field : message)
+        m_head.headers.add({field.name_string().data(), field.name_string().size()},
+                           {field.value().data(), field.value().size()});
+}
+
+std::string response_reader::take_body()
+{
+    std::string taken;
+    taken.swap(m_parser->get().body());
+    return taken;
+}
+
+bool response_reader::connection_reusable() const noexcept
+{
+    return m_state == state::complete && m_buffer.size() == 0 && m_parser->keep_alive() &&
+           !m_parser->need_eof();
+}
+
+} // namespace jasminepier::http
--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -85,14 +85,26 @@
            std::all_of(message.crashes.begin(), message.crashes.end(), check);
 }
 
-} // namespace
+bool valid(server_use const& use)
+{
+    return use.running >= 0 && use.reserved_tokens >= 0 && use.unread_prompt_tokens >= 0 &&
+           use.recent_attempts >= 0 && use.recent_failures >= 0;
+}
 
-bool valid_record(member_record const& record)
+bool valid(node_report const& report)
 {
-    return valid(record);
+    return valid_identifier(report.node) && valid_name(report.zone) &&
+           valid_identifier(report.caller_address) && valid_port(report.peer_port) &&
+           report.started >= 0 && report.sequence >= 0 && report.configuration_revision >= 0 &&
+           report.server_revision >= 0 &&
+           std::all_of(report.uses.begin(), report.uses.end(),
+                       [](auto const& use) { return valid(use); }) &&
+           std::all_of(report.crashes.begin(), report.crashes.end(),
+                       [](auto const& crash) { return valid(crash); });
 }
 
-std::string encode_datagram(gossip_datagram const& message)
+template <class Message>
+std::string encode(Message const& message)
 {
     auto const buffer = std::make_shared<TMemoryBuffer>();
     TCompactProtocolT<TMemoryBuffer> protocol(buffer);
@@ -100,7 +112,8 @@
     return buffer->getBufferAsString();
 }
 
-base::result<gossip_datagram> decode_datagram(std::string_view bytes)
+template <class Message>
+base::result<Message> decode(std::string_view bytes)
 {
     if (bytes.size() > maximum_datagram_bytes)
         return base::fail(base::error_kind::payload_too_large, "datagram is too long");
@@ -115,7 +128,7 @@
             TMemoryBuffer::OBSERVE, configuration);
         TCompactProtocolT<TMemoryBuffer> protocol(buffer, static_cast<int>(maximum_datagram_bytes),
                                                   maximum_elements);
-        gossip_datagram message;
+        Message message;
         message.read(&protocol);
         if (valid(message))
             return message;
@@ -127,6 +140,33 @@
     return base::fail(base::error_kind::bad_request, "datagram has values out of range");
 }
 
+} // namespace
+
+bool valid_record(member_record const& record)
+{
+    return valid(record);
+}
+
+std::string encode_datagram(gossip_datagram const& message)
+{
+    return encode(message);
+}
+
+base::result<gossip_datagram> decode_datagram(std::string_view bytes)
+{
+    return decode<gossip_datagram>(bytes);
+}
+
+std::string encode_report(node_report const& report)
+{
+    return encode(report);
+}
+
+base::result<node_report> decode_report(std::string_view bytes)
+{
+    return decode<node_report>(bytes);
+}
+
 datagram_socket::datagram_socket(std::string const& host, std::uint16_t port)
     : m_socket(Poco::Net::SocketAddress(host, port), false)
 {
@@ -134,7 +174,11 @@
 
 void datagram_socket::send(std::string const& host, int port, gossip_datagram const& message)
 {
-    auto const bytes = encode_datagram(message);
+    send_bytes(host, port, encode_datagram(message));
+}
+
+void datagram_socket::send_bytes(std::string const& host, int port, std::string_view bytes)
+{
     if (bytes.size() > maximum_datagram_bytes)
     {
         base::log_line(base::log_level::error, "datagram_too_long").field("bytes", bytes.size());
@@ -151,26 +195,34 @@
     }
 }
 
-std::optional<gossip_datagram> datagram_socket::receive(std::chrono::milliseconds timeout)
+std::optional<std::string> datagram_socket::receive_bytes(std::chrono::milliseconds timeout)
 {
     // One byte more than allowed shows that a datagram was longer.
-    std::array<char, maximum_datagram_bytes + 1> buffer{};
-    int length = 0;
+    std::string buffer(maximum_datagram_bytes + 1, '\0');
     try
     {
         if (!m_socket.poll(Poco::Timespan(timeout.count() * 1000), Poco::Net::Socket::SELECT_READ))
             return std::nullopt;
-        length = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        auto const length = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        buffer.resize(static_cast<std::size_t>(std::max(length, 0)));
+        return buffer;
     }
     catch (std::exception const&)
     {
         // An earlier sending to a closed port is reported here as "connection refused".
         return std::nullopt;
     }
+}
+
+std::optional<gossip_datagram> datagram_socket::receive(std::chrono::milliseconds timeout)
+{
+    auto const bytes = receive_bytes(timeout);
+    if (!bytes)
+        return std::nullopt;
     return base::handle(
         [&]() -> base::result<std::optional<gossip_datagram>>
         {
-            BOOST_LEAF_AUTO(message, decode_datagram({buffer.data(), std::size_t(length)}));
+            BOOST_LEAF_AUTO(message, decode_datagram(*bytes));
             return std::optional(std::move(message));
         },
         [this](base::error const&)
--- a/libraries/inner_protocol/datagram.hpp
+++ b/libraries/inner_protocol/datagram.hpp
@@ -26,6 +26,10 @@
 /// are empty or too long, and hosts that are not IP addresses.
 base::result<gossip_datagram> decode_datagram(std::string_view bytes);
 
+/// The same for the reports of nodes on the platform.
+std::string encode_report(node_report const& report);
+base::result<node_report> decode_report(std::string_view bytes);
+
 /// Checks a record that came over a call instead of a datagram.
 bool valid_record(member_record const& record);
 
@@ -39,6 +43,11 @@
     /// Drops the datagram when it is too long or the network refuses it; a lost datagram is normal.
     void send(std::string const& host, int port, gossip_datagram const& message);
 
+    void send_bytes(std::string const& host, int port, std::string_view bytes);
+
+    /// Waits up to `timeout` for the bytes of one datagram.
+    std::optional<std::string> receive_bytes(std::chrono::milliseconds timeout);
+
     /// Waits up to `timeout` for a datagram. Malformed ones are counted and dropped.
     std::optional<gossip_datagram> receive(std::chrono::milliseconds timeout);
 
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -129,3 +129,30 @@
   // this node will never dispatch the claim with this nonce.
   claim_progress claim_status(1: string claim_name, 2: string nonce),
 }
+
+// One node's use of one server. Counts of outcomes are decayed and in hundredths.
+struct server_use {
+  1: i32 server,                  // short hash of the server's id
+  2: i32 running,
+  3: i32 reserved_tokens,
+  4: i32 unread_prompt_tokens,
+  5: i32 recent_attempts,
+  6: i32 recent_failures,
+  7: bool unreachable,
+}
+
+// What a node on the platform tells its peers several times a second.
+struct node_report {
+  1: string node,
+  2: i64 started,                 // Unix milliseconds of the process's start
+  3: i64 sequence,
+  4: string zone,
+  5: string caller_address,
+  6: i32 peer_port,
+  7: bool ready,
+  8: bool stopping,
+  9: i64 configuration_revision,
+  10: i64 server_revision,
+  11: list<server_use> uses,
+  12: list<crash_record> crashes,
+}
--- /dev/null
+++ b/libraries/serving/event_splitter.cpp
@@ -0,0 +1,75 @@
+#include "serving/event_splitter.hpp"
+
+#include <charconv>
+
+namespace jasminepier::serving
+{
+namespace
+{
+
+std::string find_id(std::string_view event)
+{
+    while (!event.empty())
+    {
+        auto const end = event.find('\n');
+        auto line = event.substr(0, end);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        if (line.starts_with("id:"))
+        {
+            line.remove_prefix(3);
+            if (!line.empty() && line.front() == ' ')
+                line.remove_prefix(1);
+            return std::string(line);
+        }
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return {};
+}
+
+/// Returns the place behind the first blank line, or npos.
+std::size_t find_event_end(std::string_view text)
+{
+    for (auto place = text.find('\n'); place != std::string_view::npos;
+         place = text.find('\n', place + 1))
+    {
+        if (text.substr(place + 1).starts_with('\n'))
+            return place + 2;
+        if (text.substr(place + 1).starts_with("\r\n"))
+            return place + 3;
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+std::vector<whole_event> event_splitter::feed(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    std::vector<whole_event> events;
+    std::string_view rest = m_pending;
+    while (true)
+    {
+        auto const end = find_event_end(rest);
+        if (end == std::string_view::npos)
+            break;
+        auto const event = rest.substr(0, end);
+        events.push_back({std::string(event), find_id(event)});
+        rest.remove_prefix(end);
+    }
+    m_pending.erase(0, m_pending.size() - rest.size());
+    return events;
+}
+
+std::optional<std::int64_t> parse_event_number(std::string_view id)
+{
+    std::int64_t value = 0;
+    auto const parsed = std::from_chars(id.data(), id.data() + id.size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != id.data() + id.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace jasminepier::serving
--- /dev/null
+++ b/libraries/serving/node_directory.cpp
@@ -0,0 +1,131 @@
+#include "serving/node_directory.hpp"
+
+#include <algorithm>
+
+namespace jasminepier::serving
+{
+namespace
+{
+
+// A datagram to each peer every 25 ms keeps a node's reports at 40 a second in a full mesh.
+constexpr base::milliseconds interval_per_peer{25};
+constexpr base::milliseconds fastest_report_interval{100};
+
+} // namespace
+
+void node_directory::apply_listed(std::vector<node_entry> const& entries, base::time_point now)
+{
+    for (auto& [name, node] : m_nodes)
+        node.listed = false;
+    for (auto const& entry : entries)
+        add_listed(entry, now);
+}
+
+void node_directory::add_listed(node_entry const& entry, base::time_point now)
+{
+    if (entry.name == m_self.name)
+        return;
+    auto& node = m_nodes[entry.name];
+    node.entry = entry;
+    node.listed = true;
+    if (node.listed_since == base::time_point{})
+        node.listed_since = now;
+}
+
+void node_directory::remove_listed(std::string const& name)
+{
+    if (auto const found = m_nodes.find(name); found != m_nodes.end())
+        found->second.listed = false;
+}
+
+bool node_directory::apply_report(node_state_report const& report, base::time_point now)
+{
+    if (report.entry.name == m_self.name)
+        return false;
+    auto& node = m_nodes[report.entry.name];
+    if (report.started < node.started ||
+        (report.started == node.started && report.sequence <= node.sequence))
+        return false;
+    node.entry = report.entry;
+    node.started = report.started;
+    node.sequence = report.sequence;
+    node.phase = report.phase;
+    node.heard = now;
+    node.ever_heard = true;
+    return true;
+}
+
+std::vector<node_entry> node_directory::peers() const
+{
+    std::vector<node_entry> peers;
+    for (auto const& [name, node] : m_nodes)
+        peers.push_back(node.entry);
+    return peers;
+}
+
+bool node_directory::alive(known_node const& node, base::time_point now) const noexcept
+{
+    auto const limit =
+        report_interval() < base::milliseconds(300) ? short_silence_limit : silence_limit;
+    return node.ever_heard && now < node.heard + limit;
+}
+
+std::vector<std::string> node_directory::live_names(base::time_point now) const
+{
+    std::vector<std::string> names{m_self.name};
+    for (auto const& [name, node] : m_nodes)
+        if (alive(node, now))
+            names.push_back(name);
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::vector<std::string> node_directory::caller_addresses(std::size_t limit,
+                                                          base::time_point now) const
+{
+    std::vector<std::string> addresses;
+    if (m_phase == node_phase::ready)
+        addresses.push_back(m_self.caller_address);
+    for (auto const& [name, node] : m_nodes)
+        if (alive(node, now) && node.phase == node_phase::ready)
+            addresses.push_back(node.entry.caller_address);
+    if (addresses.size() > limit)
+    {
+        // Each node leaves out others, so that every node is named by about as many.
+        auto const turn =
+            static_cast<std::ptrdiff_t>(std::hash<std::string>{}(m_self.name) % addresses.size());
+        std::rotate(addresses.begin(), addresses.begin() + turn, addresses.end());
+        addresses.resize(limit);
+    }
+    return addresses;
+}
+
+base::milliseconds node_directory::report_interval() const noexcept
+{
+    return std::clamp(interval_per_peer * static_cast<int>(m_nodes.size()), fastest_report_interval,
+                      slowest_report_interval);
+}
+
+std::vector<std::string> node_directory::expire(base::time_point now)
+{
+    std::vector<std::string> silent;
+    for (auto it = m_nodes.begin(); it != m_nodes.end();)
+    {
+        bool const forgotten = !it->second.listed && !alive(it->second, now);
+        if (!alive(it->second, now))
+            silent.push_back(it->first);
+        it = forgotten ? m_nodes.erase(it) : std::next(it);
+    }
+    return silent;
+}
+
+std::vector<std::string> node_directory::long_silent(base::time_point now) const
+{
+    std::vector<std::string> names;
+    for (auto const& [name, node] : m_nodes)
+        if (node.listed && now > std::max(node.heard, node.listed_since) + removal_limit)
+            names.push_back(name);
+    return names;
+}
+
+} // namespace jasminepier::serving
--- /dev/null
+++ b/libraries/serving/node_directory.hpp
@@ -0,0 +1,92 @@
+/// The entry nodes that live, as callers and peers need them.
+#pragma once
+
+#include "base/clock.hpp"
+#include "serving/node_entry.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jasminepier::serving
+{
+
+/// Whether a node takes callers.
+enum class node_phase
+{
+    starting,
+    ready,
+    stopping,
+};
+
+/// What a node last said about itself. A later start replaces an earlier one; within a start the
+/// higher sequence number does.
+struct node_state_report
+{
+    node_entry entry;
+    std::int64_t started = 0;
+    std::int64_t sequence = 0;
+    node_phase phase = node_phase::starting;
+};
+
+/// Merges the store's list of nodes with the nodes' own reports. Not synchronized.
+class node_directory
+{
+public:
+    /// A node reports at least every `slowest_report_interval`; one that is silent for three
+    /// intervals and a margin for lost datagrams is not named to callers any more.
+    static constexpr base::milliseconds slowest_report_interval{1000};
+    static constexpr base::milliseconds silence_limit{3500};
+    /// Limit in a deployment of few nodes, which report more often.
+    static constexpr base::milliseconds short_silence_limit{1500};
+    /// An entry of a node that nobody heard for this long is removed from the store.
+    static constexpr base::milliseconds removal_limit{30000};
+
+    explicit node_directory(node_entry self) : m_self(std::move(self)) {}
+
+    void set_phase(node_phase phase) noexcept { m_phase = phase; }
+    node_phase phase() const noexcept { return m_phase; }
+    node_entry const& self() const noexcept { return m_self; }
+
+    /// Takes over the store's list. Nodes missing there are kept as long as they report.
+    void apply_listed(std::vector<node_entry> const& entries, base::time_point now);
+    void add_listed(node_entry const& entry, base::time_point now);
+    void remove_listed(std::string const& name);
+    /// Returns false for a report that is older than the one held.
+    bool apply_report(node_state_report const& report, base::time_point now);
+
+    /// Nodes to which reports are sent.
+    std::vector<node_entry> peers() const;
+    /// Names of the nodes that live, this one included, in order.
+    std::vector<std::string> live_names(base::time_point now) const;
+    /// Addresses for callers: nodes that live and are ready, at most `limit`.
+    std::vector<std::string> caller_addresses(std::size_t limit, base::time_point now) const;
+    /// Time between two reports of a node, so that the traffic of a node stays bounded.
+    base::milliseconds report_interval() const noexcept;
+    /// Forgets silent nodes that the store does not list. Returns their names.
+    std::vector<std::string> expire(base::time_point now);
+    /// Listed nodes that nobody heard for `removal_limit`.
+    std::vector<std::string> long_silent(base::time_point now) const;
+
+private:
+    struct known_node
+    {
+        node_entry entry;
+        bool listed = false;
+        base::time_point listed_since{};
+        std::int64_t started = 0;
+        std::int64_t sequence = 0;
+        node_phase phase = node_phase::starting;
+        base::time_point heard{};
+        bool ever_heard = false;
+    };
+
+    bool alive(known_node const& node, base::time_point now) const noexcept;
+
+    node_entry m_self;
+    node_phase m_phase = node_phase::starting;
+    std::map<std::string, known_node> m_nodes;
+};
+
+} // namespace jasminepier::serving
--- /dev/null
+++ b/libraries/serving/server_directory.hpp
@@ -0,0 +1,93 @@
+/// The backend servers that the store lists.
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace jasminepier::serving
+{
+
+/// One server as it describes itself.
+struct server_entry
+{
+    /// Names one incarnation of the server in most cases; see `born`.
+    std::string id;
+    std::string service;
+    /// IP:PORT.
+    std::string address;
+    std::string zone;
+    int slots = 1;
+    bool draining = false;
+    /// How much longer the server is cold, as of when it wrote the entry.
+    base::milliseconds cold_for{0};
+    /// Unix milliseconds of the server's start; a server may start again under its id.
+    std::int64_t born = 0;
+    /// The store's revision of the entry.
+    std::int64_t revision = 0;
+};
+
+enum class server_phase
+{
+    ready,
+    draining,
+    /// The entry was removed while the store was away or just after; servers write such entries
+    /// again within `lapse_grace`.
+    lapsed,
+    gone,
+};
+
+struct listed_server
+{
+    server_entry entry;
+    server_phase phase = server_phase::ready;
+    base::time_point phase_since{};
+    base::time_point cold_until{};
+};
+
+/// Follows the store's list of servers. Deletions around an outage of the store are held back,
+/// since entries lapse when servers cannot renew them. Not synchronized.
+class server_directory
+{
+public:
+    /// Servers write lapsed entries again within about 2 s of the store's return (platform pages).
+    static constexpr base::milliseconds lapse_grace{2200};
+    /// A removed server is remembered for as long as its address is not used again and runs that
+    /// it still serves may end.
+    static constexpr base::milliseconds memory_of_gone{30000};
+
+    /// Takes over a complete list read at `revision`.
+    void apply_list(std::span<server_entry const> entries, std::int64_t revision,
+                    base::time_point now);
+    void apply_entry(server_entry const& entry, base::time_point now);
+    void apply_removal(std::string const& id, std::int64_t revision, base::time_point now);
+
+    void note_store_lost(base::time_point now);
+    void note_store_reached(base::time_point now);
+    /// Ends the grace of lapsed entries. Returns true when a server changed its phase.
+    bool expire(base::time_point now);
+
+    std::map<std::string, listed_server> const& servers() const noexcept { return m_servers; }
+    std::int64_t revision() const noexcept { return m_revision; }
+    /// Changes with every change of a server's entry or phase.
+    std::uint64_t generation() const noexcept { return m_generation; }
+
+private:
+    void remove(listed_server& server, base::time_point now);
+
+    std::map<std::string, listed_server> m_servers;
+    /// The revision at which each id was last removed, so that older entries stay out.
+    std::map<std::string, std::int64_t> m_removed_at;
+    std::int64_t m_revision = 0;
+    std::uint64_t m_generation = 0;
+    bool m_store_lost = false;
+    base::time_point m_store_returned{};
+    bool m_ever_returned = false;
+};
+
+} // namespace jasminepier::serving
--- /dev/null
+++ b/services/node/caller_session.cpp
@@ -0,0 +1,160 @@
+#include "services/node/caller_session.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "services/node/plain_relay.hpp"
+#include "services/node/stream_relay.hpp"
+
+#include <algorithm>
+
+namespace jasminepier::node
+{
+namespace
+{
+
+using base::error_kind;
+
+// A stream that is expected to outlast the stop of this node is better started elsewhere. A token
+// takes about 10 ms on a full engine.
+constexpr base::milliseconds time_per_token{10};
+
+std::optional<error_kind> error_of(http::read_outcome outcome)
+{
+    switch (outcome)
+    {
+    case http::read_outcome::malformed:
+        return error_kind::bad_request;
+    case http::read_outcome::head_too_large:
+        return error_kind::header_too_large;
+    case http::read_outcome::body_too_large:
+        return error_kind::payload_too_large;
+    case http::read_outcome::read_timeout:
+        return error_kind::request_timeout;
+    case http::read_outcome::request:
+    case http::read_outcome::closed:
+    case http::read_outcome::idle_timeout:
+    case http::read_outcome::interrupted:
+        break;
+    }
+    return std::nullopt;
+}
+
+std::uint64_t fingerprint_of(request_context const& context)
+{
+    auto const customer = context.customer ? context.customer->name : std::string{};
+    return base::stable_hash(context.request.body, base::stable_hash(context.request.target,
+                                                                     base::stable_hash(customer)));
+}
+
+} // namespace
+
+void caller_session::run()
+{
+    try
+    {
+        auto const configuration = m_state.configuration();
+        auto const limits = configuration ? configuration->limits : serving::caller_limits{};
+        http::caller_connection caller(socket(), {limits.head_bytes, limits.body_bytes});
+        http::wakeup wake;
+        serve_requests(caller, wake);
+    }
+    catch (std::exception const& failure)
+    {
+        base::log_line(base::log_level::warning, "connection_failed")
+            .field("reason", failure.what());
+    }
+}
+
+void caller_session::serve_requests(http::caller_connection& caller, http::wakeup& wake)
+{
+    while (true)
+    {
+        auto const configuration = m_state.configuration();
+        auto const limits = configuration ? configuration->limits : serving::caller_limits{};
+        http::request received;
+        auto const outcome = caller.read_request(received, {limits.header_time, limits.idle_time},
+                                                 m_state.closing());
+        if (outcome != http::read_outcome::request)
+            return answer_unreadable(caller, outcome);
+        m_state.add_running(1);
+        request_context context(m_state, caller, wake, std::move(received),
+                                base::steady_clock_source{}.now());
+        serve(context);
+        context.log_end();
+        m_state.add_running(-1);
+        wake.clear();
+        if (!context.keep_connection)
+            return caller.close_gracefully();
+    }
+}
+
+void caller_session::answer_unreadable(http::caller_connection& caller, http::read_outcome outcome)
+{
+    auto const kind = error_of(outcome);
+    if (!kind)
+        return;
+    base::log_line(base::log_level::info, "request_unreadable")
+        .field("caller", caller.peer())
+        .field("code", base::to_string(*kind));
+    auto const& row = base::answer_for(*kind);
+    http::header_list fields;
+    fields.add("Content-Length", "0");
+    fields.add("Connection", "close");
+    base::steady_clock_source const clock;
+    if (caller.send(http::write_response_head(row.http_status, "", fields),
+                    clock.now() + std::chrono::seconds(1)))
+        caller.close_gracefully();
+}
+
+void caller_session::serve(request_context& context)
+{
+    base::handle([&] { return check_and_relay(context); },
+                 [&](base::error const& failure) { context.refuse(failure); });
+}
+
+base::result<void> caller_session::check_and_relay(request_context& context)
+{
+    context.configuration = m_state.configuration();
+    if (!context.configuration)
+        return base::fail(error_kind::not_ready, "no configuration is known yet");
+    context.route = context.configuration->find_route(context.call.host, context.request.path());
+    if (context.route == nullptr)
+        return base::fail(error_kind::not_found, "no route");
+    auto const& route = *context.route;
+    if (context.configuration->has_customers)
+    {
+        auto const found = context.configuration->customers_by_key.find(context.call.api_key);
+        if (found != context.configuration->customers_by_key.end())
+            context.customer = found->second;
+        else if (route.requires_key)
+            return base::fail(error_kind::unauthorized, "the API key is unknown");
+    }
+    context.demand.priority = context.customer && context.customer->priority
+                                  ? *context.customer->priority
+                                  : route.priority;
+    context.deadline = context.arrival +
+                       std::min(context.call.patience.value_or(route.time_limit), route.time_limit);
+    auto const now = base::steady_clock_source{}.now();
+    if (m_state.stopping() && route.streaming &&
+        now + time_per_token * context.demand.expected_output_tokens > m_state.stop_end())
+        return base::fail(error_kind::node_stopping, "this node is stopping");
+    if (context.call.request_id.empty())
+        return base::fail(error_kind::bad_request, "the request has no id");
+    context.service = m_state.with([&](node_state::tables& held)
+                                   { return held.dispatcher.choose_service(route, held.random); });
+    if (context.service == nullptr)
+        return base::fail(error_kind::no_server, "the route has no service");
+    context.service = context.configuration->find_service(context.service->name);
+    if (context.service == nullptr)
+        return base::fail(error_kind::no_server, "the service is not configured");
+    context.fingerprint = fingerprint_of(context);
+    if (m_state.suspects().judge(context.fingerprint, now) == decision::crash_verdict::refused)
+        return base::fail(error_kind::no_server, "the request crashes servers");
+    m_state.with([&](node_state::tables& held)
+                 { held.dispatcher.add_request(context.service->name, now); });
+    if (route.streaming)
+        return stream_relay(context).serve();
+    return plain_relay(context, m_pool).serve();
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/node_metrics.cpp
@@ -0,0 +1,71 @@
+#include "services/node/node_metrics.hpp"
+
+#include "metrics/exposition.hpp"
+
+#include <array>
+
+namespace jasminepier::node
+{
+namespace
+{
+
+using metrics::duration_histogram;
+using metrics::family;
+
+// Finer around the objectives: 0.1 to 0.15 s for plain calls, 1.5 to 1.8 s for first events.
+constexpr std::array first_event_bounds{0.05, 0.1, 0.2, 0.4, 0.8, 1.1, 1.5, 1.8, 3.0, 6.0, 12.0};
+constexpr std::array answer_bounds{0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.2, 2.5, 6.0, 12.0, 39.0};
+
+struct node_families
+{
+    family<duration_histogram> answer{"jasminepier_request_seconds",
+                                      "Time from a request to the end of its answer.",
+                                      {{"route", 64}, {"outcome", 8}},
+                                      std::span<double const>(answer_bounds)};
+    family<duration_histogram> first_event{"jasminepier_first_event_seconds",
+                                           "Time from a request to the first event of its stream.",
+                                           {{"route", 64}},
+                                           std::span<double const>(first_event_bounds)};
+    family<metrics::counter> requests{"jasminepier_requests_total",
+                                      "Requests by route, outcome and error code.",
+                                      {{"route", 64}, {"outcome", 8}, {"code", 32}}};
+    family<metrics::counter> events{"jasminepier_events_total",
+                                    "Decisions and changes of belief by name and result.",
+                                    {{"event", 32}, {"result", 32}}};
+};
+
+node_families& families()
+{
+    static node_families instance;
+    return instance;
+}
+
+} // namespace
+
+void observe_request(request_labels const& labels, base::time_point::duration elapsed,
+                     std::optional<base::time_point::duration> first_event)
+{
+    auto& series = families();
+    series.requests.find({labels.route, labels.outcome, labels.code}).add();
+    series.answer.find({labels.route, labels.outcome}).observe(elapsed);
+    if (first_event)
+        series.first_event.find({labels.route}).observe(*first_event);
+}
+
+void observe_event(std::string_view event, std::string_view result)
+{
+    families().events.find({std::string(event), std::string(result)}).add();
+}
+
+std::string write_node_metrics()
+{
+    std::string out;
+    auto const& series = families();
+    metrics::write_family(out, series.requests);
+    metrics::write_family(out, series.answer, answer_bounds);
+    metrics::write_family(out, series.first_event, first_event_bounds);
+    metrics::write_family(out, series.events);
+    return out;
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/node_settings.hpp
@@ -0,0 +1,42 @@
+/// What a node learns from its environment at the start.
+#pragma once
+
+#include "base/clock.hpp"
+#include "serving/retry_allowance.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jasminepier::node
+{
+
+struct host_port
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    std::string text() const { return host + ":" + std::to_string(port); }
+};
+
+struct node_settings
+{
+    std::string name;
+    std::string host;
+    std::string zone;
+    std::string region;
+    /// Where callers send requests, ask for addresses, and where readiness is asked for.
+    host_port callers;
+    host_port addresses;
+    host_port readiness;
+    /// First port for traffic between nodes.
+    std::uint16_t peer_port = 0;
+    host_port store;
+    /// Time between the stop signal and the end of the process by force.
+    base::milliseconds stop_grace{8000};
+    /// Longest time for which callers may keep an answer with addresses.
+    base::milliseconds longest_address_life{5000};
+    serving::retry_bound retries;
+};
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/node_state.cpp
@@ -0,0 +1,46 @@
+#include "services/node/node_state.hpp"
+
+#include <chrono>
+
+namespace jasminepier::node
+{
+namespace
+{
+
+serving::node_entry describe(node_settings const& settings)
+{
+    return {settings.name, settings.zone, settings.callers.text(), settings.host,
+            settings.peer_port};
+}
+
+} // namespace
+
+node_state::node_state(node_settings settings)
+    : m_settings(std::move(settings)), m_tables{serving::dispatcher({m_settings.name,
+                                                                     m_settings.zone,
+                                                                     m_settings.retries}),
+                                                serving::node_directory(describe(m_settings)),
+                                                nullptr,
+                                                base::random_source(std::random_device{}()),
+                                                {}},
+      m_started(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count())
+{
+    m_tables.dispatcher.set_nodes({m_settings.name});
+}
+
+void node_state::begin_stop(base::time_point end)
+{
+    m_stop_end = end;
+    m_stopping = true;
+    with([](tables& held) { held.nodes.set_phase(serving::node_phase::stopping); });
+}
+
+void wake_waiting(node_state::tables& held)
+{
+    for (auto* waiting : held.waiting)
+        waiting->signal();
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/node_state.hpp
@@ -0,0 +1,80 @@
+/// What the threads of a node share.
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/ordered_mutex.hpp"
+#include "decision/crash_suspects.hpp"
+#include "http/wait_set.hpp"
+#include "services/node/node_settings.hpp"
+#include "serving/dispatcher.hpp"
+#include "serving/node_directory.hpp"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace jasminepier::node
+{
+
+/// Tables behind one lock. A request takes the lock a few times for microseconds; it is never held
+/// during I/O.
+class node_state
+{
+public:
+    struct tables
+    {
+        serving::dispatcher dispatcher;
+        serving::node_directory nodes;
+        std::shared_ptr<serving::fleet_configuration const> configuration;
+        base::random_source random;
+        /// Threads whose requests wait for a place.
+        std::set<http::wakeup*> waiting;
+    };
+
+    explicit node_state(node_settings settings);
+
+    /// Runs `body(tables&)` under the lock and returns its result.
+    template <class Body>
+    auto with(Body&& body)
+    {
+        std::lock_guard lock(m_mutex);
+        return body(m_tables);
+    }
+
+    std::shared_ptr<serving::fleet_configuration const> configuration()
+    {
+        return with([](tables& held) { return held.configuration; });
+    }
+    node_settings const& settings() const noexcept { return m_settings; }
+    decision::crash_suspects& suspects() noexcept { return m_suspects; }
+
+    /// Set once at the stop signal.
+    void begin_stop(base::time_point end);
+    bool stopping() const noexcept { return m_stopping; }
+    /// The time at which the process ends by itself; meaningful while it is stopping.
+    base::time_point stop_end() const noexcept { return m_stop_end.load(); }
+    /// Ends the waiting of idle connections at the end of a stop.
+    http::wakeup& closing() noexcept { return m_closing; }
+
+    void add_running(int amount) noexcept { m_running += amount; }
+    int running() const noexcept { return m_running; }
+    /// Distinguishes this process from earlier ones of the node.
+    std::int64_t started() const noexcept { return m_started; }
+
+private:
+    node_settings m_settings;
+    base::ordered_mutex<base::lock_level::node_state> m_mutex;
+    tables m_tables;
+    decision::crash_suspects m_suspects;
+    http::wakeup m_closing;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<base::time_point> m_stop_end{};
+    std::atomic<int> m_running{0};
+    std::int64_t m_started;
+};
+
+/// Wakes all requests that wait for a place. Call it with the tables' lock held.
+void wake_waiting(node_state::tables& held);
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/operator_handlers.cpp
@@ -0,0 +1,116 @@
+#include "services/node/operator_handlers.hpp"
+
+#include "base/log.hpp"
+#include "metrics/exposition.hpp"
+#include "platform/objects.hpp"
+#include "platform/paths.hpp"
+#include "services/node/node_metrics.hpp"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/URI.h>
+
+namespace jasminepier::node
+{
+namespace
+{
+
+// Most addresses in one answer (platform pages).
+constexpr std::size_t most_addresses = 64;
+// Callers learn of a lost or new node within this time; a shorter one would only add questions.
+constexpr base::milliseconds address_life{2000};
+
+class operator_handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit operator_handler(node_state& state) : m_state(state) {}
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response) override
+    {
+        auto const path = Poco::URI(request.getURI()).getPath();
+        if (path == platform::addresses_path)
+            return send(response, 200, "application/json", list_addresses());
+        if (path == platform::readiness_path)
+            return send(response, is_ready() ? 200 : 503, "text/plain", "");
+        if (path == "/metrics")
+            return send(response, 200, metrics::exposition_content_type, write_node_metrics());
+        send(response, 404, "text/plain", "");
+    }
+
+private:
+    bool is_ready()
+    {
+        return m_state.with([](node_state::tables& held)
+                            { return held.nodes.phase() == serving::node_phase::ready; });
+    }
+
+    std::string list_addresses()
+    {
+        auto const now = base::steady_clock_source{}.now();
+        auto const addresses =
+            m_state.with([&](node_state::tables& held)
+                         { return held.nodes.caller_addresses(most_addresses, now); });
+        return platform::write_addresses(
+            addresses, std::min(address_life, m_state.settings().longest_address_life));
+    }
+
+    static void send(Poco::Net::HTTPServerResponse& response, int status,
+                     std::string const& content_type, std::string const& body)
+    {
+        response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+        response.setContentType(content_type);
+        response.sendBuffer(body.data(), body.size());
+    }
+
+    node_state& m_state;
+};
+
+class operator_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit operator_handler_factory(node_state& state) : m_state(state) {}
+    Poco::Net::HTTPRequestHandler*
+    createRequestHandler(Poco::Net::HTTPServerRequest const&) override
+    {
+        return new operator_handler(m_state);
+    }
+
+private:
+    node_state& m_state;
+};
+
+} // namespace
+
+operator_services::operator_services(node_state& state, std::uint16_t metrics_port)
+{
+    listen(state, state.settings().addresses);
+    listen(state, state.settings().readiness);
+    if (metrics_port != 0)
+        listen(state, {state.settings().host, metrics_port});
+}
+
+operator_services::~operator_services()
+{
+    for (auto& server : m_servers)
+        server->stopAll(true);
+}
+
+void operator_services::listen(node_state& state, host_port const& address)
+{
+    // Few callers ask at the same time; a thread each would only cost memory.
+    constexpr int most_threads = 16;
+    constexpr int backlog = 256;
+    auto* const parameters = new Poco::Net::HTTPServerParams;
+    parameters->setMaxThreads(most_threads);
+    parameters->setMaxQueued(backlog);
+    parameters->setTimeout(Poco::Timespan(3, 0));
+    parameters->setKeepAliveTimeout(Poco::Timespan(3, 0));
+    Poco::Net::ServerSocket const socket(Poco::Net::SocketAddress(address.host, address.port),
+                                         backlog);
+    m_servers.push_back(std::make_unique<Poco::Net::HTTPServer>(new operator_handler_factory(state),
+                                                                socket, parameters));
+    m_servers.back()->start();
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/peer_link.cpp
@@ -0,0 +1,160 @@
+#include "services/node/peer_link.hpp"
+
+#include "base/log.hpp"
+#include "services/node/node_metrics.hpp"
+
+#include <thread>
+
+namespace jasminepier::node
+{
+namespace
+{
+
+constexpr base::milliseconds receive_wait{1000};
+// Keeps a report well below the longest datagram: a use takes about 20 bytes.
+constexpr std::size_t most_uses = 40;
+constexpr std::size_t most_crashes = 4;
+
+inner_protocol::server_use to_message(serving::server_load const& load)
+{
+    inner_protocol::server_use use;
+    use.server = load.server;
+    use.running = load.running;
+    use.reserved_tokens = static_cast<std::int32_t>(load.reserved_tokens);
+    use.unread_prompt_tokens = static_cast<std::int32_t>(load.unread_prompt_tokens);
+    use.recent_attempts = load.recent_attempts;
+    use.recent_failures = load.recent_failures;
+    use.unreachable = load.unreachable;
+    return use;
+}
+
+serving::server_load from_message(inner_protocol::server_use const& use)
+{
+    return {use.server,          use.running,         use.reserved_tokens, use.unread_prompt_tokens,
+            use.recent_attempts, use.recent_failures, use.unreachable};
+}
+
+} // namespace
+
+peer_link::peer_link(node_state& state)
+    : m_state(state), m_socket(state.settings().host, state.settings().peer_port)
+{
+    std::thread([this] { receive_for_ever(); }).detach();
+    std::thread([this] { send_for_ever(); }).detach();
+}
+
+void peer_link::send_report()
+{
+    auto const now = base::steady_clock_source{}.now();
+    inner_protocol::node_report report;
+    std::vector<serving::node_entry> peers;
+    m_state.with(
+        [&](node_state::tables& held)
+        {
+            auto const& self = held.nodes.self();
+            report.node = self.name;
+            report.zone = self.zone;
+            report.caller_address = self.caller_address;
+            report.peer_port = self.peer_port;
+            report.ready = held.nodes.phase() == serving::node_phase::ready;
+            report.stopping = held.nodes.phase() == serving::node_phase::stopping;
+            report.configuration_revision = held.configuration ? held.configuration->revision : 0;
+            report.server_revision = held.dispatcher.directory().revision();
+            for (auto const& load : held.dispatcher.own_loads(now))
+                if (report.uses.size() < most_uses)
+                    report.uses.push_back(to_message(load));
+            peers = held.nodes.peers();
+        });
+    report.started = m_state.started();
+    report.sequence = ++m_sequence;
+    auto const crashes = m_state.suspects().events(now);
+    for (auto const& event : crashes)
+    {
+        if (report.crashes.size() >= most_crashes)
+            break;
+        inner_protocol::crash_record record;
+        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
+        record.server_id = event.server;
+        record.instance = event.instance;
+        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
+        report.crashes.push_back(record);
+    }
+    auto const bytes = inner_protocol::encode_report(report);
+    for (auto const& peer : peers)
+        m_socket.send_bytes(peer.peer_host, peer.peer_port, bytes);
+}
+
+void peer_link::send_for_ever()
+{
+    while (true)
+    {
+        send_report();
+        auto const now = base::steady_clock_source{}.now();
+        auto const interval = m_state.with(
+            [&](node_state::tables& held)
+            {
+                for (auto const& name : held.nodes.expire(now))
+                    held.dispatcher.forget_peer(name);
+                held.dispatcher.set_nodes(held.nodes.live_names(now));
+                if (held.dispatcher.directory().expire(now))
+                    held.dispatcher.notify_leaving();
+                return held.nodes.report_interval();
+            });
+        std::this_thread::sleep_for(interval);
+    }
+}
+
+void peer_link::receive_for_ever()
+{
+    while (true)
+    {
+        auto const received = m_socket.receive_bytes(receive_wait);
+        if (!received)
+            continue;
+        base::handle(
+            [&]() -> base::result<void>
+            {
+                BOOST_LEAF_AUTO(report, inner_protocol::decode_report(*received));
+                apply(report, "");
+                return {};
+            },
+            [](base::error const& failure)
+            {
+                observe_event("peer_report", "malformed");
+                base::log_line(base::log_level::debug, "peer_report_malformed")
+                    .field("reason", failure.message);
+            });
+    }
+}
+
+void peer_link::apply(inner_protocol::node_report const& report, std::string const&)
+{
+    auto const now = base::steady_clock_source{}.now();
+    serving::node_state_report state;
+    auto const colon = report.caller_address.rfind(':');
+    state.entry = {report.node, report.zone, report.caller_address,
+                   report.caller_address.substr(0, colon),
+                   static_cast<std::uint16_t>(report.peer_port)};
+    state.started = report.started;
+    state.sequence = report.sequence;
+    state.phase = report.stopping ? serving::node_phase::stopping
+                  : report.ready  ? serving::node_phase::ready
+                                  : serving::node_phase::starting;
+    std::vector<serving::server_load> loads;
+    for (auto const& use : report.uses)
+        loads.push_back(from_message(use));
+    m_state.with(
+        [&](node_state::tables& held)
+        {
+            if (held.nodes.apply_report(state, now))
+                held.dispatcher.merge_peer(report.node, loads, now);
+        });
+    std::vector<decision::crash_event> crashes;
+    for (auto const& record : report.crashes)
+        crashes.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
+                           record.instance, record.age_seconds});
+    if (!crashes.empty())
+        m_state.suspects().merge(crashes, now);
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/run_handover.cpp
@@ -0,0 +1,176 @@
+#include "services/node/run_handover.hpp"
+
+#include "base/log.hpp"
+#include "platform/engine_calls.hpp"
+#include "services/node/node_metrics.hpp"
+
+namespace jasminepier::node
+{
+namespace
+{
+
+// A run that has not begun cannot be copied yet; its first token takes a few steps of the engine.
+constexpr base::milliseconds retry_pause{80};
+// Copies that fail are tried with other engines, but not for ever: the source leaves within about
+// two seconds and a copy takes a quarter of one.
+constexpr int most_failures = 8;
+// A copy of a whole memory takes up to half a second between zones and queues behind others.
+constexpr base::milliseconds call_limit{2500};
+// Freeing an unused copy is a courtesy to the engine and must not hold the worker for long.
+constexpr base::milliseconds release_limit{200};
+constexpr int not_running_status = 404;
+constexpr int copy_under_way_status = 409;
+
+} // namespace
+
+run_handover::~run_handover()
+{
+    if (m_handle.empty())
+        return;
+    auto call = platform::write_release_call(m_handle);
+    call.headers.add("Host", m_source.address);
+    base::steady_clock_source const clock;
+    http::client_exchange release(m_source.address, http::write_request(call), true, clock.now());
+    auto const until = clock.now() + release_limit;
+    http::wait_set waiting;
+    while (!release.ended() && clock.now() < until)
+    {
+        waiting.clear();
+        waiting.add(release.descriptor(), release.wanted_events());
+        waiting.wait(until);
+        release.advance(waiting.ready(0));
+    }
+    log_step("released", release.head().status);
+}
+
+void run_handover::advance(short ready, base::time_point now)
+{
+    if (m_exchange)
+    {
+        m_exchange->advance(ready);
+        m_body += m_exchange->take_body();
+        if (!m_exchange->ended() && now >= m_exchange->started() + call_limit)
+            m_exchange->fail_connecting();
+        if (!m_exchange->ended())
+            return;
+        if (m_step == step::copying)
+            finish_copy(now);
+        else
+            finish_stop(now);
+        return;
+    }
+    if (m_step == step::idle && now >= m_next_action)
+        start_copy(now);
+    else if (m_step == step::idle && m_next_action == base::time_point::max())
+        start_copy(now);
+}
+
+void run_handover::start_copy(base::time_point now)
+{
+    m_started = m_started == base::time_point{} ? now : m_started;
+    m_target = m_context.place_handover(m_source, m_tried);
+    if (!m_target)
+    {
+        retry_later("no_target", now);
+        return;
+    }
+    m_step = step::copying;
+    call_source(false, now);
+}
+
+void run_handover::call_source(bool stop_run, base::time_point now)
+{
+    auto call = platform::write_copy_call(m_context.call.request_id, m_target->server().address,
+                                          stop_run ? platform::copy_mode::stop_run
+                                                   : platform::copy_mode::while_running);
+    call.headers.add("Host", m_source.address);
+    m_body.clear();
+    m_exchange = std::make_unique<http::client_exchange>(m_source.address,
+                                                         http::write_request(call), true, now);
+    m_next_action = now + call_limit;
+}
+
+void run_handover::finish_copy(base::time_point now)
+{
+    auto const exchange = std::move(m_exchange);
+    auto const status = exchange->complete() ? exchange->head().status : 0;
+    if (status == 200)
+    {
+        m_handle = platform::read_copy_reply(m_body).handle;
+        log_step("copied", status);
+        m_step = step::stopping;
+        call_source(true, now);
+        return;
+    }
+    log_step("not_copied", status);
+    if (status != not_running_status && status != copy_under_way_status)
+        m_tried.push_back(m_target->server().id);
+    retry_later(status == not_running_status ? "not_running" : "copy_failed", now);
+}
+
+void run_handover::finish_stop(base::time_point now)
+{
+    auto const exchange = std::move(m_exchange);
+    auto const status = exchange->complete() ? exchange->head().status : 0;
+    auto const reply = platform::read_copy_reply(m_body);
+    if (!reply.handle.empty())
+        m_handle = reply.handle;
+    log_step(status == 200 ? "stopped" : "not_stopped", status);
+    observe_event("handover", status == 200 ? "carried" : "stop_failed");
+    if (status == 200 && !m_handle.empty())
+    {
+        m_step = step::ready;
+        return;
+    }
+    if (status == 503 && !reply.handle.empty())
+    {
+        // The run has stopped and its memory is still at the source.
+        m_continue_at_source = true;
+        m_step = step::ready;
+        return;
+    }
+    // The run may or may not have stopped; the stream shows it.
+    retry_later("stop_failed", now);
+}
+
+void run_handover::retry_later(std::string_view reason, base::time_point now)
+{
+    m_target.reset();
+    if (reason != "not_running")
+        ++m_failures;
+    m_step = m_failures >= most_failures ? step::impossible : step::idle;
+    m_next_action = now + retry_pause;
+    if (m_step == step::impossible)
+    {
+        log_step(reason, 0);
+        observe_event("handover", "impossible");
+    }
+}
+
+continuation run_handover::take_continuation()
+{
+    auto const from = m_source.address + "/" + m_handle;
+    m_handle.clear();
+    if (!m_continue_at_source)
+        return {std::move(*m_target), from};
+    auto const now = base::steady_clock_source{}.now();
+    auto const number = m_context.state.with(
+        [&](node_state::tables& held)
+        { return held.dispatcher.begin_run(m_source.id, m_context.demand, now, nullptr); });
+    return {server_run(m_context.state, m_source, number), from};
+}
+
+void run_handover::log_step(std::string_view result, int status) const
+{
+    auto const now = base::steady_clock_source{}.now();
+    base::log_line(base::log_level::info, "handover")
+        .field("request_id", m_context.call.request_id)
+        .field("from", m_source.id)
+        .field("to", m_target ? m_target->server().id : "")
+        .field("result", result)
+        .field("status", status)
+        .field("elapsed_ms",
+               std::chrono::duration_cast<base::milliseconds>(now - m_started).count());
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/run_handover.hpp
@@ -0,0 +1,81 @@
+/// Moves a running generation to another engine before its own one is taken away.
+#pragma once
+
+#include "http/client_exchange.hpp"
+#include "services/node/request_context.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jasminepier::node
+{
+
+/// Where a generation goes on.
+struct continuation
+{
+    server_run run;
+    /// Names the copy at the server that made it; see serving::forwarding.
+    std::string continue_from;
+};
+
+/// Copies the run's memory to another engine while it goes on, then stops it and copies the rest,
+/// so that the pause is short. Driven by the loop that relays the stream.
+class run_handover
+{
+public:
+    enum class step
+    {
+        /// Nothing under way; a copy may be tried again.
+        idle,
+        copying,
+        /// The run was told to stop; its stream may end at any moment.
+        stopping,
+        /// The run goes on at `take_continuation`.
+        ready,
+        /// No engine takes the run.
+        impossible,
+    };
+
+    run_handover(request_context& context, serving::chosen_server source)
+        : m_context(context), m_source(std::move(source))
+    {
+    }
+    run_handover(run_handover const&) = delete;
+    run_handover& operator=(run_handover const&) = delete;
+    /// Frees a copy that is not used.
+    ~run_handover();
+
+    step current() const noexcept { return m_step; }
+    int descriptor() const noexcept { return m_exchange ? m_exchange->descriptor() : -1; }
+    short wanted_events() const noexcept { return m_exchange ? m_exchange->wanted_events() : 0; }
+    /// Continues what is under way, or starts a copy when the source leaves.
+    void advance(short ready, base::time_point now);
+    /// The time at which `advance` is to be called although nothing is ready.
+    base::time_point next_action() const noexcept { return m_next_action; }
+    continuation take_continuation();
+
+private:
+    void start_copy(base::time_point now);
+    void call_source(bool stop_run, base::time_point now);
+    void finish_copy(base::time_point now);
+    void finish_stop(base::time_point now);
+    void retry_later(std::string_view reason, base::time_point now);
+    void log_step(std::string_view result, int status) const;
+
+    request_context& m_context;
+    serving::chosen_server m_source;
+    step m_step = step::idle;
+    std::unique_ptr<http::client_exchange> m_exchange;
+    std::string m_body;
+    std::optional<server_run> m_target;
+    std::vector<std::string> m_tried;
+    std::string m_handle;
+    bool m_continue_at_source = false;
+    int m_failures = 0;
+    base::time_point m_next_action = base::time_point::max();
+    base::time_point m_started{};
+};
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/server_run.hpp
@@ -0,0 +1,70 @@
+/// One request's use of one server.
+#pragma once
+
+#include "services/node/node_state.hpp"
+
+namespace jasminepier::node
+{
+
+/// Counts a request at its server from the decision to the end. Ends without evidence when it is
+/// destroyed.
+class server_run
+{
+public:
+    server_run(node_state& state, serving::chosen_server server, serving::run_number number)
+        : m_state(&state), m_server(std::move(server)), m_number(number)
+    {
+    }
+    server_run(server_run&& other) noexcept
+        : m_state(std::exchange(other.m_state, nullptr)), m_server(std::move(other.m_server)),
+          m_number(other.m_number)
+    {
+    }
+    server_run& operator=(server_run&& other) noexcept
+    {
+        if (this != &other)
+        {
+            end(serving::server_verdict::no_evidence);
+            m_state = std::exchange(other.m_state, nullptr);
+            m_server = std::move(other.m_server);
+            m_number = other.m_number;
+        }
+        return *this;
+    }
+    ~server_run() { end(serving::server_verdict::no_evidence); }
+
+    serving::chosen_server const& server() const noexcept { return m_server; }
+
+    void end(serving::server_verdict verdict)
+    {
+        if (m_state == nullptr)
+            return;
+        auto const now = base::steady_clock_source{}.now();
+        m_state->with(
+            [&](node_state::tables& held)
+            {
+                held.dispatcher.end_run(m_number, verdict, now);
+                wake_waiting(held);
+            });
+        m_state = nullptr;
+    }
+    void note_first_event()
+    {
+        if (m_state != nullptr)
+            m_state->with([&](node_state::tables& held)
+                          { held.dispatcher.note_first_event(m_number); });
+    }
+    bool leaving()
+    {
+        return m_state != nullptr &&
+               m_state->with([&](node_state::tables& held)
+                             { return held.dispatcher.is_leaving(m_server.id); });
+    }
+
+private:
+    node_state* m_state;
+    serving::chosen_server m_server;
+    serving::run_number m_number;
+};
+
+} // namespace jasminepier::node
