Node: Let a handed over run go on, keep to a route's servers

Cause: the loop took the end of a stopped run's stream for a break and dropped the copy that was ready; a hedged request counted only finished servers, so a third one could run it. Ruled out: copies failing, 104 of 104 calls answered 200.

--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -37,7 +37,7 @@
 bool plain_relay::may_send_again()
 {
     return m_context.sends < most_sends && m_context.time_left().count() > 0 &&
-           (!m_started_work || m_context.servers_used < m_context.route->maximum_servers) &&
+           m_context.servers_used < m_context.route->maximum_servers &&
            m_context.take_retry();
 }
 
@@ -57,6 +57,7 @@
         kept ? std::make_unique<http::client_exchange>(*kept, bytes, expect_body, now())
              : std::make_unique<http::client_exchange>(server.address, bytes, expect_body, now());
     ++m_context.sends;
+    ++m_context.servers_used;
     m_context.last_server = server.id;
     return started;
 }
@@ -64,9 +65,7 @@
 std::optional<plain_relay::attempt> plain_relay::start_hedge()
 {
     m_hedged = true;
-    auto excluded = m_context.excluded;
-    if (m_context.servers_used + 1 >= m_context.route->maximum_servers + 1 ||
-        !m_context.take_retry())
+    if (!may_send_again())
         return std::nullopt;
     auto run = m_context.place();
     if (!run)
@@ -93,6 +92,7 @@
         (exchange.failure() != http::exchange_failure::none && !exchange.request_started()))
     {
         log_failure("not_connected");
+        --m_context.servers_used;
         current.run.end(server_verdict::unreachable);
         return verdict::not_run;
     }
@@ -112,6 +112,7 @@
     if (own && reply.declined)
     {
         log_failure("declined");
+        --m_context.servers_used;
         current.run.end(reply.wrong_server ? server_verdict::unreachable
                                            : server_verdict::declined);
         return verdict::not_run;
@@ -236,7 +237,6 @@
             return base::fail(error_kind::server_unreachable, "the server took no request");
         case verdict::failed:
         case verdict::failure_answer:
-            ++m_context.servers_used;
             if (may_repeat() && may_send_again())
                 break;
             if (m_failure_answer)
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -58,6 +58,9 @@
     m_failure_body.clear();
     m_sent_any = false;
     ++m_context.sends;
+    // A run that goes on from its copy is the same run.
+    if (!m_continued)
+        ++m_context.servers_used;
     m_context.last_server = server.id;
 }
 
@@ -77,7 +80,7 @@
     auto const silence = std::chrono::duration_cast<base::milliseconds>(
         silence_factor * m_context.route->latency_objective);
     bool const silent = m_context.route->repeats == serving::repeatability::resumable &&
-                        m_context.servers_used + 1 < m_context.route->maximum_servers &&
+                        m_context.servers_used < m_context.route->maximum_servers &&
                         time >= m_exchange->last_received() + silence;
     if (silent)
         return stream_end::broken;
@@ -324,8 +327,8 @@
                                       : error_kind::deadline_exceeded,
                                   "the answer did not end in time");
         bool const not_run = end == stream_end::not_run && !m_continued;
-        if (!not_run)
-            ++m_context.servers_used;
+        if (not_run)
+            --m_context.servers_used;
         bool const again =
             not_run && m_context.sends < most_sends ? m_context.take_retry() : may_resume();
         if (again)
