--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -185,11 +185,11 @@
         // A run that was told to stop ends its stream without its end, before or after the call's
         // answer.
         bool const stopping = m_handover && m_handover->current() == run_handover::step::stopping;
+        bool const ready = m_handover && m_handover->current() == run_handover::step::ready;
+        if (ready && (m_exchange->ended() || time >= m_handover->next_action()))
+            return stream_end::handed_over;
         if (arrived && (*arrived != stream_end::broken || !stopping))
             return *arrived;
-        if (m_handover && m_handover->current() == run_handover::step::ready &&
-            (m_exchange->ended() || time >= m_handover->next_action()))
-            return stream_end::handed_over;
         bool const leaving = handover_due() && m_run->leaving();
         if (leaving && !m_handover)
             m_handover = std::make_unique<run_handover>(m_context, m_run->server());
