Node: Stop a moved run only when the links are free

Cause: a run's last copy queued behind the first copies of the other runs of the leaving server, 0.3 to 1.5 s during which the stream stood still. Ruled out: slow first steps at the new server (2 to 15 ms in the logs).

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -29,7 +29,7 @@
 // Preference for the near zone: small for new work, since a zone costs a few milliseconds; larger
 // for a handover, whose copy takes twice as long between zones.
 constexpr double far_zone_penalty = 0.05;
-constexpr double far_zone_handover_penalty = 0.25;
+constexpr double far_zone_handover_penalty = 0.5;
 // Spreads the choices of nodes that read the same reports over nearly equal servers.
 constexpr double score_noise = 0.05;
 // First pause after a failed connection; doubles up to the longest one.
--- a/services/node/run_handover.cpp
+++ b/services/node/run_handover.cpp
@@ -16,6 +16,12 @@
 constexpr int most_failures = 8;
 // A copy of a whole memory takes up to half a second between zones and queues behind others.
 constexpr base::milliseconds call_limit{2500};
+// A pause of this length stays under the longest one that callers accept (180 ms) after the stop,
+// the last copy and the new server's first step.
+constexpr base::milliseconds short_copy{60};
+// Servers leave 1.5 to 2.1 s after their notice; a run that still stands in line by then is stopped
+// all the same, since a late answer is better than a lost one.
+constexpr base::milliseconds latest_stop{1150};
 // Freeing an unused copy is a courtesy to the engine and must not hold the worker for long.
 constexpr base::milliseconds release_limit{200};
 constexpr int not_running_status = 404;
@@ -96,10 +102,16 @@
     auto const status = exchange->complete() ? exchange->head().status : 0;
     if (status == 200)
     {
-        m_handle = platform::read_copy_reply(m_body).handle;
+        if (auto const reply = platform::read_copy_reply(m_body); !reply.handle.empty())
+            m_handle = reply.handle;
         log_step("copied", status);
-        m_step = step::stopping;
-        call_source(true, now);
+        // The last copy waits behind other copies on the links while the run stands still, so the
+        // run is stopped only when a copy of what is new has come through quickly.
+        bool const links_free = now - exchange->started() <= short_copy;
+        bool const stop_run = links_free || now >= m_started + latest_stop;
+        if (stop_run)
+            m_step = step::stopping;
+        call_source(stop_run, now);
         return;
     }
     log_step("not_copied", status);
