Node: Reread settings after SIGHUP and when the file changes

Ruled out: memory (5.8 MB) and exceptions (none in the logs). SIGHUP is now waited for like SIGTERM; the file is also compared every second, since it may change without a signal.

--- a/libraries/base/stop_signal.cpp
+++ b/libraries/base/stop_signal.cpp
@@ -16,12 +16,19 @@
     return signals;
 }
 
+sigset_t stop_and_reload_signals()
+{
+    auto signals = stop_signals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
 } // namespace
 
 void block_stop_signals()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    auto const signals = stop_signals();
+    auto const signals = stop_and_reload_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
@@ -32,4 +39,17 @@
     sigwait(&signals, &received);
 }
 
+process_signal wait_for_signal(std::chrono::milliseconds limit)
+{
+    auto const signals = stop_and_reload_signals();
+    auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+    timespec const wait{
+        seconds.count(),
+        std::chrono::duration_cast<std::chrono::nanoseconds>(limit - seconds).count()};
+    auto const received = sigtimedwait(&signals, nullptr, &wait);
+    if (received == SIGHUP)
+        return process_signal::reload;
+    return received > 0 ? process_signal::stop : process_signal::none;
+}
+
 } // namespace jasminepier::base
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -118,6 +118,7 @@
     explicit dispatcher(dispatcher_settings settings) : m_settings(std::move(settings)) {}
 
     void set_configuration(std::shared_ptr<fleet_configuration const> configuration);
+    void set_retry_bound(retry_bound bound) noexcept { m_settings.retries = bound; }
     /// Evacuated zones receive nothing new.
     void set_evacuated_zones(std::set<std::string> zones) { m_evacuated = std::move(zones); }
     std::set<std::string> const& evacuated_zones() const noexcept { return m_evacuated; }
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -9,6 +9,7 @@
 #include "services/node/node_state.hpp"
 #include "services/node/operator_handlers.hpp"
 #include "services/node/peer_link.hpp"
+#include "services/node/settings_reload.hpp"
 #include "services/node/store_watcher.hpp"
 
 #include <Poco/Net/TCPServer.h>
@@ -27,6 +28,8 @@
 // A stopping node goes on until callers have had time to learn of it, even without requests.
 constexpr base::milliseconds shortest_stop{3500};
 constexpr base::milliseconds stop_step{50};
+// The settings file may change without a signal.
+constexpr base::milliseconds settings_check{1000};
 
 /// Serves until running requests have ended or the time is up. The other nodes stop naming this one
 /// to callers, while callers that know it still are served.
@@ -34,7 +37,7 @@
 {
     base::steady_clock_source const clock;
     auto const begin = clock.now();
-    auto const end = begin + state.settings().stop_grace - stop_margin;
+    auto const end = begin + state.settings()->stop_grace - stop_margin;
     state.begin_stop(end);
     peers.send_report();
     base::log_line(base::log_level::info, "stopping").field("running", state.running());
@@ -111,7 +114,12 @@
     Poco::Net::TCPServer server(new node::caller_session_factory(state, pool), threads, socket,
                                 parameters);
     server.start();
-    base::wait_for_stop_signal();
+    node::settings_reload reload(state, std::getenv(platform::settings_path_variable));
+    for (auto signal = base::process_signal::none; signal != base::process_signal::stop;)
+    {
+        signal = base::wait_for_signal(settings_check);
+        reload.check(signal == base::process_signal::reload ? "signal" : "changed");
+    }
     stop_gracefully(state, peers);
     std::_Exit(0);
 }
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -46,7 +46,14 @@
     {
         return with([](tables& held) { return held.configuration; });
     }
-    node_settings const& settings() const noexcept { return m_settings; }
+    /// The settings in force; a reload replaces them as a whole.
+    std::shared_ptr<node_settings const> settings()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_settings;
+    }
+    /// Takes over changed settings. Addresses, names and ports keep their value until a restart.
+    void reload(node_settings changed);
     decision::crash_suspects& suspects() noexcept { return m_suspects; }
 
     /// Set once at the stop signal.
@@ -63,8 +70,8 @@
     std::int64_t started() const noexcept { return m_started; }
 
 private:
-    node_settings m_settings;
     base::ordered_mutex<base::lock_level::node_state> m_mutex;
+    std::shared_ptr<node_settings const> m_settings;
     tables m_tables;
     decision::crash_suspects m_suspects;
     http::wakeup m_closing;
--- a/services/node/operator_handlers.cpp
+++ b/services/node/operator_handlers.cpp
@@ -52,7 +52,7 @@
             m_state.with([&](node_state::tables& held)
                          { return held.nodes.caller_addresses(most_addresses, now); });
         return platform::write_addresses(
-            addresses, std::min(address_life, m_state.settings().longest_address_life));
+            addresses, std::min(address_life, m_state.settings()->longest_address_life));
     }
 
     static void send(Poco::Net::HTTPServerResponse& response, int status,
@@ -84,10 +84,10 @@
 
 operator_services::operator_services(node_state& state, std::uint16_t metrics_port)
 {
-    listen(state, state.settings().addresses);
-    listen(state, state.settings().readiness);
+    listen(state, state.settings()->addresses);
+    listen(state, state.settings()->readiness);
     if (metrics_port != 0)
-        listen(state, {state.settings().host, metrics_port});
+        listen(state, {state.settings()->host, metrics_port});
 }
 
 operator_services::~operator_services()
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 peer_link::peer_link(node_state& state)
-    : m_state(state), m_socket(state.settings().host, state.settings().peer_port)
+    : m_state(state), m_socket(state.settings()->host, state.settings()->peer_port)
 {
     std::thread([this] { receive_for_ever(); }).detach();
     std::thread([this] { send_for_ever(); }).detach();
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -108,7 +108,7 @@
             }
             serving::placement_query query{service->name, demand, excluded,
                                            serving::placement_purpose::new_work,
-                                           state.settings().zone};
+                                           held.nodes.self().zone};
             found = held.dispatcher.choose_server(query, now, held.random);
             // A server that failed this request before is better than none.
             if (!found.server && !found.worth_waiting() && !excluded.empty())
--- /dev/null
+++ b/services/node/settings_reload.cpp
@@ -0,0 +1,51 @@
+#include "services/node/settings_reload.hpp"
+
+#include "base/log.hpp"
+#include "platform/settings.hpp"
+#include "services/node/node_metrics.hpp"
+
+#include <fstream>
+#include <iterator>
+
+namespace jasminepier::node
+{
+
+settings_reload::settings_reload(node_state& state, std::string path)
+    : m_state(state), m_path(std::move(path)), m_content(read_content())
+{
+}
+
+std::string settings_reload::read_content() const
+{
+    std::ifstream file(m_path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void settings_reload::check(std::string_view reason)
+{
+    auto content = read_content();
+    if (content == m_content)
+        return;
+    m_content = std::move(content);
+    base::handle(
+        [&]() -> base::result<void>
+        {
+            BOOST_LEAF_AUTO(settings, platform::read_settings(m_path));
+            m_state.reload(settings);
+            observe_event("reload", "applied");
+            base::log_line(base::log_level::info, "settings_reloaded")
+                .field("reason", reason)
+                .field("stop_grace_ms", settings.stop_grace.count())
+                .field("retry_ratio", settings.retries.ratio)
+                .field("retry_slack", settings.retries.slack);
+            return {};
+        },
+        [&](base::error const& failure)
+        {
+            observe_event("reload", "refused");
+            base::log_line(base::log_level::error, "settings_refused")
+                .field("reason", failure.message);
+        });
+}
+
+} // namespace jasminepier::node
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -191,11 +191,11 @@
 
 } // namespace
 
-store::http_object_store_settings store_settings(node_state const& state)
+store::http_object_store_settings store_settings(node_state& state)
 {
     store::http_object_store_settings settings;
-    settings.host = state.settings().store.host;
-    settings.port = state.settings().store.port;
+    settings.host = state.settings()->store.host;
+    settings.port = state.settings()->store.port;
     settings.call_timeout = call_timeout;
     settings.watch_timeout = watch_timeout;
     return settings;
--- a/services/node/store_watcher.hpp
+++ b/services/node/store_watcher.hpp
@@ -63,6 +63,6 @@
 };
 
 /// Settings of the store client that every user of the store in a node shares.
-store::http_object_store_settings store_settings(node_state const& state);
+store::http_object_store_settings store_settings(node_state& state);
 
 } // namespace jasminepier::node
