Node: Ask peers and engines while the store is away

Cause: while the store refuses a node, or is down for all, drains stay unseen and the runs of reclaimed engines are lost. Ruled out: engines that give no notice (their report says so). A node that cannot reach the store now pulls the store's objects from a peer that can, asks engines of its own runs for their state, and nodes tell each other which servers leave.

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -124,6 +124,11 @@
 
 enum claim_progress { unknown_claim = 0, dispatched = 1, abandoned = 2, finished = 3, preparing = 4 }
 
+// Between nodes on the platform: what the store said to one of them.
+service node_peer {
+  configuration_page pull_objects(1: i64 since_revision),
+}
+
 service entry_node {
   // Asks the claiming node whether it may still dispatch. An answer of abandoned is a promise that
   // this node will never dispatch the claim with this nonce.
@@ -139,6 +144,7 @@
   5: i32 recent_attempts,
   6: i32 recent_failures,
   7: bool unreachable,
+  8: bool leaving,                // drains, or was removed from the list lately
 }
 
 // What a node on the platform tells its peers several times a second.
@@ -152,7 +158,7 @@
   7: bool ready,
   8: bool stopping,
   9: i64 configuration_revision,
-  10: i64 server_revision,
+  10: bool store_reached,         // the node's own copies of the store's objects are current
   11: list<server_use> uses,
   12: list<crash_record> crashes,
 }
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -136,6 +136,15 @@
     /// leave, on the thread that reports it.
     run_number begin_run(std::string const& server, run_demand demand, base::time_point now,
                          std::function<void()> leaving);
+    /// Records that a server keeps a copy of a run: memory without a place.
+    run_number begin_copy(std::string const& server, run_demand demand, base::time_point now);
+    /// Chooses a server that keeps a copy of a run on `primary`, as long as memory is plentiful.
+    std::optional<chosen_server> choose_copy_holder(chosen_server const& primary,
+                                                    placement_query const& query,
+                                                    base::time_point now,
+                                                    base::random_source& random) const;
+    /// Addresses of the servers of this node's runs on engines, by id.
+    std::map<std::string, std::string> servers_in_use() const;
     /// The first event of the run has arrived.
     void note_first_event(run_number run);
     void end_run(run_number run, server_verdict verdict, base::time_point now);
@@ -170,6 +179,8 @@
         std::string server;
         run_demand demand;
         bool first_event = false;
+        /// False for a copy.
+        bool takes_place = true;
         std::function<void()> leaving;
     };
     struct usage
@@ -201,6 +212,7 @@
         base::milliseconds oldest{0};
     };
 
+    run_number add_run(run added);
     combined_load combine(std::string const& id, base::time_point now) const;
     obstacle find_obstacle(listed_server const& server, service const& kind,
                            combined_load const& load, placement_query const& query,
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -50,6 +50,7 @@
     node.started = report.started;
     node.sequence = report.sequence;
     node.phase = report.phase;
+    node.store_reached = report.store_reached;
     node.heard = now;
     node.ever_heard = true;
     return true;
@@ -100,6 +101,15 @@
     return addresses;
 }
 
+std::vector<node_entry> node_directory::informed_peers(base::time_point now) const
+{
+    std::vector<node_entry> informed;
+    for (auto const& [name, node] : m_nodes)
+        if (alive(node, now) && node.store_reached)
+            informed.push_back(node.entry);
+    return informed;
+}
+
 base::milliseconds node_directory::report_interval() const noexcept
 {
     return std::clamp(interval_per_peer * static_cast<int>(m_nodes.size()), fastest_report_interval,
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -28,6 +28,8 @@
     std::int64_t started = 0;
     std::int64_t sequence = 0;
     node_phase phase = node_phase::starting;
+    /// The node's copies of the store's objects are current.
+    bool store_reached = false;
 };
 
 /// Merges the store's list of nodes with the nodes' own reports. Not synchronized.
@@ -62,6 +64,8 @@
     std::vector<std::string> live_names(base::time_point now) const;
     /// Addresses for callers: nodes that live and are ready, at most `limit`.
     std::vector<std::string> caller_addresses(std::size_t limit, base::time_point now) const;
+    /// Living nodes that reach the store.
+    std::vector<node_entry> informed_peers(base::time_point now) const;
     /// Time between two reports of a node, so that the traffic of a node stays bounded.
     base::milliseconds report_interval() const noexcept;
     /// Forgets silent nodes that the store does not list. Returns their names.
@@ -78,6 +82,7 @@
         std::int64_t started = 0;
         std::int64_t sequence = 0;
         node_phase phase = node_phase::starting;
+        bool store_reached = false;
         base::time_point heard{};
         bool ever_heard = false;
     };
--- a/libraries/serving/server_directory.cpp
+++ b/libraries/serving/server_directory.cpp
@@ -65,6 +65,17 @@
     ++m_generation;
 }
 
+void server_directory::note_leaving(std::string const& id, base::time_point now)
+{
+    auto const found = m_servers.find(id);
+    if (found == m_servers.end() || found->second.phase == server_phase::draining ||
+        found->second.phase == server_phase::gone)
+        return;
+    found->second.phase = server_phase::draining;
+    found->second.phase_since = now;
+    ++m_generation;
+}
+
 void server_directory::note_store_lost(base::time_point)
 {
     m_store_lost = true;
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -67,12 +67,16 @@
     void apply_entry(server_entry const& entry, base::time_point now);
     void apply_removal(std::string const& id, std::int64_t revision, base::time_point now);
 
+    /// Another source than the store says that the server leaves.
+    void note_leaving(std::string const& id, base::time_point now);
+
     void note_store_lost(base::time_point now);
     void note_store_reached(base::time_point now);
     /// Ends the grace of lapsed entries. Returns true when a server changed its phase.
     bool expire(base::time_point now);
 
     std::map<std::string, listed_server> const& servers() const noexcept { return m_servers; }
+    bool store_lost() const noexcept { return m_store_lost; }
     std::int64_t revision() const noexcept { return m_revision; }
     /// Changes with every change of a server's entry or phase.
     std::uint64_t generation() const noexcept { return m_generation; }
--- a/libraries/serving/server_load.hpp
+++ b/libraries/serving/server_load.hpp
@@ -32,6 +32,8 @@
     std::int32_t recent_failures = 0;
     /// The node could not reach the server at its last attempt.
     bool unreachable = false;
+    /// The server drains or was removed lately, as the node knows it.
+    bool leaving = false;
 };
 
 } // namespace jasminepier::serving
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -9,6 +9,8 @@
 #include "services/node/node_state.hpp"
 #include "services/node/operator_handlers.hpp"
 #include "services/node/peer_link.hpp"
+#include "services/node/peer_objects.hpp"
+#include "services/node/server_prober.hpp"
 #include "services/node/settings_reload.hpp"
 #include "services/node/store_watcher.hpp"
 
@@ -96,9 +98,11 @@
         .field("store", settings->store.text());
     node::connection_pool pool;
     node::operator_services const services(state, metrics_port);
-    node::store_watcher const watcher(state, node::make_watched_kinds(state));
+    node::store_watcher const watcher(state);
     node::node_registrar registrar(state);
     node::peer_link peers(state);
+    node::peer_objects const peer_objects(state);
+    node::server_prober const prober(state);
     base::background_thread const upkeep(std::chrono::milliseconds(1000),
                                          [&]
                                          {
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -18,8 +18,11 @@
 node_state::node_state(node_settings settings)
     : m_settings(std::make_shared<node_settings const>(std::move(settings))),
       m_tables{serving::dispatcher({m_settings->name, m_settings->zone, m_settings->retries}),
-               serving::node_directory(describe(*m_settings)), nullptr,
-               base::random_source(std::random_device{}()), {}},
+               serving::node_directory(describe(*m_settings)),
+               nullptr,
+               {},
+               base::random_source(std::random_device{}()),
+               {}},
       m_started(std::chrono::duration_cast<std::chrono::milliseconds>(
                     std::chrono::system_clock::now().time_since_epoch())
                     .count())
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -3,6 +3,7 @@
 
 #include "base/clock.hpp"
 #include "base/ordered_mutex.hpp"
+#include "configuration/versioned_store.hpp"
 #include "decision/crash_suspects.hpp"
 #include "http/wait_set.hpp"
 #include "services/node/node_settings.hpp"
@@ -27,6 +28,8 @@
         serving::dispatcher dispatcher;
         serving::node_directory nodes;
         std::shared_ptr<serving::fleet_configuration const> configuration;
+        /// The store's objects as last read, for peers that cannot reach the store.
+        configuration::versioned_store objects;
         base::random_source random;
         /// Threads whose requests wait for a place.
         std::set<http::wakeup*> waiting;
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -25,13 +25,14 @@
     use.recent_attempts = load.recent_attempts;
     use.recent_failures = load.recent_failures;
     use.unreachable = load.unreachable;
+    use.leaving = load.leaving;
     return use;
 }
 
 serving::server_load from_message(inner_protocol::server_use const& use)
 {
     return {use.server,          use.running,         use.reserved_tokens, use.unread_prompt_tokens,
-            use.recent_attempts, use.recent_failures, use.unreachable};
+            use.recent_attempts, use.recent_failures, use.unreachable,     use.leaving};
 }
 
 } // namespace
@@ -59,7 +60,7 @@
             report.ready = held.nodes.phase() == serving::node_phase::ready;
             report.stopping = held.nodes.phase() == serving::node_phase::stopping;
             report.configuration_revision = held.configuration ? held.configuration->revision : 0;
-            report.server_revision = held.dispatcher.directory().revision();
+            report.store_reached = held.configuration && !held.dispatcher.directory().store_lost();
             for (auto const& load : held.dispatcher.own_loads(now))
                 if (report.uses.size() < most_uses)
                     report.uses.push_back(to_message(load));
@@ -137,6 +138,7 @@
                    static_cast<std::uint16_t>(report.peer_port)};
     state.started = report.started;
     state.sequence = report.sequence;
+    state.store_reached = report.store_reached;
     state.phase = report.stopping ? serving::node_phase::stopping
                   : report.ready  ? serving::node_phase::ready
                                   : serving::node_phase::starting;
@@ -146,8 +148,12 @@
     m_state.with(
         [&](node_state::tables& held)
         {
-            if (held.nodes.apply_report(state, now))
-                held.dispatcher.merge_peer(report.node, loads, now);
+            if (!held.nodes.apply_report(state, now))
+                return;
+            auto const before = held.dispatcher.directory().generation();
+            held.dispatcher.merge_peer(report.node, loads, now);
+            if (held.dispatcher.directory().generation() != before)
+                held.dispatcher.notify_leaving();
         });
     std::vector<decision::crash_event> crashes;
     for (auto const& record : report.crashes)
--- /dev/null
+++ b/services/node/peer_objects.cpp
@@ -0,0 +1,103 @@
+#include "services/node/peer_objects.hpp"
+
+#include "base/log.hpp"
+#include "inner_protocol/conversion.hpp"
+#include "platform/objects.hpp"
+#include "services/node/node_metrics.hpp"
+#include "services/node/object_feed.hpp"
+
+namespace jasminepier::node
+{
+namespace
+{
+
+// Servers give notice 1.5 to 2 s before they leave, so a copy half a second old still helps.
+constexpr std::chrono::milliseconds pull_interval{400};
+constexpr std::chrono::milliseconds pull_timeout{800};
+
+class node_peer_handler : public inner_protocol::node_peerIf
+{
+public:
+    explicit node_peer_handler(node_state& state) : m_state(state) {}
+
+    void pull_objects(inner_protocol::configuration_page& page, std::int64_t since) override
+    {
+        auto const newer =
+            m_state.with([&](node_state::tables& held) { return held.objects.since(since); });
+        page.revision = since;
+        for (auto const& item : newer)
+        {
+            page.objects.push_back(inner_protocol::to_thrift(item));
+            page.revision = std::max(page.revision, item.version);
+        }
+    }
+
+private:
+    node_state& m_state;
+};
+
+} // namespace
+
+peer_objects::peer_objects(node_state& state)
+    : m_state(state), m_server(std::make_unique<inner_protocol::rpc_server>(
+                          std::make_shared<inner_protocol::node_peerProcessor>(
+                              std::make_shared<node_peer_handler>(state)),
+                          state.settings()->host, state.settings()->peer_port)),
+      m_pulling(pull_interval, [this] { pull_if_needed(); })
+{
+}
+
+void peer_objects::pull_if_needed()
+{
+    auto const now = base::steady_clock_source{}.now();
+    std::int64_t known = 0;
+    auto const source = m_state.with(
+        [&](node_state::tables& held) -> std::optional<serving::node_entry>
+        {
+            bool const current = held.configuration && !held.dispatcher.directory().store_lost();
+            if (current)
+                return std::nullopt;
+            auto const informed = held.nodes.informed_peers(now);
+            if (informed.empty())
+                return std::nullopt;
+            known = held.configuration ? held.objects.revision() : 0;
+            std::uniform_int_distribution<std::size_t> pick(0, informed.size() - 1);
+            return informed[pick(held.random)];
+        });
+    if (!source)
+        return;
+    inner_protocol::rpc_client<inner_protocol::node_peerClient> client(
+        source->peer_host, source->peer_port, pull_timeout);
+    auto const pulled = client.call(
+        [&](inner_protocol::node_peerClient& peer)
+        {
+            inner_protocol::configuration_page page;
+            peer.pull_objects(page, known);
+            return page;
+        });
+    if (!pulled)
+    {
+        observe_event("peer_pull", "failed");
+        base::log_line(base::log_level::info, "peer_pull_failed").field("peer", source->name);
+        return;
+    }
+    auto const objects = inner_protocol::from_thrift(pulled->objects);
+    if (objects.empty())
+        return;
+    base::log_line(base::log_level::info, "objects_pulled")
+        .field("peer", source->name)
+        .field("objects", objects.size())
+        .field("since", known)
+        .field("revision", pulled->revision);
+    for (auto const& kind : followed_kinds())
+    {
+        store::object_page page;
+        page.version = pulled->revision;
+        for (auto const& item : objects)
+            if (item.kind == kind)
+                page.objects.push_back(item);
+        apply_events(m_state, kind, page);
+    }
+}
+
+} // namespace jasminepier::node
--- /dev/null
+++ b/services/node/peer_objects.hpp
@@ -0,0 +1,29 @@
+/// The store's objects by way of peers.
+#pragma once
+
+#include "base/background_thread.hpp"
+#include "inner_protocol/rpc.hpp"
+#include "node_peer.h"
+#include "services/node/node_state.hpp"
+
+#include <memory>
+
+namespace jasminepier::node
+{
+
+/// Serves this node's copies to peers, and reads theirs while this node cannot reach the store
+/// itself. The store turns single nodes away or is cut off from them while others reach it.
+class peer_objects
+{
+public:
+    explicit peer_objects(node_state& state);
+
+private:
+    void pull_if_needed();
+
+    node_state& m_state;
+    std::unique_ptr<inner_protocol::rpc_server> m_server;
+    base::background_thread m_pulling;
+};
+
+} // namespace jasminepier::node
--- a/services/node/store_watcher.hpp
+++ b/services/node/store_watcher.hpp
@@ -5,46 +5,29 @@
 #include "services/node/node_state.hpp"
 
 #include <atomic>
-#include <functional>
 #include <string>
-#include <thread>
-#include <vector>
 
 namespace jasminepier::node
 {
 
-/// What a watched kind does with what the store says. Called on the thread of the kind.
-struct watched_kind
-{
-    std::string kind;
-    /// A whole list, read at the page's version.
-    std::function<void(store::object_page const&)> apply_list;
-    std::function<void(store::object_page const&)> apply_events;
-};
-
 /// One thread for each kind: list, then watch for ever. A failed call is repeated with a growing
 /// pause; a history that the store has forgotten leads to a new list.
 class store_watcher
 {
 public:
-    store_watcher(node_state& state, std::vector<watched_kind> kinds);
+    explicit store_watcher(node_state& state);
     store_watcher(store_watcher const&) = delete;
     store_watcher& operator=(store_watcher const&) = delete;
 
 private:
-    void follow(watched_kind const& kind);
+    void follow(std::string const& kind);
     void note_call(std::string const& kind, bool reached, std::string const& reason);
 
     node_state& m_state;
     platform::object_store m_store;
-    std::vector<watched_kind> m_kinds;
     std::atomic<bool> m_reached{false};
-    std::vector<std::thread> m_threads;
 };
 
-/// The kinds that a node needs, with their effect on its tables.
-std::vector<watched_kind> make_watched_kinds(node_state& state);
-
 /// Writes the node's own entry and removes entries of nodes that nobody has heard for long.
 class node_registrar
 {
