--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -88,7 +88,7 @@
 bool valid(server_use const& use)
 {
     return use.running >= 0 && use.reserved_tokens >= 0 && use.unread_prompt_tokens >= 0 &&
-           use.recent_attempts >= 0 && use.recent_failures >= 0;
+           use.recent_attempts >= 0 && use.recent_failures >= 0 && use.movable_runs >= 0;
 }
 
 bool valid(node_report const& report)
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -145,6 +145,7 @@
   6: i32 recent_failures,
   7: bool unreachable,
   8: bool leaving,                // drains, or was removed from the list lately
+  9: i32 movable_runs,            // generations that are handed over when the server leaves
 }
 
 // What a node on the platform tells its peers several times a second.
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -143,6 +143,15 @@
                                                     placement_query const& query,
                                                     base::time_point now,
                                                     base::random_source& random) const;
+    /// When a run is to be copied from its leaving engine, counted from the notice. The runs of all
+    /// nodes take turns on the engine's link, since a run's last copy would otherwise wait behind
+    /// the first copies of the others while its stream stands still. Every node derives the same
+    /// order from the reports, so no message is needed.
+    base::milliseconds copy_turn(run_number number) const;
+    /// True when all runs that take their turn before this one have left the engine.
+    bool is_copy_turn(run_number number) const;
+    /// Says whether a run is handed over when its server leaves.
+    void set_movable(run_number number, bool movable);
     /// Addresses of the servers of this node's runs on engines, by id.
     std::map<std::string, std::string> servers_in_use() const;
     /// The first event of the run has arrived.
@@ -181,6 +190,7 @@
         bool first_event = false;
         /// False for a copy.
         bool takes_place = true;
+        bool movable = false;
         std::function<void()> leaving;
     };
     struct usage
@@ -213,6 +223,7 @@
     };
 
     run_number add_run(run added);
+    base::milliseconds copy_time(std::string const& server, std::int64_t tokens) const;
     combined_load combine(std::string const& id, base::time_point now) const;
     obstacle find_obstacle(listed_server const& server, service const& kind,
                            combined_load const& load, placement_query const& query,
--- a/libraries/serving/fleet_configuration.hpp
+++ b/libraries/serving/fleet_configuration.hpp
@@ -59,6 +59,9 @@
     /// Requests that run at once.
     int batch_size = 1;
     std::int64_t cache_tokens = 0;
+    /// Memory of one token, and the speed of an engine's link for copies of runs.
+    std::int64_t bytes_per_token = 0;
+    double link_megabits_per_second = 0;
     /// Whether a running generation can be copied to another engine.
     bool can_move_runs = false;
     /// Whether an engine can keep another one's generations as copies while they grow.
--- a/libraries/serving/server_load.hpp
+++ b/libraries/serving/server_load.hpp
@@ -34,6 +34,8 @@
     bool unreachable = false;
     /// The server drains or was removed lately, as the node knows it.
     bool leaving = false;
+    /// Running generations that are handed over when the server leaves.
+    std::int32_t movable_runs = 0;
 };
 
 } // namespace jasminepier::serving
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -67,6 +67,9 @@
     /// Ends the waiting of idle connections at the end of a stop.
     http::wakeup& closing() noexcept { return m_closing; }
 
+    /// Signalled when peers are to hear of a change before the next regular report.
+    http::wakeup& report_due() noexcept { return m_report_due; }
+
     void add_running(int amount) noexcept { m_running += amount; }
     int running() const noexcept { return m_running; }
     /// Distinguishes this process from earlier ones of the node.
@@ -78,6 +81,7 @@
     tables m_tables;
     decision::crash_suspects m_suspects;
     http::wakeup m_closing;
+    http::wakeup m_report_due;
     std::atomic<bool> m_stopping{false};
     std::atomic<base::time_point> m_stop_end{};
     std::atomic<int> m_running{0};
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -26,13 +26,23 @@
     use.recent_failures = load.recent_failures;
     use.unreachable = load.unreachable;
     use.leaving = load.leaving;
+    use.movable_runs = load.movable_runs;
     return use;
 }
 
 serving::server_load from_message(inner_protocol::server_use const& use)
 {
-    return {use.server,          use.running,         use.reserved_tokens, use.unread_prompt_tokens,
-            use.recent_attempts, use.recent_failures, use.unreachable,     use.leaving};
+    serving::server_load load;
+    load.server = use.server;
+    load.running = use.running;
+    load.reserved_tokens = use.reserved_tokens;
+    load.unread_prompt_tokens = use.unread_prompt_tokens;
+    load.recent_attempts = use.recent_attempts;
+    load.recent_failures = use.recent_failures;
+    load.unreachable = use.unreachable;
+    load.leaving = use.leaving;
+    load.movable_runs = use.movable_runs;
+    return load;
 }
 
 } // namespace
@@ -87,6 +97,7 @@
 
 void peer_link::send_for_ever()
 {
+    http::wait_set waiting;
     while (true)
     {
         send_report();
@@ -101,7 +112,10 @@
                     held.dispatcher.notify_leaving();
                 return held.nodes.report_interval();
             });
-        std::this_thread::sleep_for(interval);
+        waiting.clear();
+        waiting.add(m_state.report_due().descriptor(), POLLIN);
+        waiting.wait(now + interval);
+        m_state.report_due().clear();
     }
 }
 
@@ -150,10 +164,9 @@
         {
             if (!held.nodes.apply_report(state, now))
                 return;
-            auto const before = held.dispatcher.directory().generation();
             held.dispatcher.merge_peer(report.node, loads, now);
-            if (held.dispatcher.directory().generation() != before)
-                held.dispatcher.notify_leaving();
+            // A peer may have told that a server leaves, or that it has handed over its runs.
+            held.dispatcher.notify_leaving();
         });
     std::vector<decision::crash_event> crashes;
     for (auto const& record : report.crashes)
--- a/services/node/run_handover.cpp
+++ b/services/node/run_handover.cpp
@@ -16,12 +16,12 @@
 constexpr int most_failures = 8;
 // A copy of a whole memory takes up to half a second between zones and queues behind others.
 constexpr base::milliseconds call_limit{2500};
-// A pause of this length stays under the longest one that callers accept (180 ms) after the stop,
-// the last copy and the new server's first step.
-constexpr base::milliseconds short_copy{60};
-// Servers leave 1.5 to 2.1 s after their notice; a run that still stands in line by then is stopped
-// all the same, since a late answer is better than a lost one.
-constexpr base::milliseconds latest_stop{1150};
+// A turn comes with a peer's report. For reports that are lost or late, a run starts at twice its
+// expected turn, and early enough to be stopped before its server leaves 1.5 to 2.1 s after the
+// notice.
+constexpr int turn_patience = 2;
+constexpr base::milliseconds turn_margin{150};
+constexpr base::milliseconds latest_turn{1150};
 // Freeing an unused copy is a courtesy to the engine and must not hold the worker for long.
 constexpr base::milliseconds release_limit{200};
 constexpr int not_running_status = 404;
@@ -65,15 +65,25 @@
             finish_stop(now);
         return;
     }
-    if (m_step == step::idle && now >= m_next_action)
-        start_copy(now);
-    else if (m_step == step::idle && m_next_action == base::time_point::max())
+    bool const waiting_for_turn = now < m_latest_start;
+    if (m_step == step::idle &&
+        (waiting_for_turn || now >= m_next_action || m_started == base::time_point{}))
         start_copy(now);
 }
 
 void run_handover::start_copy(base::time_point now)
 {
-    m_started = m_started == base::time_point{} ? now : m_started;
+    if (m_started == base::time_point{})
+    {
+        m_started = now;
+        m_latest_start =
+            now + std::min(turn_patience * m_leaving.copy_turn() + turn_margin, latest_turn);
+    }
+    if (now < m_latest_start && !m_leaving.is_copy_turn())
+    {
+        m_next_action = m_latest_start;
+        return;
+    }
     m_target = m_context.place_handover(m_source, m_tried);
     if (!m_target)
     {
@@ -105,13 +115,8 @@
         if (auto const reply = platform::read_copy_reply(m_body); !reply.handle.empty())
             m_handle = reply.handle;
         log_step("copied", status);
-        // The last copy waits behind other copies on the links while the run stands still, so the
-        // run is stopped only when a copy of what is new has come through quickly.
-        bool const links_free = now - exchange->started() <= short_copy;
-        bool const stop_run = links_free || now >= m_started + latest_stop;
-        if (stop_run)
-            m_step = step::stopping;
-        call_source(stop_run, now);
+        m_step = step::stopping;
+        call_source(true, now);
         return;
     }
     log_step("not_copied", status);
@@ -154,6 +159,7 @@
     m_next_action = now + retry_pause;
     if (m_step == step::impossible)
     {
+        m_leaving.set_movable(false);
         log_step(reason, 0);
         observe_event("handover", "impossible");
     }
--- a/services/node/run_handover.hpp
+++ b/services/node/run_handover.hpp
@@ -21,7 +21,8 @@
 };
 
 /// Copies the run's memory to another engine while it goes on, then stops it and copies the rest,
-/// so that the pause is short. Driven by the loop that relays the stream.
+/// so that the pause is short. The runs of an engine take turns, since their copies share its link.
+/// Driven by the loop that relays the stream.
 class run_handover
 {
 public:
@@ -38,8 +39,9 @@
         impossible,
     };
 
-    run_handover(request_context& context, serving::chosen_server source)
-        : m_context(context), m_source(std::move(source))
+    /// `leaving` is the run that is to be handed over; it outlives this object.
+    run_handover(request_context& context, server_run& leaving)
+        : m_context(context), m_leaving(leaving), m_source(leaving.server())
     {
     }
     run_handover(run_handover const&) = delete;
@@ -65,6 +67,7 @@
     void log_step(std::string_view result, int status) const;
 
     request_context& m_context;
+    server_run& m_leaving;
     serving::chosen_server m_source;
     step m_step = step::idle;
     std::unique_ptr<http::client_exchange> m_exchange;
@@ -76,6 +79,8 @@
     int m_failures = 0;
     base::time_point m_next_action = base::time_point::max();
     base::time_point m_started{};
+    /// The first copy starts by then, whatever peers report.
+    base::time_point m_latest_start{};
 };
 
 } // namespace jasminepier::node
--- a/services/node/server_run.hpp
+++ b/services/node/server_run.hpp
@@ -40,12 +40,19 @@
         if (m_state == nullptr)
             return;
         auto const now = base::steady_clock_source{}.now();
-        m_state->with(
+        bool const next_turn = m_state->with(
             [&](node_state::tables& held)
             {
                 held.dispatcher.end_run(m_number, verdict, now);
                 wake_waiting(held);
+                bool const leaves = held.dispatcher.is_leaving(m_server.id);
+                if (leaves)
+                    held.dispatcher.notify_leaving();
+                return leaves;
             });
+        // Runs of other nodes wait for their turn to leave the server.
+        if (next_turn)
+            m_state->report_due().signal();
         m_state = nullptr;
     }
     void note_first_event()
@@ -54,6 +61,24 @@
             m_state->with([&](node_state::tables& held)
                           { held.dispatcher.note_first_event(m_number); });
     }
+    base::milliseconds copy_turn()
+    {
+        return m_state == nullptr ? base::milliseconds(0)
+                                  : m_state->with([&](node_state::tables& held)
+                                                  { return held.dispatcher.copy_turn(m_number); });
+    }
+    bool is_copy_turn()
+    {
+        return m_state == nullptr ||
+               m_state->with([&](node_state::tables& held)
+                             { return held.dispatcher.is_copy_turn(m_number); });
+    }
+    void set_movable(bool movable)
+    {
+        if (m_state != nullptr)
+            m_state->with([&](node_state::tables& held)
+                          { held.dispatcher.set_movable(m_number, movable); });
+    }
     bool leaving()
     {
         return m_state != nullptr &&
