Node: Remove copies of runs on second engines

They compete with new work for memory and slow first tokens. Handing runs over at the notice carries almost all of them without that cost.

--- a/libraries/serving/call.hpp
+++ b/libraries/serving/call.hpp
@@ -42,8 +42,6 @@
     std::string resume_after;
     /// IP:PORT/HANDLE of the copy from which the run goes on; empty for a run from the start.
     std::string continue_from;
-    /// IP:PORT of the server that keeps a copy of the run as it grows; empty for none.
-    std::string copy_to;
 };
 
 /// What a server's answer says beside status and body.
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -39,9 +39,6 @@
 // the fault may lie between that node and the server.
 constexpr double unreachable_report_weight = 0.5;
 constexpr base::milliseconds cold_window{1000};
-// Copies of runs are kept only on servers with this much of their memory free, since a copy that is
-// never used must not preempt a run.
-constexpr double copy_limit = 0.0;
 // Part of the expected tokens that runs hold on average while they run: the whole prompt and half
 // of the output.
 constexpr double made_part = 0.85;
@@ -272,66 +269,20 @@
     return result;
 }
 
-run_number dispatcher::add_run(run added)
+run_number dispatcher::begin_run(std::string const& server, run_demand demand,
+                                 base::time_point now, std::function<void()> leaving)
 {
     auto const number = m_next_run++;
-    auto& used = m_own[added.server];
-    used.reserved_tokens += added.demand.prompt_tokens + added.demand.expected_output_tokens;
-    if (added.takes_place)
-    {
-        ++used.running;
-        used.unread_prompt_tokens += added.demand.prompt_tokens;
-    }
-    m_runs.emplace(number, std::move(added));
-    return number;
-}
-
-run_number dispatcher::begin_run(std::string const& server, run_demand demand, base::time_point now,
-                                 std::function<void()> leaving)
-{
+    auto& used = m_own[server];
+    ++used.running;
+    used.reserved_tokens += demand.prompt_tokens + demand.expected_output_tokens;
+    used.unread_prompt_tokens += demand.prompt_tokens;
+    m_runs.emplace(number, run{server, demand, false, false, std::move(leaving)});
     auto& sends = m_evidence[server].sends;
     while (!sends.empty() && sends.front() <= now - cold_window)
         sends.pop_front();
     sends.push_back(now);
-    return add_run({server, demand, false, true, false, std::move(leaving)});
-}
-
-run_number dispatcher::begin_copy(std::string const& server, run_demand demand, base::time_point)
-{
-    return add_run({server, demand, true, false, false, nullptr});
-}
-
-std::optional<chosen_server> dispatcher::choose_copy_holder(chosen_server const& primary,
-                                                            placement_query const& query,
-                                                            base::time_point now,
-                                                            base::random_source& random) const
-{
-    auto const* kind = m_configuration->find_service(query.service);
-    if (kind == nullptr || !kind->engine || !kind->engine->can_keep_copies)
-        return std::nullopt;
-    std::vector<std::string> excluded(query.excluded.begin(), query.excluded.end());
-    excluded.push_back(primary.id);
-    // A zone fails as a whole, so a holder in another zone is worth more than a near one.
-    for (auto const& [id, server] : m_directory.servers())
-        if (server.entry.zone == primary.zone)
-            excluded.push_back(id);
-    auto wanted = query;
-    wanted.excluded = excluded;
-    wanted.near_zone = {};
-    auto found = choose_server(wanted, now, random);
-    if (!found.server)
-    {
-        excluded.assign(query.excluded.begin(), query.excluded.end());
-        excluded.push_back(primary.id);
-        wanted.excluded = excluded;
-        found = choose_server(wanted, now, random);
-    }
-    auto const added =
-        static_cast<double>(query.demand.prompt_tokens + query.demand.expected_output_tokens) /
-        static_cast<double>(std::max<std::int64_t>(kind->engine->cache_tokens, 1));
-    if (!found.server || found.server->occupancy + added > copy_limit)
-        return std::nullopt;
-    return found.server;
+    return number;
 }
 
 base::milliseconds dispatcher::copy_time(std::string const& server, std::int64_t tokens) const
@@ -444,9 +395,9 @@
     auto const server = found->second.server;
     auto const& demand = found->second.demand;
     auto& used = m_own[server];
-    used.running -= found->second.takes_place ? 1 : 0;
+    --used.running;
     used.reserved_tokens -= demand.prompt_tokens + demand.expected_output_tokens;
-    if (used.running == 0 && used.reserved_tokens == 0)
+    if (used.running == 0)
         m_own.erase(server);
     m_runs.erase(found);
     note_evidence(server, verdict, now);
@@ -526,7 +477,7 @@
         bool const leaves =
             server.phase == server_phase::draining || server.phase == server_phase::gone;
         load.leaving = leaves && now < server.phase_since + leaving_notice;
-        if (load.running > 0 || load.reserved_tokens > 0 || load.recent_attempts > 0 ||
+        if (load.running > 0 || load.recent_attempts > 0 ||
             load.leaving)
             loads.push_back(load);
     }
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -136,13 +136,6 @@
     /// leave, on the thread that reports it.
     run_number begin_run(std::string const& server, run_demand demand, base::time_point now,
                          std::function<void()> leaving);
-    /// Records that a server keeps a copy of a run: memory without a place.
-    run_number begin_copy(std::string const& server, run_demand demand, base::time_point now);
-    /// Chooses a server that keeps a copy of a run on `primary`, as long as memory is plentiful.
-    std::optional<chosen_server> choose_copy_holder(chosen_server const& primary,
-                                                    placement_query const& query,
-                                                    base::time_point now,
-                                                    base::random_source& random) const;
     /// When a run is to be copied from its leaving engine, counted from the notice. The runs of all
     /// nodes take turns on the engine's link, since a run's last copy would otherwise wait behind
     /// the first copies of the others while its stream stands still. Every node derives the same
@@ -188,8 +181,6 @@
         std::string server;
         run_demand demand;
         bool first_event = false;
-        /// False for a copy.
-        bool takes_place = true;
         bool movable = false;
         std::function<void()> leaving;
     };
@@ -222,7 +213,6 @@
         base::milliseconds oldest{0};
     };
 
-    run_number add_run(run added);
     base::milliseconds copy_time(std::string const& server, std::int64_t tokens) const;
     combined_load combine(std::string const& id, base::time_point now) const;
     obstacle find_obstacle(listed_server const& server, service const& kind,
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -202,24 +202,6 @@
     return run;
 }
 
-std::optional<server_run> request_context::place_copy(serving::chosen_server const& primary)
-{
-    auto const now = base::steady_clock_source{}.now();
-    auto run = state.with(
-        [&](node_state::tables& held) -> std::optional<server_run>
-        {
-            serving::placement_query const query{
-                service->name, demand, excluded, serving::placement_purpose::new_work, {}};
-            auto const found = held.dispatcher.choose_copy_holder(primary, query, now, held.random);
-            if (!found)
-                return std::nullopt;
-            return server_run(state, *found, held.dispatcher.begin_copy(found->id, demand, now));
-        });
-    if (run)
-        log_route(run->server(), "copy");
-    return run;
-}
-
 bool request_context::take_retry()
 {
     auto const now = base::steady_clock_source{}.now();
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -75,8 +75,6 @@
     /// Chooses a server for a run that leaves `source`.
     std::optional<server_run> place_handover(serving::chosen_server const& source,
                                              std::vector<std::string> const& tried);
-    /// Chooses a server that keeps a copy of the run on `primary`, when memory is plentiful.
-    std::optional<server_run> place_copy(serving::chosen_server const& primary);
     /// Takes one retry of the service's bound.
     bool take_retry();
     /// The header values that go to `server` with this request.
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -49,11 +49,6 @@
     auto added = m_context.forward_to(server);
     added.resume_after = m_last_id;
     added.continue_from = continue_from;
-    m_copy.reset();
-    if (m_context.route->repeats == serving::repeatability::once)
-        m_copy = m_context.place_copy(server);
-    if (m_copy)
-        added.copy_to = m_copy->server().address;
     m_continued = !continue_from.empty();
     auto const forwarded = platform::write_forwarded(m_context.request, added);
     m_exchange = std::make_unique<http::client_exchange>(
@@ -198,8 +193,6 @@
         if (arrived && (*arrived != stream_end::broken || !stopping))
             return *arrived;
         bool const leaving = handover_due() && m_run->leaving();
-        if (leaving && !m_handover && m_copy && !m_copy->leaving())
-            return stream_end::broken;
         if (leaving && !m_handover)
             m_handover = std::make_unique<run_handover>(m_context, *m_run);
 
@@ -284,33 +277,6 @@
            m_context.sends < most_sends && m_context.take_retry();
 }
 
-bool stream_relay::continue_from_copy()
-{
-    if (!m_copy || m_copy->leaving())
-        return false;
-    auto const holder = m_copy->server();
-    auto const now_point = now();
-    auto const number = m_context.state.with(
-        [&](node_state::tables& held)
-        {
-            auto* const waking = &m_context.wake;
-            return held.dispatcher.begin_run(holder.id, m_context.demand, now_point,
-                                             [waking] { waking->signal(); });
-        });
-    base::log_line(base::log_level::info, "continued_from_copy")
-        .field("request_id", m_context.call.request_id)
-        .field("from", m_run->server().id)
-        .field("to", holder.id)
-        .field("last_event", m_last_id);
-    observe_event("copy", "used");
-    ++m_context.handovers;
-    // The old server stops when its connection closes.
-    m_exchange.reset();
-    start(server_run(m_context.state, holder, number),
-          holder.address + "/" + m_context.call.request_id);
-    return true;
-}
-
 void stream_relay::break_off(base::error_kind kind)
 {
     m_context.ended = request_end::broken_off;
@@ -344,8 +310,6 @@
             continue;
         }
         m_handover.reset();
-        if (end == stream_end::broken && continue_from_copy())
-            continue;
         if (end == stream_end::complete)
         {
             if (!m_head_sent && m_head && !send_head())
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -55,16 +55,12 @@
     /// Ends an answer that has begun, so that the caller sees that it is not whole.
     void break_off(base::error_kind kind);
     bool may_resume();
-    /// Goes on at the server that keeps a copy. Returns false when there is none to use.
-    bool continue_from_copy();
     base::result<void> answer_failure(base::error_kind kind, std::string message);
 
     request_context& m_context;
     std::optional<server_run> m_run;
     std::unique_ptr<http::client_exchange> m_exchange;
     std::unique_ptr<run_handover> m_handover;
-    /// The server that keeps a copy of the run as it grows.
-    std::optional<server_run> m_copy;
     serving::event_splitter m_events;
     bool m_head_checked = false;
     std::string m_failure_body;
