--- /dev/null
+++ b/tests/platform_adapter_test.cpp
@@ -0,0 +1,260 @@
+/// Decoding of the platform's names and formats. No network.
+#include "platform/engine_calls.hpp"
+#include "platform/headers.hpp"
+#include "platform/objects.hpp"
+#include "platform/settings.hpp"
+#include "platform/store_dialect.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace jasminepier::platform
+{
+namespace
+{
+
+http::request caller_request()
+{
+    http::request request;
+    request.method = "POST";
+    request.target = "/plan/7?x=1";
+    request.body = "body";
+    for (auto const& [name, value] : std::initializer_list<std::pair<char const*, char const*>>{
+             {"Host", "Shop.Example:8080"},
+             {"Attempt-Id", "9c41"},
+             {"Model", "m"},
+             {"Token-Usage", "1460,80"},
+             {"Length-Hint", "55"},
+             {"Deadline-Ms", "39000"},
+             {"Authorization", "Token secret"},
+             {"Tenant", "forged"},
+             {"Kv-From", "10.0.0.1:80/forged"},
+             {"Kv-Backup", "10.0.0.1:80"},
+             {"Kv-Retention", "forged"},
+             {"Pin-Ms", "99"},
+             {"Expect-Instance", "forged"},
+             {"Request-Priority", "0"},
+             {"Connection", "keep-alive, X-Hop"},
+             {"X-Hop", "1"},
+             {"X-Other", "kept"}})
+        request.headers.add(name, value);
+    return request;
+}
+
+TEST(platform_headers, decodes_a_call)
+{
+    auto const call = read_call(caller_request());
+    EXPECT_EQ(call.request_id, "9c41");
+    EXPECT_EQ(call.host, "shop.example");
+    EXPECT_EQ(call.api_key, "secret");
+    EXPECT_EQ(call.prompt_tokens, 1460);
+    EXPECT_EQ(call.maximum_output_tokens, 80);
+    EXPECT_EQ(call.estimated_output_tokens, 55);
+    EXPECT_EQ(call.patience, base::milliseconds(39000));
+}
+
+// Guards against fields of the system that reach a server as the caller sent them.
+TEST(platform_headers, replaces_the_fields_that_only_the_system_sets)
+{
+    serving::forwarding added;
+    added.customer = "huka";
+    added.server_id = "i-1";
+    added.time_left = base::milliseconds(1200);
+    auto const sent = write_forwarded(caller_request(), added);
+    EXPECT_EQ(sent.target, "/plan/7?x=1");
+    EXPECT_EQ(sent.body, "body");
+    EXPECT_EQ(sent.headers.find("Attempt-Id"), "9c41");
+    EXPECT_EQ(sent.headers.find("X-Other"), "kept");
+    EXPECT_EQ(sent.headers.find("Deadline-Ms"), "1200");
+    EXPECT_EQ(sent.headers.count("Deadline-Ms"), 1U);
+    EXPECT_EQ(sent.headers.find("Tenant"), "huka");
+    EXPECT_EQ(sent.headers.count("Tenant"), 1U);
+    EXPECT_EQ(sent.headers.find("Expect-Instance"), "i-1");
+    EXPECT_EQ(sent.headers.count("Request-Priority"), 1U);
+    for (auto const* name :
+         {"Authorization", "Kv-From", "Kv-Backup", "Kv-Retention", "Pin-Ms", "X-Hop", "Connection"})
+        EXPECT_FALSE(sent.headers.find(name)) << name;
+}
+
+TEST(platform_headers, decodes_a_reply)
+{
+    http::response head;
+    head.status = 421;
+    EXPECT_TRUE(read_reply(head).declined);
+    EXPECT_TRUE(read_reply(head).wrong_server);
+    head.status = 503;
+    EXPECT_FALSE(read_reply(head).declined);
+    head.headers.add("Not-Executed", "1");
+    head.headers.add("Server-Load", "3,1,8");
+    head.headers.add("Keep-Alive", "timeout=5");
+    auto const reply = read_reply(head);
+    EXPECT_TRUE(reply.declined);
+    EXPECT_FALSE(reply.has_signature);
+    EXPECT_EQ(reply.running, 3);
+    EXPECT_EQ(reply.waiting, 1);
+    EXPECT_EQ(reply.idle_seconds, 5);
+}
+
+std::string const configuration_text =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r1","host":"a.example","path_prefix":"/p/","route_type":"streaming",)"
+    R"("timeout_ms":6000,"target_latency_ms":1500,"service":"llm","max_attempts":2,)"
+    R"("stream_resume":true,"target_itl_ms":180},)"
+    R"({"name":"r2","host":"a.example","path_prefix":"/p/deep/","route_type":"non_idempotent",)"
+    R"("weighted_services":[{"service":"llm","weight":9},{"service":"app","weight":1}],)"
+    R"("public":true}],)"
+    R"("services":[{"name":"llm","warmup_per_s":37.0,"engine":{"slots":24,"kv_capacity":34228,)"
+    R"("kv_bytes":262144,"link_mbps":38000.0,"moves":true}},{"name":"app"}],)"
+    R"("limits":{"max_header_bytes":1000,"idle_timeout_ms":9000},)"
+    R"("tenants":[{"name":"huka","api_keys":["k1","k2"],"priority":1}]})";
+
+TEST(platform_objects, decodes_a_configuration)
+{
+    store::object const source{"config", "main", 12, configuration_text, false};
+    auto const parsed = parse_configuration(source);
+    ASSERT_TRUE(parsed);
+    auto const& configuration = **parsed;
+    EXPECT_EQ(configuration.version, 7);
+    EXPECT_EQ(configuration.revision, 12);
+    EXPECT_EQ(configuration.limits.head_bytes, 1000U);
+    auto const* plain = configuration.find_route("a.example", "/p/deep/1");
+    ASSERT_NE(plain, nullptr);
+    EXPECT_EQ(plain->name, "r2");
+    EXPECT_FALSE(plain->requires_key);
+    EXPECT_EQ(plain->repeats, serving::repeatability::once);
+    EXPECT_EQ(plain->services.size(), 2U);
+    auto const* stream = configuration.find_route("a.example", "/p/1");
+    ASSERT_NE(stream, nullptr);
+    EXPECT_EQ(stream->repeats, serving::repeatability::resumable);
+    EXPECT_EQ(stream->maximum_servers, 2);
+    EXPECT_EQ(configuration.find_route("b.example", "/p/1"), nullptr);
+    EXPECT_EQ(configuration.find_route("a.example", "/q/"), nullptr);
+    EXPECT_TRUE(configuration.find_service("llm")->engine->can_move_runs);
+    EXPECT_EQ(configuration.customers_by_key.at("k2").priority, 1);
+}
+
+// Guards against a configuration that is taken over in part.
+TEST(platform_objects, refuses_a_configuration_that_cannot_be_read_whole)
+{
+    for (std::string const text :
+         {"", "[]", R"({"routes":[]})", R"({"version":1,"routes":7})",
+          R"({"version":1,"routes":[{"host":"a","path_prefix":"/","route_type":"odd"}]})"})
+        EXPECT_FALSE(parse_configuration({"config", "main", 1, text, false})) << text;
+}
+
+// Guards against servers from entries of other writers.
+TEST(platform_objects, entries_with_missing_or_wrong_fields_name_no_server)
+{
+    std::string const good =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":24,"state":"ready","born":5})";
+    auto const parsed = parse_server({"servers", "i-1", 3, good, false});
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed->id, "i-1");
+    EXPECT_EQ(parsed->born, 5);
+    for (std::string const text :
+         {"", "null", R"({"service":"s"})",
+          R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":24,"state":"odd"})",
+          R"({"service":"s","address":7,"zone":"a","slots":24,"state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":"x","state":"ready"})"})
+        EXPECT_FALSE(parse_server({"servers", "i-1", 3, text, false})) << text;
+}
+
+TEST(platform_store, spells_calls_and_reads_pages)
+{
+    EXPECT_EQ(store_dialect::list("servers", "i-1").path, "/objects/servers?after_revision=i-1");
+    EXPECT_EQ(store_dialect::watch(530, {"servers"}, std::chrono::milliseconds(20000)).path,
+              "/objects/servers?watch=530&wait_ms=20000");
+    EXPECT_EQ(store_dialect::create({"nodes", "n", 0, "{}", false}).method, "POST");
+    auto const page = store_dialect::read_list(
+        R"({"items":[{"metadata":{"name":"i-1","revision":4},"spec":{"a":1},"status":null},)"
+        R"({"metadata":{"name":"i-2","revision":5},"spec":"text"}],"has_more":true,"at":9})",
+        "servers");
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->version, 9);
+    EXPECT_EQ(page->objects[0].value, R"({"a":1})");
+    EXPECT_EQ(page->objects[1].value, "");
+    EXPECT_EQ(page->next_after, "i-2");
+    auto const events = store_dialect::read_events(
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":6}}}],"at":6})",
+        {"servers"});
+    ASSERT_TRUE(events);
+    EXPECT_TRUE(events->objects[0].deleted);
+    EXPECT_EQ(store_dialect::read_write_status(503), store::write_answer::refused);
+    EXPECT_EQ(store_dialect::read_write_status(500), store::write_answer::unknown);
+}
+
+TEST(platform_engine, reads_copies_and_reports)
+{
+    EXPECT_EQ(read_copy_reply(R"({"kv_handle":"h1","created":12})").handle, "h1");
+    EXPECT_EQ(read_copy_reply("no json").handle, "");
+    EXPECT_TRUE(report_says_leaving(R"({"state":"draining"})"));
+    EXPECT_FALSE(report_says_leaving(R"({"state":"ready"})"));
+    EXPECT_FALSE(report_says_leaving("no json"));
+}
+
+class settings_file : public testing::Test
+{
+protected:
+    void write(std::string const& text)
+    {
+        std::ofstream file(m_path);
+        file << text;
+    }
+    void TearDown() override { std::remove(m_path.c_str()); }
+    std::string m_path = testing::TempDir() + "platform_settings.toml";
+};
+
+std::string const settings_text = R"(node_name = "edge-1"
+ip = "10.1.0.19"
+zone = "z"
+region = "r"
+internal_port_range = [7200,7215]
+unknown = true
+[listen]
+frontend = "10.1.0.19:8740"
+readiness = "10.1.0.19:8749"
+registry = "10.1.0.19:8746"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_window_s = 10
+budget_slack = 56
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8742"
+)";
+
+TEST_F(settings_file, decodes_the_fields_that_are_used)
+{
+    write(settings_text);
+    auto const settings = read_settings(m_path);
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->callers.text(), "10.1.0.19:8740");
+    EXPECT_EQ(settings->peer_port, 7200);
+    EXPECT_EQ(settings->stop_grace, base::milliseconds(8000));
+    EXPECT_EQ(settings->retries.slack, 56);
+}
+
+// Guards against a process that starts with half of its settings.
+TEST_F(settings_file, names_the_field_that_is_missing)
+{
+    for (std::string const field : {"node_name", "frontend", "address", "grace_s"})
+    {
+        auto text = settings_text;
+        text.replace(text.find(field), 2, "xx");
+        write(text);
+        auto const message = base::handle(
+            [&]() -> base::result<std::string>
+            {
+                BOOST_LEAF_CHECK(read_settings(m_path));
+                return std::string{};
+            },
+            [](base::error const& failure) { return failure.message; });
+        EXPECT_NE(message.find(field), std::string::npos) << message;
+    }
+}
+
+} // namespace
+} // namespace jasminepier::platform
