--- a/libraries/base/log.cpp
+++ b/libraries/base/log.cpp
@@ -4,6 +4,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP // NOLINT
 
@@ -44,6 +49,99 @@
         out << (cut ? "...\"" : "\"");
     }
 
+    void write_line(log_level level, std::string const& text)
+    {
+        switch (level)
+        {
+        case log_level::debug:
+            LOG(DEBUG) << text;
+            break;
+        case log_level::info:
+            LOG(INFO) << text;
+            break;
+        case log_level::warning:
+            LOG(WARNING) << text;
+            break;
+        case log_level::error:
+            LOG(ERROR) << text;
+            break;
+        }
+    }
+
+    /// Lines on their way to the writing thread.
+    class log_queue
+    {
+    public:
+        explicit log_queue(log_limits limits) : m_limits(limits)
+        {
+            std::thread([this] { write_for_ever(); }).detach();
+        }
+
+        void push(log_level level, std::string text)
+        {
+            std::lock_guard lock(m_mutex);
+            auto const second = std::chrono::duration_cast<std::chrono::seconds>(
+                std::chrono::steady_clock::now().time_since_epoch());
+            if (second != m_second)
+            {
+                m_second = second;
+                m_lines_of_second = 0;
+            }
+            bool const above_rate =
+                level < log_level::warning && m_lines_of_second >= m_limits.lines_per_second;
+            if (above_rate || m_lines.size() >= m_limits.waiting_lines)
+            {
+                ++m_dropped;
+                return;
+            }
+            ++m_lines_of_second;
+            m_lines.emplace_back(level, std::move(text));
+            m_changed.notify_one();
+        }
+
+        void flush(std::chrono::milliseconds limit)
+        {
+            std::unique_lock lock(m_mutex);
+            m_written.wait_for(lock, limit, [&] { return m_lines.empty() && !m_writing; });
+        }
+
+    private:
+        using line = std::pair<log_level, std::string>;
+
+        void write_for_ever()
+        {
+            std::unique_lock lock(m_mutex);
+            while (true)
+            {
+                m_changed.wait(lock, [&] { return !m_lines.empty(); });
+                auto const batch = std::exchange(m_lines, {});
+                auto const dropped = std::exchange(m_dropped, 0);
+                m_writing = true;
+                lock.unlock();
+                for (auto const& [level, text] : batch)
+                    write_line(level, text);
+                if (dropped > 0)
+                    write_line(log_level::warning,
+                               "event=log_lines_dropped lines=" + std::to_string(dropped));
+                lock.lock();
+                m_writing = false;
+                m_written.notify_all();
+            }
+        }
+
+        log_limits m_limits;
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::condition_variable m_written;
+        std::deque<line> m_lines;
+        bool m_writing = false;
+        std::size_t m_dropped = 0;
+        std::size_t m_lines_of_second = 0;
+        std::chrono::seconds m_second{0};
+    };
+
+    std::atomic<log_queue*> queue{nullptr};
+
     } // namespace
 
     void configure_logging(log_level level)
@@ -79,25 +177,27 @@
         return *this;
     }
 
+    void start_background_logging(log_limits limits)
+    {
+        // Lives until the process ends, since any thread may log until then.
+        static log_queue instance(limits);
+        queue = &instance;
+    }
+
+    void flush_logs(std::chrono::milliseconds limit)
+    {
+        if (auto* const target = queue.load())
+            target->flush(limit);
+    }
+
     log_line::~log_line()
     {
         if (!m_enabled)
             return;
-        switch (m_level)
-        {
-        case log_level::debug:
-            LOG(DEBUG) << m_text.str();
-            break;
-        case log_level::info:
-            LOG(INFO) << m_text.str();
-            break;
-        case log_level::warning:
-            LOG(WARNING) << m_text.str();
-            break;
-        case log_level::error:
-            LOG(ERROR) << m_text.str();
-            break;
-        }
+        if (auto* const target = queue.load())
+            target->push(m_level, m_text.str());
+        else
+            write_line(m_level, m_text.str());
     }
 
 } // namespace jasminepier::base
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -30,6 +30,7 @@
 // A stopping node goes on until callers have had time to learn of it, even without requests.
 constexpr base::milliseconds shortest_stop{3500};
 constexpr base::milliseconds stop_step{50};
+constexpr base::milliseconds log_flush_limit{100};
 // The settings file may change without a signal.
 constexpr base::milliseconds settings_check{1000};
 
@@ -86,6 +87,7 @@
     if (auto status = parser.try_parse(argc, argv))
         return *status;
     base::configure_logging(parser.level());
+    base::start_background_logging({});
     auto const settings = load_settings();
     if (!settings)
         return 2;
@@ -125,5 +127,6 @@
         reload.check(signal == base::process_signal::reload ? "signal" : "changed");
     }
     stop_gracefully(state, peers);
+    base::flush_logs(log_flush_limit);
     std::_Exit(0);
 }
