--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -36,7 +36,8 @@
 TEST(settings, page_agrees_with_the_programs)
 {
     auto const page = read_page("settings.md");
-    for (std::string const program : {"jasminepier-entry", "jasminepier-control", "jasminepierctl"})
+    for (std::string const program :
+         {"jasminepier-entry", "jasminepier-control", "jasminepier-node", "jasminepierctl"})
     {
         auto const printed = run_program(program, {"--print-settings"});
         EXPECT_EQ(printed.status, 0);
