Node: Share loads at once, let a few nodes follow the servers

Ruled out: processor time (0.011 of a core) and memory. Peers now hear of each begin, first event and end of a run on an engine, with a shortest gap that grows with the fleet; in fleets of 13 nodes or more four nodes follow the servers and pass changes on, and a digest in the reports shows who missed one.

--- a/libraries/configuration/versioned_store.cpp
+++ b/libraries/configuration/versioned_store.cpp
@@ -1,5 +1,7 @@
 #include "configuration/versioned_store.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 
 namespace jasminepier::configuration
@@ -29,8 +31,16 @@
     return newer;
 }
 
-store::object const* versioned_store::find(std::string const& kind,
-                                              std::string const& name) const
+std::uint64_t versioned_store::digest(std::string const& kind) const
+{
+    std::uint64_t value = 0;
+    for (auto const& [key, held] : m_objects)
+        if (held.kind == kind && !held.deleted)
+            value ^= base::stable_hash(held.name, static_cast<std::uint64_t>(held.version));
+    return value;
+}
+
+store::object const* versioned_store::find(std::string const& kind, std::string const& name) const
 {
     auto const found = m_objects.find({kind, name});
     if (found == m_objects.end() || found->second.deleted)
--- a/libraries/configuration/versioned_store.hpp
+++ b/libraries/configuration/versioned_store.hpp
@@ -3,6 +3,7 @@
 
 #include "store/object.hpp"
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <utility>
@@ -25,6 +26,9 @@
     /// Returns all objects with a version above `revision`, deletions included.
     std::vector<store::object> since(std::int64_t revision) const;
 
+    /// Returns a hash of the versions of all objects of `kind` that are not deleted.
+    std::uint64_t digest(std::string const& kind) const;
+
     /// Returns the object, or null when it is unknown or deleted.
     store::object const* find(std::string const& kind, std::string const& name) const;
 
--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -91,9 +91,16 @@
            use.recent_attempts >= 0 && use.recent_failures >= 0 && use.movable_runs >= 0;
 }
 
+bool valid(configuration_object const& object)
+{
+    return valid_identifier(object.kind) && valid_identifier(object.name) && object.version >= 0;
+}
+
 bool valid(node_report const& report)
 {
-    return valid_identifier(report.node) && valid_name(report.zone) &&
+    return std::all_of(report.news.begin(), report.news.end(),
+                       [](auto const& object) { return valid(object); }) &&
+           valid_identifier(report.node) && valid_name(report.zone) &&
            valid_identifier(report.caller_address) && valid_port(report.peer_port) &&
            report.started >= 0 && report.sequence >= 0 && report.configuration_revision >= 0 &&
            std::all_of(report.uses.begin(), report.uses.end(),
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -160,6 +160,8 @@
   8: bool stopping,
   9: i64 configuration_revision,
   10: bool store_reached,         // the node's own copies of the store's objects are current
+  13: i64 server_digest,          // equal on nodes that hold the same entries of servers
+  14: list<configuration_object> news,  // objects that the node has just read from the store
   11: list<server_use> uses,
   12: list<crash_record> crashes,
 }
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -1,5 +1,7 @@
 #include "serving/node_directory.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 
 namespace jasminepier::serving
@@ -11,6 +13,9 @@
 constexpr base::milliseconds interval_per_peer{25};
 constexpr base::milliseconds fastest_report_interval{100};
 
+// Bounds the reports that changes of load cause to about 650 datagrams a second for each node.
+constexpr std::chrono::microseconds gap_per_peer{1500};
+
 } // namespace
 
 void node_directory::apply_listed(std::vector<node_entry> const& entries, base::time_point now)
@@ -51,6 +56,7 @@
     node.sequence = report.sequence;
     node.phase = report.phase;
     node.store_reached = report.store_reached;
+    node.server_digest = report.server_digest;
     node.heard = now;
     node.ever_heard = true;
     return true;
@@ -110,6 +116,47 @@
     return informed;
 }
 
+std::optional<node_entry> node_directory::differing_follower(std::string_view subject,
+                                                             std::uint64_t digest,
+                                                             base::time_point now) const
+{
+    known_node const* first = nullptr;
+    std::uint64_t highest = 0;
+    for (auto const& [name, node] : m_nodes)
+    {
+        auto const weight = base::rendezvous_weight(subject, name);
+        if (alive(node, now) && node.store_reached && node.phase == node_phase::ready &&
+            (first == nullptr || weight > highest))
+        {
+            first = &node;
+            highest = weight;
+        }
+    }
+    if (first == nullptr || first->server_digest == digest)
+        return std::nullopt;
+    return first->entry;
+}
+
+bool node_directory::follows_store(std::string_view subject, bool store_reached,
+                                   base::time_point now) const
+{
+    if (!relays_store())
+        return true;
+    auto const own = base::rendezvous_weight(subject, m_self.name);
+    std::size_t ahead = 0;
+    for (auto const& [name, node] : m_nodes)
+        ahead += alive(node, now) && node.store_reached && node.phase == node_phase::ready &&
+                 base::rendezvous_weight(subject, name) > own;
+    // A node that cannot reach the store does not hold the place of one that can.
+    return store_reached && ahead < store_followers;
+}
+
+base::milliseconds node_directory::shortest_report_gap() const noexcept
+{
+    return std::chrono::duration_cast<base::milliseconds>(gap_per_peer *
+                                                          static_cast<int>(m_nodes.size()));
+}
+
 base::milliseconds node_directory::report_interval() const noexcept
 {
     return std::clamp(interval_per_peer * static_cast<int>(m_nodes.size()), fastest_report_interval,
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jasminepier::serving
@@ -30,6 +32,8 @@
     node_phase phase = node_phase::starting;
     /// The node's copies of the store's objects are current.
     bool store_reached = false;
+    /// Equal on nodes that hold the same entries of servers.
+    std::uint64_t server_digest = 0;
 };
 
 /// Merges the store's list of nodes with the nodes' own reports. Not synchronized.
@@ -45,6 +49,12 @@
     /// An entry of a node that nobody heard for this long is removed from the store.
     static constexpr base::milliseconds removal_limit{30000};
 
+    /// Peers from which on changes of servers are followed by a few nodes. Below, a call of each
+    /// node for each change is cheap (docs/platform.md).
+    static constexpr std::size_t smallest_relaying_fleet = 12;
+    /// Nodes that follow the store in larger fleets; two may fail at once with one to spare.
+    static constexpr std::size_t store_followers = 4;
+
     explicit node_directory(node_entry self) : m_self(std::move(self)) {}
 
     void set_phase(node_phase phase) noexcept { m_phase = phase; }
@@ -66,6 +76,18 @@
     std::vector<std::string> caller_addresses(std::size_t limit, base::time_point now) const;
     /// Living nodes that reach the store.
     std::vector<node_entry> informed_peers(base::time_point now) const;
+    /// A node that follows `subject` and holds other entries of servers than this one; null when
+    /// there is none.
+    std::optional<node_entry> differing_follower(std::string_view subject, std::uint64_t digest,
+                                                 base::time_point now) const;
+    /// True when this node follows `subject` in the store. In small fleets every node does; in
+    /// larger ones a few do, in rendezvous order of those that live and reach the store, and tell
+    /// the others.
+    bool follows_store(std::string_view subject, bool store_reached, base::time_point now) const;
+    /// True in fleets in which not every node follows the store.
+    bool relays_store() const noexcept { return m_nodes.size() >= smallest_relaying_fleet; }
+    /// Shortest time between two reports, so that changes of load cannot flood the peers.
+    base::milliseconds shortest_report_gap() const noexcept;
     /// Time between two reports of a node, so that the traffic of a node stays bounded.
     base::milliseconds report_interval() const noexcept;
     /// Forgets silent nodes that the store does not list. Returns their names.
@@ -83,6 +105,7 @@
         std::int64_t sequence = 0;
         node_phase phase = node_phase::starting;
         bool store_reached = false;
+        std::uint64_t server_digest = 0;
         base::time_point heard{};
         bool ever_heard = false;
     };
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -42,7 +42,7 @@
     auto const begin = clock.now();
     auto const end = begin + state.settings()->stop_grace - stop_margin;
     state.begin_stop(end);
-    peers.send_report();
+    peers.send_report({});
     base::log_line(base::log_level::info, "stopping").field("running", state.running());
     while (clock.now() < end && (clock.now() < begin + shortest_stop || state.running() > 0))
         std::this_thread::sleep_for(stop_step);
@@ -100,9 +100,10 @@
         .field("store", settings->store.text());
     node::connection_pool pool;
     node::operator_services const services(state, metrics_port);
-    node::store_watcher const watcher(state);
     node::node_registrar registrar(state);
     node::peer_link peers(state);
+    node::store_watcher const watcher(state, [&](std::span<store::object const> news)
+                                      { peers.send_news(news); });
     node::peer_objects const peer_objects(state);
     node::server_prober const prober(state);
     base::background_thread const upkeep(std::chrono::milliseconds(1000),
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -1,7 +1,10 @@
 #include "services/node/peer_link.hpp"
 
 #include "base/log.hpp"
+#include "inner_protocol/conversion.hpp"
+#include "platform/objects.hpp"
 #include "services/node/node_metrics.hpp"
+#include "services/node/object_feed.hpp"
 
 #include <thread>
 
@@ -54,7 +57,7 @@
     std::thread([this] { send_for_ever(); }).detach();
 }
 
-void peer_link::send_report()
+void peer_link::send_report(std::span<store::object const> news)
 {
     auto const now = base::steady_clock_source{}.now();
     inner_protocol::node_report report;
@@ -70,9 +73,12 @@
             report.ready = held.nodes.phase() == serving::node_phase::ready;
             report.stopping = held.nodes.phase() == serving::node_phase::stopping;
             report.configuration_revision = held.configuration ? held.configuration->revision : 0;
+            report.server_digest =
+                static_cast<std::int64_t>(held.objects.digest(platform::server_kind));
             report.store_reached = held.configuration && !held.dispatcher.directory().store_lost();
+            // News and loads together could exceed a datagram.
             for (auto const& load : held.dispatcher.own_loads(now))
-                if (report.uses.size() < most_uses)
+                if (news.empty() && report.uses.size() < most_uses)
                     report.uses.push_back(to_message(load));
             peers = held.nodes.peers();
         });
@@ -81,7 +87,7 @@
     auto const crashes = m_state.suspects().events(now);
     for (auto const& event : crashes)
     {
-        if (report.crashes.size() >= most_crashes)
+        if (report.crashes.size() >= most_crashes || !news.empty())
             break;
         inner_protocol::crash_record record;
         record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
@@ -90,18 +96,33 @@
         record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
         report.crashes.push_back(record);
     }
+    for (auto const& item : news)
+        report.news.push_back(inner_protocol::to_thrift(item));
     auto const bytes = inner_protocol::encode_report(report);
     for (auto const& peer : peers)
         m_socket.send_bytes(peer.peer_host, peer.peer_port, bytes);
 }
 
+void peer_link::send_news(std::span<store::object const> news)
+{
+    // An entry of a server takes about 300 bytes, a datagram holds 1,200.
+    constexpr std::size_t objects_per_datagram = 2;
+    while (!news.empty())
+    {
+        auto const count = std::min(objects_per_datagram, news.size());
+        send_report(news.first(count));
+        news = news.subspan(count);
+    }
+}
+
 void peer_link::send_for_ever()
 {
     http::wait_set waiting;
     while (true)
     {
-        send_report();
+        send_report({});
         auto const now = base::steady_clock_source{}.now();
+        base::milliseconds gap{0};
         auto const interval = m_state.with(
             [&](node_state::tables& held)
             {
@@ -110,8 +131,10 @@
                 held.dispatcher.set_nodes(held.nodes.live_names(now));
                 if (held.dispatcher.directory().expire(now))
                     held.dispatcher.notify_leaving();
+                gap = held.nodes.shortest_report_gap();
                 return held.nodes.report_interval();
             });
+        std::this_thread::sleep_for(gap);
         waiting.clear();
         waiting.add(m_state.report_due().descriptor(), POLLIN);
         waiting.wait(now + interval);
@@ -153,6 +176,7 @@
     state.started = report.started;
     state.sequence = report.sequence;
     state.store_reached = report.store_reached;
+    state.server_digest = static_cast<std::uint64_t>(report.server_digest);
     state.phase = report.stopping ? serving::node_phase::stopping
                   : report.ready  ? serving::node_phase::ready
                                   : serving::node_phase::starting;
@@ -162,12 +186,19 @@
     m_state.with(
         [&](node_state::tables& held)
         {
-            if (!held.nodes.apply_report(state, now))
+            if (!held.nodes.apply_report(state, now) || !report.news.empty())
                 return;
             held.dispatcher.merge_peer(report.node, loads, now);
             // A peer may have told that a server leaves, or that it has handed over its runs.
             held.dispatcher.notify_leaving();
         });
+    for (auto const& object : inner_protocol::from_thrift(report.news))
+    {
+        store::object_page page;
+        page.version = object.version;
+        page.objects.push_back(object);
+        apply_events(m_state, object.kind, page);
+    }
     std::vector<decision::crash_event> crashes;
     for (auto const& record : report.crashes)
         crashes.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -5,6 +5,7 @@
 #include "services/node/node_state.hpp"
 
 #include <atomic>
+#include <span>
 
 namespace jasminepier::node
 {
@@ -20,7 +21,9 @@
     peer_link& operator=(peer_link const&) = delete;
 
     /// Sends a report at once, for example at a stop.
-    void send_report();
+    void send_report(std::span<store::object const> news);
+    /// Tells peers of objects that were just read from the store.
+    void send_news(std::span<store::object const> news);
 
 private:
     void send_for_ever();
--- a/services/node/peer_objects.cpp
+++ b/services/node/peer_objects.cpp
@@ -14,6 +14,8 @@
 // Servers give notice 1.5 to 2 s before they leave, so a copy half a second old still helps.
 constexpr std::chrono::milliseconds pull_interval{400};
 constexpr std::chrono::milliseconds pull_timeout{800};
+// How far a missed change may lie back; the store counts some tens of changes in a busy second.
+constexpr std::int64_t missed_revisions = 500;
 
 class node_peer_handler : public inner_protocol::node_peerIf
 {
@@ -47,6 +49,25 @@
 {
 }
 
+std::optional<serving::node_entry> peer_objects::find_newer_follower(node_state::tables& held,
+                                                                     std::int64_t& known,
+                                                                     base::time_point now)
+{
+    bool const follows =
+        held.nodes.follows_store(platform::server_kind, true, now) || !held.nodes.relays_store();
+    auto const differing =
+        follows ? std::nullopt
+                : held.nodes.differing_follower(platform::server_kind,
+                                                held.objects.digest(platform::server_kind), now);
+    // News are on their way for a moment, so a difference counts the second time.
+    bool const lasting = differing && m_differed;
+    m_differed = differing.has_value();
+    if (!lasting)
+        return std::nullopt;
+    known = std::max<std::int64_t>(0, held.objects.revision() - missed_revisions);
+    return differing;
+}
+
 void peer_objects::pull_if_needed()
 {
     auto const now = base::steady_clock_source{}.now();
@@ -56,7 +77,7 @@
         {
             bool const current = held.configuration && !held.dispatcher.directory().store_lost();
             if (current)
-                return std::nullopt;
+                return find_newer_follower(held, known, now);
             auto const informed = held.nodes.informed_peers(now);
             if (informed.empty())
                 return std::nullopt;
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -123,6 +123,8 @@
                                                           [waking] { waking->signal(); });
             return server_run(state, *found.server, number);
         });
+    if (run && service->engine)
+        run->share_load();
     if (run)
         log_route(run->server(), "new");
     return run;
@@ -198,7 +200,10 @@
             return server_run(state, *found.server, number);
         });
     if (run)
+    {
+        run->share_load();
         log_route(run->server(), "handover");
+    }
     return run;
 }
 
--- a/services/node/server_run.hpp
+++ b/services/node/server_run.hpp
@@ -15,9 +15,16 @@
         : m_state(&state), m_server(std::move(server)), m_number(number)
     {
     }
+    /// Tells peers of the run's begin and end at once. For engines, whose few places all nodes
+    /// fill by each other's reports; calls of plain services end before a report would help.
+    void share_load()
+    {
+        m_shared_load = true;
+        m_state->report_due().signal();
+    }
     server_run(server_run&& other) noexcept
         : m_state(std::exchange(other.m_state, nullptr)), m_server(std::move(other.m_server)),
-          m_number(other.m_number)
+          m_number(other.m_number), m_shared_load(other.m_shared_load)
     {
     }
     server_run& operator=(server_run&& other) noexcept
@@ -28,6 +35,7 @@
             m_state = std::exchange(other.m_state, nullptr);
             m_server = std::move(other.m_server);
             m_number = other.m_number;
+            m_shared_load = other.m_shared_load;
         }
         return *this;
     }
@@ -51,15 +59,18 @@
                 return leaves;
             });
         // Runs of other nodes wait for their turn to leave the server.
-        if (next_turn)
+        if (next_turn || m_shared_load)
             m_state->report_due().signal();
         m_state = nullptr;
     }
     void note_first_event()
     {
         if (m_state != nullptr)
+        {
             m_state->with([&](node_state::tables& held)
                           { held.dispatcher.note_first_event(m_number); });
+            m_state->report_due().signal();
+        }
     }
     base::milliseconds copy_turn()
     {
@@ -90,6 +101,7 @@
     node_state* m_state;
     serving::chosen_server m_server;
     serving::run_number m_number;
+    bool m_shared_load = false;
 };
 
 } // namespace jasminepier::node
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -17,9 +17,11 @@
 // The store answers within 4 ms (sheets); slow days stretch that sixtyfold.
 constexpr base::milliseconds call_timeout{1500};
 // Longest that a watch waits. Each return costs a call; keep-alive probes find a silent store.
-constexpr base::milliseconds watch_timeout{10000};
+constexpr base::milliseconds watch_timeout{25000};
 constexpr base::milliseconds first_pause{100};
 constexpr base::milliseconds longest_pause{800};
+// How soon a node notices that it is to follow a kind because another one died.
+constexpr base::milliseconds place_check{200};
 
 } // namespace
 
@@ -33,12 +35,39 @@
     return settings;
 }
 
-store_watcher::store_watcher(node_state& state) : m_state(state), m_store(store_settings(state))
+store_watcher::store_watcher(node_state& state, news_function tell_peers)
+    : m_state(state), m_store(store_settings(state)), m_tell_peers(std::move(tell_peers))
 {
     for (auto const& kind : followed_kinds())
         std::thread([this, &kind] { follow(kind); }).detach();
 }
 
+bool store_watcher::wait_for_place(std::string const& kind)
+{
+    // Configurations and evacuations change rarely, so every node follows them itself.
+    if (kind != platform::server_kind && kind != platform::node_kind)
+        return false;
+    bool waited = false;
+    while (true)
+    {
+        auto const now = base::steady_clock_source{}.now();
+        bool const follows = m_state.with(
+            [&](node_state::tables& held)
+            {
+                bool const reached = !held.dispatcher.directory().store_lost();
+                // Nodes learn of each other by reports, so in large fleets nobody follows their
+                // list.
+                if (kind == platform::node_kind)
+                    return !held.nodes.relays_store();
+                return held.nodes.follows_store(kind, reached, now);
+            });
+        if (follows)
+            return waited;
+        waited = true;
+        std::this_thread::sleep_for(place_check);
+    }
+}
+
 void store_watcher::note_call(std::string const& kind, bool reached, std::string const& reason)
 {
     auto const now = base::steady_clock_source{}.now();
@@ -67,6 +96,8 @@
     base::random_source random(std::random_device{}());
     while (true)
     {
+        if (version && wait_for_place(kind))
+            version.reset();
         bool const listing = !version;
         auto const page = base::handle(
             [&]() -> base::result<std::optional<store::object_page>>
@@ -100,7 +131,13 @@
         if (listing)
             apply_list(m_state, kind, *page);
         else
+        {
             apply_events(m_state, kind, *page);
+            bool const relays =
+                m_state.with([](node_state::tables& held) { return held.nodes.relays_store(); });
+            if (relays && kind == platform::server_kind)
+                m_tell_peers(page->objects);
+        }
         version = page->version;
     }
 }
@@ -147,8 +184,15 @@
         return;
     }
     auto const now = base::steady_clock_source{}.now();
-    auto const silent =
-        m_state.with([&](node_state::tables& held) { return held.nodes.long_silent(now); });
+    auto const silent = m_state.with(
+        [&](node_state::tables& held)
+        {
+            // One node cleans up; the others would only repeat the calls.
+            bool const reached = !held.dispatcher.directory().store_lost();
+            return held.nodes.follows_store(platform::node_kind, reached, now)
+                       ? held.nodes.long_silent(now)
+                       : std::vector<std::string>{};
+        });
     for (auto const& name : silent)
     {
         store::object entry;
--- a/services/node/store_watcher.hpp
+++ b/services/node/store_watcher.hpp
@@ -5,6 +5,8 @@
 #include "services/node/node_state.hpp"
 
 #include <atomic>
+#include <functional>
+#include <span>
 #include <string>
 
 namespace jasminepier::node
@@ -15,16 +17,22 @@
 class store_watcher
 {
 public:
-    explicit store_watcher(node_state& state);
+    using news_function = std::function<void(std::span<store::object const>)>;
+
+    /// `tell_peers` receives changes of servers in fleets in which only a few nodes follow them.
+    store_watcher(node_state& state, news_function tell_peers);
     store_watcher(store_watcher const&) = delete;
     store_watcher& operator=(store_watcher const&) = delete;
 
 private:
     void follow(std::string const& kind);
+    /// Waits as long as other nodes follow the kind. Returns true when time has passed with it.
+    bool wait_for_place(std::string const& kind);
     void note_call(std::string const& kind, bool reached, std::string const& reason);
 
     node_state& m_state;
     platform::object_store m_store;
+    news_function m_tell_peers;
     std::atomic<bool> m_reached{false};
 };
 
