--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-caller_connection::caller_connection(Poco::Net::StreamSocket socket, request_size_limits limits)
-    : m_socket(std::move(socket)), m_reader(limits), m_peer(m_socket.peerAddress().toString())
+caller_connection::caller_connection(Poco::Net::StreamSocket const& socket,
+                                     request_size_limits limits)
+    : m_socket(socket), m_reader(limits), m_peer(m_socket.peerAddress().toString())
 {
     m_socket.setBlocking(false);
     set_connection_options(m_socket);
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -39,7 +39,7 @@
 class caller_connection
 {
 public:
-    caller_connection(Poco::Net::StreamSocket socket, request_size_limits limits);
+    caller_connection(Poco::Net::StreamSocket const& socket, request_size_limits limits);
 
     /// Waits for the next whole request. `interruption` ends the wait while nothing was received.
     read_outcome read_request(request& received, read_time_limits limits, wakeup& interruption);
--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -62,10 +62,10 @@
     }
 }
 
-client_exchange::client_exchange(Poco::Net::StreamSocket connection, std::string bytes,
+client_exchange::client_exchange(Poco::Net::StreamSocket const& connection, std::string bytes,
                                  bool expect_body, base::time_point now)
-    : m_socket(std::move(connection)), m_request(std::move(bytes)), m_connected(true),
-      m_reader(expect_body), m_started(now), m_last_received(now)
+    : m_socket(connection), m_request(std::move(bytes)), m_connected(true), m_reader(expect_body),
+      m_started(now), m_last_received(now)
 {
     send_pending();
 }
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -35,7 +35,7 @@
     client_exchange(std::string const& address, std::string bytes, bool expect_body,
                     base::time_point now);
     /// Sends the request on a connection that is open already.
-    client_exchange(Poco::Net::StreamSocket connection, std::string bytes, bool expect_body,
+    client_exchange(Poco::Net::StreamSocket const& connection, std::string bytes, bool expect_body,
                     base::time_point now);
 
     int descriptor() const noexcept;
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -269,8 +269,8 @@
     return result;
 }
 
-run_number dispatcher::begin_run(std::string const& server, run_demand demand,
-                                 base::time_point now, std::function<void()> leaving)
+run_number dispatcher::begin_run(std::string const& server, run_demand demand, base::time_point now,
+                                 std::function<void()> leaving)
 {
     auto const number = m_next_run++;
     auto& used = m_own[server];
@@ -440,6 +440,14 @@
             held.leaving();
 }
 
+bool dispatcher::expire(base::time_point now)
+{
+    bool const changed = m_directory.expire(now);
+    std::erase_if(m_evidence,
+                  [&](auto const& item) { return !m_directory.servers().contains(item.first); });
+    return changed;
+}
+
 void dispatcher::add_request(std::string const& service, base::time_point now)
 {
     m_retries[service].add_request(now);
@@ -477,8 +485,7 @@
         bool const leaves =
             server.phase == server_phase::draining || server.phase == server_phase::gone;
         load.leaving = leaves && now < server.phase_since + leaving_notice;
-        if (load.running > 0 || load.recent_attempts > 0 ||
-            load.leaving)
+        if (load.running > 0 || load.recent_attempts > 0 || load.leaving)
             loads.push_back(load);
     }
     return loads;
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -157,6 +157,10 @@
     /// Calls `leaving` of the runs whose servers began to leave.
     void notify_leaving();
 
+    /// Ends the grace of lapsed servers and drops what is known of forgotten ones. Returns true
+    /// when a server changed its phase.
+    bool expire(base::time_point now);
+
     /// Counts a request for the retry bound of its service.
     void add_request(std::string const& service, base::time_point now);
     /// Takes one retry of the service's bound.
--- a/meta/check.sh
+++ b/meta/check.sh
@@ -6,5 +6,10 @@
 sources=$(git ls-files '*.cpp' '*.hpp' | grep -v /generated/)
 echo "== format"; printf '%s\n' "$sources" | xargs -r clang-format --dry-run --Werror
 echo "== build"; cmake -S . -B "$build" -G Ninja >/dev/null && ninja -C "$build" | tail -n 3
-echo "== lint"; meta/lint.sh "$build"
-echo "== test"; ctest --test-dir "$build" --output-on-failure -j 4
+# The tests wait most of their time, so the linter uses the processors meanwhile.
+echo "== lint and test"
+meta/lint.sh "$build" >"$build/lint.txt" 2>&1 & lint=$!
+status=0
+meta/test.sh "$build" || status=1
+wait "$lint" || { status=1; cat "$build/lint.txt"; echo "lint failed"; }
+exit "$status"
--- a/services/node/connection_pool.cpp
+++ b/services/node/connection_pool.cpp
@@ -23,14 +23,14 @@
     return std::nullopt;
 }
 
-void connection_pool::put(std::string const& server, Poco::Net::StreamSocket connection,
+void connection_pool::put(std::string const& server, Poco::Net::StreamSocket const& connection,
                           std::optional<base::milliseconds> idle, base::time_point now)
 {
     std::lock_guard lock(m_mutex);
     auto& kept = m_idle[server];
     // Half of what the server grants leaves time for a request on its way.
     auto const life = std::min(longest_idle, idle ? *idle / 2 : longest_idle);
-    kept.push_back({std::move(connection), now + life});
+    kept.push_back({connection, now + life});
     if (kept.size() > most_per_server)
         kept.pop_front();
 }
--- a/services/node/connection_pool.hpp
+++ b/services/node/connection_pool.hpp
@@ -27,7 +27,7 @@
     /// Returns an open connection on which nothing unexpected has arrived.
     std::optional<Poco::Net::StreamSocket> take(std::string const& server, base::time_point now);
     /// `idle` is the time for which the server keeps the connection, when it says so.
-    void put(std::string const& server, Poco::Net::StreamSocket connection,
+    void put(std::string const& server, Poco::Net::StreamSocket const& connection,
              std::optional<base::milliseconds> idle, base::time_point now);
     /// Closes connections that have been idle for too long.
     void expire(base::time_point now);
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -30,7 +30,7 @@
     m_tables.dispatcher.set_nodes({m_settings->name});
 }
 
-void node_state::reload(node_settings changed)
+void node_state::reload(node_settings const& changed)
 {
     std::lock_guard lock(m_mutex);
     auto merged = *m_settings;
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -56,7 +56,7 @@
         return m_settings;
     }
     /// Takes over changed settings. Addresses, names and ports keep their value until a restart.
-    void reload(node_settings changed);
+    void reload(node_settings const& changed);
     decision::crash_suspects& suspects() noexcept { return m_suspects; }
 
     /// Set once at the stop signal.
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -129,7 +129,7 @@
                 for (auto const& name : held.nodes.expire(now))
                     held.dispatcher.forget_peer(name);
                 held.dispatcher.set_nodes(held.nodes.live_names(now));
-                if (held.dispatcher.directory().expire(now))
+                if (held.dispatcher.expire(now))
                     held.dispatcher.notify_leaving();
                 gap = held.nodes.shortest_report_gap();
                 return held.nodes.report_interval();
@@ -153,7 +153,7 @@
             [&]() -> base::result<void>
             {
                 BOOST_LEAF_AUTO(report, inner_protocol::decode_report(*received));
-                apply(report, "");
+                apply(report);
                 return {};
             },
             [](base::error const& failure)
@@ -165,7 +165,7 @@
     }
 }
 
-void peer_link::apply(inner_protocol::node_report const& report, std::string const&)
+void peer_link::apply(inner_protocol::node_report const& report)
 {
     auto const now = base::steady_clock_source{}.now();
     serving::node_state_report state;
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -28,7 +28,7 @@
 private:
     void send_for_ever();
     void receive_for_ever();
-    void apply(inner_protocol::node_report const& report, std::string const& host);
+    void apply(inner_protocol::node_report const& report);
 
     node_state& m_state;
     inner_protocol::datagram_socket m_socket;
--- a/services/node/peer_objects.cpp
+++ b/services/node/peer_objects.cpp
@@ -55,7 +55,7 @@
 {
     bool const follows =
         held.nodes.follows_store(platform::server_kind, true, now) || !held.nodes.relays_store();
-    auto const differing =
+    auto differing =
         follows ? std::nullopt
                 : held.nodes.differing_follower(platform::server_kind,
                                                 held.objects.digest(platform::server_kind), now);
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -37,8 +37,7 @@
 bool plain_relay::may_send_again()
 {
     return m_context.sends < most_sends && m_context.time_left().count() > 0 &&
-           m_context.servers_used < m_context.route->maximum_servers &&
-           m_context.take_retry();
+           m_context.servers_used < m_context.route->maximum_servers && m_context.take_retry();
 }
 
 plain_relay::attempt plain_relay::start(server_run run)
@@ -127,7 +126,7 @@
         return verdict::failed;
     }
     if (auto kept = exchange.take_connection(); kept && may_repeat())
-        m_pool.put(server.id, std::move(*kept),
+        m_pool.put(server.id, *kept,
                    reply.idle_seconds ? std::optional<base::milliseconds>(
                                             std::chrono::seconds(*reply.idle_seconds))
                                       : std::nullopt,
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -211,6 +211,7 @@
 TEST_F(dispatcher_test, all_nodes_together_keep_a_cold_servers_bound)
 {
     std::vector<std::string> names;
+    names.reserve(67);
     for (int i = 0; i < 67; ++i)
         names.push_back("n" + std::to_string(i));
     int sent = 0;
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -81,6 +81,7 @@
 {
     auto const small = m_directory.report_interval();
     std::vector<node_entry> many;
+    many.reserve(400);
     for (int i = 0; i < 400; ++i)
         many.push_back(make_node("n" + std::to_string(i)));
     m_directory.apply_listed(many, start);
