--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -38,4 +38,22 @@
     }
 }
 
+// Guards against copies of the store that differ without anyone noticing.
+TEST(versioned_store, digests_agree_only_for_equal_entries)
+{
+    versioned_store first;
+    versioned_store second;
+    std::vector<store::object> const objects{{"server", "a", 1, "{}", false},
+                                             {"server", "b", 2, "{}", false},
+                                             {"zone", "z", 3, "{}", false}};
+    first.merge(objects);
+    second.merge({&objects[1], 1});
+    EXPECT_NE(first.digest("server"), second.digest("server"));
+    second.merge({objects.data(), 1});
+    EXPECT_EQ(first.digest("server"), second.digest("server"));
+    store::object const removed{"server", "a", 4, "", true};
+    second.merge({&removed, 1});
+    EXPECT_NE(first.digest("server"), second.digest("server"));
+}
+
 } // namespace jasminepier::configuration
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace jasminepier::serving
 {
 namespace
@@ -76,6 +78,69 @@
               std::vector<std::string>{"n2"});
 }
 
+/// The directories of a fleet whose nodes have heard of each other.
+std::vector<node_directory> make_fleet(int size)
+{
+    std::vector<node_directory> fleet;
+    fleet.reserve(static_cast<std::size_t>(size));
+    for (int i = 0; i < size; ++i)
+    {
+        fleet.emplace_back(make_node("n" + std::to_string(i)));
+        fleet.back().set_phase(node_phase::ready);
+        for (int other = 0; other < size; ++other)
+            fleet.back().apply_report(make_report("n" + std::to_string(other), 1, 1), start);
+    }
+    return fleet;
+}
+
+int count_followers(std::vector<node_directory> const& fleet, base::time_point now)
+{
+    return static_cast<int>(std::count_if(fleet.begin(), fleet.end(),
+                                          [&](node_directory const& node)
+                                          { return node.follows_store("servers", true, now); }));
+}
+
+// Guards against calls to the store that grow with the fleet times the changes of its servers.
+TEST(store_followers, large_fleets_follow_the_servers_by_a_few_nodes)
+{
+    EXPECT_EQ(count_followers(make_fleet(8), start), 8);
+    EXPECT_EQ(count_followers(make_fleet(67), start),
+              static_cast<int>(node_directory::store_followers));
+}
+
+// Guards against servers that nobody follows because the chosen nodes died or lost the store.
+TEST(store_followers, others_take_the_place_of_nodes_that_died_or_lost_the_store)
+{
+    auto fleet = make_fleet(20);
+    for (auto& node : fleet)
+        for (int other = 0; other < 20; other += 2)
+        {
+            auto report = make_report("n" + std::to_string(other), 1, 2);
+            report.store_reached = false;
+            node.apply_report(report, start);
+        }
+    int followers = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        followers += fleet[i].follows_store("servers", i % 2 == 1, start) ? 1 : 0;
+    EXPECT_EQ(followers, static_cast<int>(node_directory::store_followers));
+    // Silent nodes do not hold a place either.
+    EXPECT_EQ(count_followers(fleet, start + node_directory::silence_limit), 20);
+}
+
+// Guards against nodes that keep an old list of servers after a lost datagram.
+TEST(store_followers, a_node_finds_a_follower_that_knows_other_servers)
+{
+    node_directory node(make_node("self"));
+    for (int i = 0; i < 12; ++i)
+    {
+        auto report = make_report("n" + std::to_string(i), 1, 1);
+        report.server_digest = 7;
+        node.apply_report(report, start);
+    }
+    EXPECT_FALSE(node.differing_follower("servers", 7, start));
+    EXPECT_TRUE(node.differing_follower("servers", 8, start));
+}
+
 // Guards against report traffic that grows with the square of the fleet.
 TEST_F(node_directory_test, nodes_report_more_slowly_in_larger_fleets)
 {
