Node: Notice changes behind a store that falls silent

Cause: a store that falls silent never answers the watches that wait then. Ruled out: keep-alive probes, which a silent store still answers. Watches now wait 0.5 s per node of the fleet at most, spread so that some watch ends twice a second, and a node whose peers hold newer copies pulls them.

--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -102,7 +102,7 @@
                        [](auto const& object) { return valid(object); }) &&
            valid_identifier(report.node) && valid_name(report.zone) &&
            valid_identifier(report.caller_address) && valid_port(report.peer_port) &&
-           report.started >= 0 && report.sequence >= 0 && report.configuration_revision >= 0 &&
+           report.started >= 0 && report.sequence >= 0 && report.store_revision >= 0 &&
            std::all_of(report.uses.begin(), report.uses.end(),
                        [](auto const& use) { return valid(use); }) &&
            std::all_of(report.crashes.begin(), report.crashes.end(),
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -16,6 +16,12 @@
 // Bounds the reports that changes of load cause to about 650 datagrams a second for each node.
 constexpr std::chrono::microseconds gap_per_peer{1500};
 
+// Some watch of the fleet ends every 0.5 s, which leaves time to spread what it brings within the
+// 2 s in which configurations are in force.
+constexpr base::milliseconds watch_wait_per_node{500};
+constexpr base::milliseconds shortest_watch_wait{2000};
+constexpr base::milliseconds longest_watch_wait{25000};
+
 } // namespace
 
 void node_directory::apply_listed(std::vector<node_entry> const& entries, base::time_point now)
@@ -56,6 +62,7 @@
     node.sequence = report.sequence;
     node.phase = report.phase;
     node.store_reached = report.store_reached;
+    node.store_revision = report.store_revision;
     node.server_digest = report.server_digest;
     node.heard = now;
     node.ever_heard = true;
@@ -116,6 +123,26 @@
     return informed;
 }
 
+std::optional<node_entry> node_directory::newer_peer(std::int64_t revision,
+                                                     base::time_point now) const
+{
+    known_node const* newest = nullptr;
+    for (auto const& [name, node] : m_nodes)
+        if (alive(node, now) && node.store_revision > revision &&
+            (newest == nullptr || node.store_revision > newest->store_revision))
+            newest = &node;
+    return newest == nullptr ? std::nullopt : std::optional(newest->entry);
+}
+
+base::milliseconds node_directory::watch_wait(base::random_source& random) const
+{
+    auto const longest = std::clamp(watch_wait_per_node * static_cast<int>(m_nodes.size() + 1),
+                                    shortest_watch_wait, longest_watch_wait);
+    // Watches of all nodes return together when something changes, and would end together again.
+    std::uniform_int_distribution<std::int64_t> spread(longest.count() / 2, longest.count());
+    return base::milliseconds(spread(random));
+}
+
 std::optional<node_entry> node_directory::differing_follower(std::string_view subject,
                                                              std::uint64_t digest,
                                                              base::time_point now) const
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -32,6 +32,8 @@
     node_phase phase = node_phase::starting;
     /// The node's copies of the store's objects are current.
     bool store_reached = false;
+    /// Newest revision of the node's copies of the store's objects.
+    std::int64_t store_revision = 0;
     /// Equal on nodes that hold the same entries of servers.
     std::uint64_t server_digest = 0;
 };
@@ -76,6 +78,11 @@
     std::vector<std::string> caller_addresses(std::size_t limit, base::time_point now) const;
     /// Living nodes that reach the store.
     std::vector<node_entry> informed_peers(base::time_point now) const;
+    /// The living node that holds the newest copies, when they are newer than `revision`.
+    std::optional<node_entry> newer_peer(std::int64_t revision, base::time_point now) const;
+    /// How long a watch of the store waits. A store that falls silent never answers the watches
+    /// that wait then, so the watches of all nodes together end about twice a second.
+    base::milliseconds watch_wait(base::random_source& random) const;
     /// A node that follows `subject` and holds other entries of servers than this one; null when
     /// there is none.
     std::optional<node_entry> differing_follower(std::string_view subject, std::uint64_t digest,
@@ -105,6 +112,7 @@
         std::int64_t sequence = 0;
         node_phase phase = node_phase::starting;
         bool store_reached = false;
+        std::int64_t store_revision = 0;
         std::uint64_t server_digest = 0;
         base::time_point heard{};
         bool ever_heard = false;
--- a/libraries/store/http_object_store.hpp
+++ b/libraries/store/http_object_store.hpp
@@ -26,8 +26,8 @@
     /// Fails with not_found, rate_limited or platform_unavailable.
     base::result<object> get(std::string const& kind, std::string const& name)
     {
-        BOOST_LEAF_AUTO(received, exchange(m_settings, Dialect::get(kind, name),
-                                           m_settings.call_timeout));
+        BOOST_LEAF_AUTO(received,
+                        exchange(m_settings, Dialect::get(kind, name), m_settings.call_timeout));
         if (received.status != 200)
             return base::fail(failure_of(received.status), "cannot read " + kind + "/" + name);
         return Dialect::read_object(received.body, kind);
@@ -57,17 +57,13 @@
     }
 
     /// Creates the object only if no object of that name exists.
-    write_outcome create(std::string const& kind, std::string const& name,
-                         std::string const& value)
+    write_outcome create(std::string const& kind, std::string const& name, std::string const& value)
     {
         object const added{kind, name, 0, value, false};
         return write(Dialect::create(added), added);
     }
     /// Replaces the value only if the stored version is still `changed.version`.
-    write_outcome update(object const& changed)
-    {
-        return write(Dialect::update(changed), changed);
-    }
+    write_outcome update(object const& changed) { return write(Dialect::update(changed), changed); }
     /// Deletes the object only if the stored version is still `existing.version`.
     write_outcome remove(object const& existing)
     {
@@ -78,9 +74,15 @@
     /// page after the watch timeout. Fails with conflict when `version` is too old to watch from.
     base::result<object_page> watch(std::int64_t version, std::vector<std::string> const& kinds)
     {
-        BOOST_LEAF_AUTO(received,
-                        exchange(m_settings, Dialect::watch(version, kinds, m_settings.watch_timeout),
-                                 m_settings.watch_timeout + m_settings.call_timeout));
+        return watch(version, kinds, m_settings.watch_timeout);
+    }
+
+    /// The same with a waiting time of its own.
+    base::result<object_page> watch(std::int64_t version, std::vector<std::string> const& kinds,
+                                    std::chrono::milliseconds wait)
+    {
+        BOOST_LEAF_AUTO(received, exchange(m_settings, Dialect::watch(version, kinds, wait),
+                                           wait + m_settings.call_timeout));
         if (received.status != 200)
             return base::fail(failure_of(received.status), "watch was refused");
         return Dialect::read_events(received.body, kinds);
@@ -100,15 +102,15 @@
                 return outcome;
             outcome.status =
                 said == write_answer::applied ? write_status::applied : write_status::conflict;
-            outcome.current = base::handle(
-                [&] { return Dialect::read_object(received.body, target.kind); },
-                [&](base::error const&)
-                {
-                    // An answer without the object says that there is none.
-                    auto absent = target;
-                    absent.deleted = true;
-                    return absent;
-                });
+            outcome.current =
+                base::handle([&] { return Dialect::read_object(received.body, target.kind); },
+                             [&](base::error const&)
+                             {
+                                 // An answer without the object says that there is none.
+                                 auto absent = target;
+                                 absent.deleted = true;
+                                 return absent;
+                             });
             return outcome;
         };
         // Any failure after the request may have left, a malformed answer included, tells nothing
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -99,7 +99,6 @@
         .field("callers", settings->callers.text())
         .field("store", settings->store.text());
     node::connection_pool pool;
-    node::operator_services const services(state, metrics_port);
     node::node_registrar registrar(state);
     node::peer_link peers(state);
     node::store_watcher const watcher(state, [&](std::span<store::object const> news)
@@ -121,6 +120,8 @@
     Poco::Net::TCPServer server(new node::caller_session_factory(state, pool), threads, socket,
                                 parameters);
     server.start();
+    // Readiness is told only once callers can connect.
+    node::operator_services const services(state, metrics_port);
     node::settings_reload reload(state, std::getenv(platform::settings_path_variable));
     for (auto signal = base::process_signal::none; signal != base::process_signal::stop;)
     {
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -72,7 +72,7 @@
             report.peer_port = self.peer_port;
             report.ready = held.nodes.phase() == serving::node_phase::ready;
             report.stopping = held.nodes.phase() == serving::node_phase::stopping;
-            report.configuration_revision = held.configuration ? held.configuration->revision : 0;
+            report.store_revision = held.objects.revision();
             report.server_digest =
                 static_cast<std::int64_t>(held.objects.digest(platform::server_kind));
             report.store_reached = held.configuration && !held.dispatcher.directory().store_lost();
@@ -176,6 +176,7 @@
     state.started = report.started;
     state.sequence = report.sequence;
     state.store_reached = report.store_reached;
+    state.store_revision = report.store_revision;
     state.server_digest = static_cast<std::uint64_t>(report.server_digest);
     state.phase = report.stopping ? serving::node_phase::stopping
                   : report.ready  ? serving::node_phase::ready
--- a/services/node/peer_objects.cpp
+++ b/services/node/peer_objects.cpp
@@ -49,16 +49,16 @@
 {
 }
 
-std::optional<serving::node_entry> peer_objects::find_newer_follower(node_state::tables& held,
-                                                                     std::int64_t& known,
-                                                                     base::time_point now)
+std::optional<serving::node_entry> peer_objects::find_better_informed(node_state::tables& held,
+                                                                      std::int64_t& known,
+                                                                      base::time_point now)
 {
-    bool const follows =
-        held.nodes.follows_store(platform::server_kind, true, now) || !held.nodes.relays_store();
-    auto differing =
-        follows ? std::nullopt
-                : held.nodes.differing_follower(platform::server_kind,
-                                                held.objects.digest(platform::server_kind), now);
+    auto differing = held.nodes.newer_peer(held.objects.revision(), now);
+    bool const told =
+        held.nodes.relays_store() && !held.nodes.follows_store(platform::server_kind, true, now);
+    if (!differing && told)
+        differing = held.nodes.differing_follower(platform::server_kind,
+                                                  held.objects.digest(platform::server_kind), now);
     // News are on their way for a moment, so a difference counts the second time.
     bool const lasting = differing && m_differed;
     m_differed = differing.has_value();
@@ -77,7 +77,7 @@
         {
             bool const current = held.configuration && !held.dispatcher.directory().store_lost();
             if (current)
-                return find_newer_follower(held, known, now);
+                return find_better_informed(held, known, now);
             auto const informed = held.nodes.informed_peers(now);
             if (informed.empty())
                 return std::nullopt;
--- a/services/node/peer_objects.hpp
+++ b/services/node/peer_objects.hpp
@@ -20,9 +20,9 @@
 
 private:
     void pull_if_needed();
-    /// In large fleets: a node that follows the servers and knows others than this one.
+    /// A node that knows something of the store that this one has missed.
     std::optional<serving::node_entry>
-    find_newer_follower(node_state::tables& held, std::int64_t& known, base::time_point now);
+    find_better_informed(node_state::tables& held, std::int64_t& known, base::time_point now);
 
     node_state& m_state;
     std::unique_ptr<inner_protocol::rpc_server> m_server;
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -16,8 +16,6 @@
 
 // The store answers within 4 ms (sheets); slow days stretch that sixtyfold.
 constexpr base::milliseconds call_timeout{1500};
-// Longest that a watch waits. Each return costs a call; keep-alive probes find a silent store.
-constexpr base::milliseconds watch_timeout{25000};
 constexpr base::milliseconds first_pause{100};
 constexpr base::milliseconds longest_pause{800};
 // How soon a node notices that it is to follow a kind because another one died.
@@ -31,7 +29,6 @@
     settings.host = state.settings()->store.host;
     settings.port = state.settings()->store.port;
     settings.call_timeout = call_timeout;
-    settings.watch_timeout = watch_timeout;
     return settings;
 }
 
@@ -99,10 +96,12 @@
         if (version && wait_for_place(kind))
             version.reset();
         bool const listing = !version;
+        auto const wait =
+            m_state.with([&](node_state::tables& held) { return held.nodes.watch_wait(random); });
         auto const page = base::handle(
             [&]() -> base::result<std::optional<store::object_page>>
             {
-                auto call = listing ? m_store.list(kind) : m_store.watch(*version, {kind});
+                auto call = listing ? m_store.list(kind) : m_store.watch(*version, {kind}, wait);
                 if (!call)
                     return call.error();
                 return std::optional(std::move(*call));
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace jasminepier::serving
 {
@@ -141,6 +142,39 @@
     EXPECT_TRUE(node.differing_follower("servers", 8, start));
 }
 
+// Guards against changes that a node misses because its watch waits at a store that fell silent.
+TEST(store_followers, a_node_finds_peers_with_newer_copies)
+{
+    node_directory node(make_node("self"));
+    auto report = make_report("n1", 1, 1);
+    report.store_revision = 40;
+    node.apply_report(report, start);
+    EXPECT_FALSE(node.newer_peer(40, start));
+    ASSERT_TRUE(node.newer_peer(39, start));
+    EXPECT_EQ(node.newer_peer(39, start)->name, "n1");
+    EXPECT_FALSE(node.newer_peer(39, start + node_directory::silence_limit));
+}
+
+// Guards against watches that all end at the same time, or so rarely that a silent store hides a
+// change for longer than configurations may take.
+TEST(store_followers, watches_of_a_fleet_end_often_and_apart)
+{
+    base::random_source random(20261204);
+    for (int const size : {1, 8, 67})
+    {
+        auto const fleet = make_fleet(size);
+        std::set<milliseconds> waits;
+        milliseconds longest{0};
+        for (auto const& node : fleet)
+        {
+            waits.insert(node.watch_wait(random));
+            longest = std::max(longest, *waits.rbegin());
+        }
+        EXPECT_LE(longest, std::max(milliseconds(2000), milliseconds(500) * size));
+        EXPECT_GT(static_cast<int>(waits.size()), size / 2);
+    }
+}
+
 // Guards against report traffic that grows with the square of the fleet.
 TEST_F(node_directory_test, nodes_report_more_slowly_in_larger_fleets)
 {
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -291,6 +291,19 @@
         seconds(5)));
 }
 
+// Guards against configurations that are missed because a watch waits at a store that fell silent.
+TEST_F(node_process_test, follows_configurations_after_a_silent_outage)
+{
+    start_ready();
+    m_store.set_mode(store_mode::silent);
+    std::this_thread::sleep_for(milliseconds(200));
+    configure(2, "other");
+    m_store.set_mode(store_mode::serving);
+    EXPECT_TRUE(wait_until(
+        [&] { return call("POST", "/order/ok").status == 200 && m_other.runs(m_last_id) == 1; },
+        seconds(8)));
+}
+
 // Guards against callers that learn of one node only, or of one that stops.
 TEST_F(node_process_test, names_living_nodes_to_callers)
 {
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -62,6 +62,12 @@
     return ::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+void wait_for_peer(Poco::Net::StreamSocket& socket)
+{
+    while (!peer_left(socket))
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+}
+
 std::string object_text(std::string const& name, std::int64_t revision, std::string const& spec)
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(revision) +
@@ -157,6 +163,13 @@
     m_changed.notify_all();
 }
 
+void fake_store::set_mode(store_mode mode)
+{
+    m_mode = mode;
+    std::lock_guard lock(m_mutex);
+    m_changed.notify_all();
+}
+
 void fake_store::forget_history()
 {
     std::lock_guard lock(m_mutex);
@@ -172,12 +185,18 @@
         ++m_calls;
         if (m_mode == store_mode::silent)
         {
-            while (m_mode == store_mode::silent && !peer_left(socket))
-                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            wait_for_peer(socket);
             return;
         }
         int status = 200;
-        auto const body = m_mode == store_mode::refusing ? std::string{} : answer(*request, status);
+        auto const answered = answer(*request, status);
+        // What waits while the store falls silent is never answered.
+        if (m_mode == store_mode::silent)
+        {
+            wait_for_peer(socket);
+            return;
+        }
+        auto const body = m_mode == store_mode::refusing ? std::string{} : answered;
         if (m_mode == store_mode::refusing)
             status = 503;
         http::header_list fields;
--- a/tests/support/platform_world.hpp
+++ b/tests/support/platform_world.hpp
@@ -54,7 +54,7 @@
     serving,
     /// Answers 503.
     refusing,
-    /// Accepts calls and never answers.
+    /// Accepts calls and never answers them, nor those that wait already.
     silent,
 };
 
@@ -67,7 +67,7 @@
 
     void put(std::string const& kind, std::string const& name, std::string const& spec);
     void remove(std::string const& kind, std::string const& name);
-    void set_mode(store_mode mode) { m_mode = mode; }
+    void set_mode(store_mode mode);
     /// Drops the history, so that watches have to list again.
     void forget_history();
     int calls() const noexcept { return m_calls; }
