Store: Apply the time limit of a call to its connection

Cause: a session of POCO applies its time limit only to connections that it opens itself, and the store's client hands it an open one, so calls to a silent store waited for ever. Ruled out: the stand-in (it served other calls) and the waiting time of watches (2 s with one node).

--- a/libraries/store/store_connection.cpp
+++ b/libraries/store/store_connection.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
+
 #include <netinet/tcp.h>
 
 namespace jasminepier::store
@@ -19,11 +20,15 @@
 constexpr int keep_alive_interval = 1;
 constexpr int keep_alive_probes = 2;
 
-Poco::Net::StreamSocket connect(http_object_store_settings const& settings)
+Poco::Net::StreamSocket connect(http_object_store_settings const& settings,
+                                std::chrono::milliseconds timeout)
 {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(settings.host, settings.port),
                    Poco::Timespan(settings.call_timeout.count() * 1000));
+    // A session applies its time limit only to connections that it opens itself.
+    socket.setReceiveTimeout(Poco::Timespan(timeout.count() * 1000));
+    socket.setSendTimeout(Poco::Timespan(timeout.count() * 1000));
     socket.setKeepAlive(true);
     socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle);
     socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval);
@@ -47,8 +52,7 @@
 {
     try
     {
-        Poco::Net::HTTPClientSession session(connect(settings));
-        session.setTimeout(Poco::Timespan(timeout.count() * 1000));
+        Poco::Net::HTTPClientSession session(connect(settings, timeout));
         Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
         request.setHost(settings.host, settings.port);
         if (!call.condition_name.empty())
@@ -62,8 +66,7 @@
         auto& in = session.receiveResponse(response);
         Poco::StreamCopier::copyToString(in, received.body);
         auto const length = response.getContentLength64();
-        if (response.hasContentLength() &&
-            length != static_cast<Poco::Int64>(received.body.size()))
+        if (response.hasContentLength() && length != static_cast<Poco::Int64>(received.body.size()))
             return base::fail(error_kind::platform_unavailable, "platform answer was cut short");
         received.status = response.getStatus();
         return received;
