--- a/libraries/base/stop_signal.hpp
+++ b/libraries/base/stop_signal.hpp
@@ -6,8 +6,8 @@
 namespace jasminepier::base
 {
 
-/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and in threads that it starts later, and ignores
-/// SIGPIPE. Call it first in main, so that no library thread takes the signal.
+/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and in threads that it starts later, and
+/// ignores SIGPIPE. Call it first in main, so that no library thread takes the signal.
 void block_stop_signals();
 
 /// Waits until SIGTERM or SIGINT arrives.
--- a/libraries/claims/claim_recorder.hpp
+++ b/libraries/claims/claim_recorder.hpp
@@ -106,13 +106,13 @@
     bool read_first(task& work)
     {
         bool failed = false;
-        auto const seen = base::handle(
-            [&]() -> base::result<store::object> { return m_store.get(claim_kind, work.name); },
-            [&](base::error const& failure)
-            {
-                failed = failure.kind != base::error_kind::not_found;
-                return store::object{claim_kind, work.name, 0, "", true};
-            });
+        auto const seen = base::handle([&]() -> base::result<store::object>
+                                       { return m_store.get(claim_kind, work.name); },
+                                       [&](base::error const& failure)
+                                       {
+                                           failed = failure.kind != base::error_kind::not_found;
+                                           return store::object{claim_kind, work.name, 0, "", true};
+                                       });
         if (failed)
             return false;
         return !needs_write(work, seen) || attempt(work);
--- a/libraries/configuration/replica.cpp
+++ b/libraries/configuration/replica.cpp
@@ -26,8 +26,7 @@
     return changed;
 }
 
-void replica::delete_absent(kind_listing const& listing,
-                            std::vector<store::object>& changes) const
+void replica::delete_absent(kind_listing const& listing, std::vector<store::object>& changes) const
 {
     std::set<std::string> present;
     for (auto const& listed : listing.page.objects)
--- a/libraries/store/object_dialect.hpp
+++ b/libraries/store/object_dialect.hpp
@@ -38,9 +38,9 @@
 
 /// Names, paths and formats of one object API. Dialects hold no state and decide nothing.
 template <class T>
-concept object_dialect =
-    requires(std::string const& text, object const& value, std::int64_t version,
-             std::vector<std::string> const& kinds, std::chrono::milliseconds wait, int status)
+concept object_dialect = requires(std::string const& text, object const& value,
+                                  std::int64_t version, std::vector<std::string> const& kinds,
+                                  std::chrono::milliseconds wait, int status)
 {
     {
         T::get(text, text)
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -2,13 +2,13 @@
 #include "base/background_thread.hpp"
 #include "base/settings.hpp"
 #include "base/stop_signal.hpp"
-#include "store/http_object_store.hpp"
 #include "services/control/control_handler.hpp"
 #include "services/control/control_metrics.hpp"
 #include "services/control/load_collector.hpp"
 #include "services/control/peer_exchange.hpp"
 #include "services/control/placement_runner.hpp"
 #include "services/control/platform_watcher.hpp"
+#include "store/http_object_store.hpp"
 
 #include <Poco/Net/IPAddress.h>
 #include <Poco/NumberParser.h>
--- a/services/control/placement_runner.hpp
+++ b/services/control/placement_runner.hpp
@@ -3,8 +3,8 @@
 
 #include "base/background_thread.hpp"
 #include "placement/placement_controller.hpp"
-#include "store/http_object_store.hpp"
 #include "services/control/control_state.hpp"
+#include "store/http_object_store.hpp"
 
 namespace jasminepier::control
 {
--- a/services/entry/order_calls.hpp
+++ b/services/entry/order_calls.hpp
@@ -4,9 +4,9 @@
 #include "base/background_thread.hpp"
 #include "claims/claim_sweep.hpp"
 #include "claims/claimant.hpp"
-#include "store/http_object_store.hpp"
 #include "services/entry/entry_state.hpp"
 #include "services/entry/plain_call.hpp"
+#include "store/http_object_store.hpp"
 
 namespace jasminepier::entry
 {
--- a/tests/support/simulated_store.hpp
+++ b/tests/support/simulated_store.hpp
@@ -1,8 +1,8 @@
 /// A simulated object store whose answers are lost, late and doubled as the simulation chooses.
 #pragma once
 
-#include "store/object.hpp"
 #include "stand_ins/platform/memory_store.hpp"
+#include "store/object.hpp"
 #include "tests/support/simulation.hpp"
 
 namespace jasminepier::tests
@@ -89,7 +89,7 @@
     }
 
     store::write_outcome create(std::string const& kind, std::string const& name,
-                                   std::string const& value)
+                                std::string const& value)
     {
         return write(kind, name, stand_ins::must_not_exist, value);
     }
@@ -120,7 +120,7 @@
     }
 
     store::write_outcome write(std::string const& kind, std::string const& name,
-                                  std::int64_t condition, std::optional<std::string> const& value)
+                               std::int64_t condition, std::optional<std::string> const& value)
     {
         ++m_world.calls;
         m_world.schedule.step();
@@ -153,8 +153,8 @@
         if (m_world.happens(fault::lost_answer, 25))
             return {};
         store::write_outcome outcome;
-        outcome.status = answer.status == 200 ? store::write_status::applied
-                                              : store::write_status::conflict;
+        outcome.status =
+            answer.status == 200 ? store::write_status::applied : store::write_status::conflict;
         outcome.current =
             answer.current ? convert(*answer.current) : store::object{kind, name, 0, "", true};
         return outcome;
--- a/utilities/ctl/conditional_write.cpp
+++ b/utilities/ctl/conditional_write.cpp
@@ -68,8 +68,7 @@
     return written(left) == written(right);
 }
 
-int report(context const& current, store::object const& target,
-           store::write_outcome const& outcome)
+int report(context const& current, store::object const& target, store::write_outcome const& outcome)
 {
     switch (outcome.status)
     {
--- a/utilities/ctl/conditional_write.hpp
+++ b/utilities/ctl/conditional_write.hpp
@@ -56,8 +56,8 @@
 /// every attempt stayed without an answer.
 template <store::object_store Store>
 store::write_outcome write_until_known(Store& store, write_action action,
-                                          store::object const& target,
-                                          std::chrono::milliseconds pause = write_retry_pause)
+                                       store::object const& target,
+                                       std::chrono::milliseconds pause = write_retry_pause)
 {
     bool unanswered = false;
     store::write_outcome outcome;
