--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -1,6 +1,8 @@
 /// The node's program against stand-ins of the platform's store and servers, on loopback.
 #include "tests/support/deployment.hpp"
-#include "tests/support/platform_world.hpp"
+#include "tests/support/fake_server.hpp"
+#include "tests/support/fake_store.hpp"
+#include "tests/support/node_process.hpp"
 
 #include <gtest/gtest.h>
 
--- /dev/null
+++ b/tests/support/connection_server.cpp
@@ -0,0 +1,119 @@
+#include "tests/support/connection_server.hpp"
+
+#include "http/request_reader.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+
+#include <array>
+
+namespace jasminepier::tests
+{
+namespace
+{
+
+class function_connection : public Poco::Net::TCPServerConnection
+{
+public:
+    function_connection(Poco::Net::StreamSocket const& socket,
+                        connection_server::handler const& serve)
+        : TCPServerConnection(socket), m_serve(serve)
+    {
+    }
+    void run() override { m_serve(socket()); }
+
+private:
+    connection_server::handler const& m_serve;
+};
+
+class function_factory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit function_factory(connection_server::handler serve) : m_serve(std::move(serve)) {}
+    Poco::Net::TCPServerConnection* createConnection(Poco::Net::StreamSocket const& socket) override
+    {
+        return new function_connection(socket, m_serve);
+    }
+
+private:
+    connection_server::handler m_serve;
+};
+
+} // namespace
+
+void send_all(Poco::Net::StreamSocket& socket, std::string const& text)
+{
+    std::size_t sent = 0;
+    while (sent < text.size())
+        sent += static_cast<std::size_t>(
+            socket.sendBytes(text.data() + sent, static_cast<int>(text.size() - sent)));
+}
+
+bool peer_left(Poco::Net::StreamSocket& socket)
+{
+    char byte = 0;
+    return ::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+connection_server::connection_server(std::uint16_t port, handler serve)
+    : m_port(port), m_serve(std::move(serve))
+{
+    auto* const parameters = new Poco::Net::TCPServerParams;
+    parameters->setMaxThreads(128);
+    parameters->setThreadIdleTime(Poco::Timespan(1, 0));
+    static Poco::ThreadPool pool(16, 512);
+    m_server = std::make_unique<Poco::Net::TCPServer>(
+        new function_factory([this](Poco::Net::StreamSocket& socket) { this->serve(socket); }),
+        pool, Poco::Net::ServerSocket(Poco::Net::SocketAddress(loopback_host, port), 128),
+        parameters);
+    m_server->start();
+}
+
+connection_server::~connection_server()
+{
+    m_server->stop();
+    std::unique_lock lock(m_mutex);
+    m_stopping = true;
+    for (int const descriptor : m_open)
+        ::shutdown(descriptor, SHUT_RDWR);
+    m_ended.wait(lock, [&] { return m_open.empty(); });
+}
+
+void connection_server::serve(Poco::Net::StreamSocket& socket)
+{
+    auto const descriptor = socket.impl()->sockfd();
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_stopping)
+            return;
+        m_open.insert(descriptor);
+    }
+    try
+    {
+        m_serve(socket);
+    }
+    catch (std::exception const&)
+    {
+        // The peer has left; what it should have received is checked at the peer.
+    }
+    std::lock_guard lock(m_mutex);
+    m_open.erase(descriptor);
+    m_ended.notify_all();
+}
+
+std::optional<http::request> read_request(Poco::Net::StreamSocket& socket)
+{
+    http::request_reader reader({});
+    std::array<char, 8192> bytes{};
+    while (reader.current() != http::request_reader::state::complete)
+    {
+        auto const count = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (count <= 0)
+            return std::nullopt;
+        reader.feed({bytes.data(), static_cast<std::size_t>(count)});
+    }
+    return reader.take_request();
+}
+
+} // namespace jasminepier::tests
