--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -15,6 +15,16 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
 }
 
+/// The text between `start` and the next `end`.
+std::string value_after(std::string const& text, std::string const& start, std::string const& end)
+{
+    auto const at = text.find(start);
+    if (at == std::string::npos)
+        return {};
+    auto const first = at + start.size();
+    return text.substr(first, text.find(end, first) - first);
+}
+
 std::string object_text(std::string const& name, std::int64_t revision, std::string const& spec)
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(revision) +
@@ -167,23 +177,31 @@
     std::lock_guard lock(m_mutex);
     if (request.method == "GET")
         return list(kind);
-    if (request.method == "POST")
+    auto const name = parts.size() > 2 ? parts[2] : value_after(request.body, "\"name\":\"", "\"");
+    auto const found = m_objects[kind].find(name);
+    bool const exists = found != m_objects[kind].end();
+    if (request.method == "POST" ? exists : !exists)
     {
-        // Only nodes write here, each its own entry.
-        auto const start = request.body.find("\"name\":\"") + 8;
-        auto const name = request.body.substr(start, request.body.find('"', start) - start);
-        auto const spec_at = request.body.find("\"spec\":") + 7;
-        auto const spec = request.body.substr(spec_at, request.body.size() - spec_at - 1);
-        if (m_objects[kind].contains(name))
-        {
-            status = 409;
-            auto const& held = m_objects[kind][name];
-            return object_text(name, held.revision, held.spec);
-        }
-        return write(kind, name, spec);
+        status = exists ? 409 : 404;
+        return exists ? object_text(name, found->second.revision, found->second.spec) : "{}";
+    }
+    auto const expected = request.method == "DELETE"
+                              ? query["revision"]
+                              : value_after(request.body, "\"revision\":", "}");
+    if (exists && expected != std::to_string(found->second.revision))
+    {
+        status = 409;
+        return object_text(name, found->second.revision, found->second.spec);
+    }
+    if (request.method == "DELETE")
+    {
+        m_objects[kind].erase(found);
+        m_history.push_back({++m_revision, kind, name, "", true});
+        m_changed.notify_all();
+        return "{}";
     }
-    status = 404;
-    return "{}";
+    auto const spec_at = request.body.find("\"spec\":") + 7;
+    return write(kind, name, request.body.substr(spec_at, request.body.size() - spec_at - 1));
 }
 
 } // namespace jasminepier::tests
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -17,8 +17,15 @@
                       ".toml")
 {
     rewrite_settings("");
-    ::setenv("JASMINEPIER_CONFIG", m_settings_path.c_str(), 1);
-    m_process = std::make_unique<process>("jasminepier-node", std::vector<std::string>{});
+    restart();
+}
+
+void node_process::restart()
+{
+    m_process.reset();
+    m_process = std::make_unique<process>(
+        "jasminepier-node", std::vector<std::string>{},
+        std::vector<std::string>{"JASMINEPIER_CONFIG=" + m_settings_path});
 }
 
 node_process::~node_process()
@@ -29,22 +36,25 @@
 
 void node_process::rewrite_settings(std::string const& extra)
 {
-    auto const at = [](std::uint16_t port)
-    { return "\"" + std::string(loopback_host) + ":" + std::to_string(port) + "\"\n"; };
+    auto const at = [](std::string const& host, std::uint16_t port)
+    { return "\"" + host + ":" + std::to_string(port) + "\"\n"; };
     std::ofstream file(m_settings_path);
-    file << "node_name = \"" << m_name << "\"\nip = \"" << loopback_host
-         << "\"\nzone = \"a\"\nregion = \"r\"\ninternal_port_range = [" << m_ports.peers << ","
-         << m_ports.peers << "]\n[listen]\nfrontend = " << at(m_ports.callers)
-         << "readiness = " << at(m_ports.readiness) << "registry = " << at(m_ports.addresses)
+    file << "node_name = \"" << m_name << "\"\nip = \"" << m_ports.host << "\"\nzone = \""
+         << m_ports.zone << "\"\nregion = \"r\"\ninternal_port_range = [" << m_ports.peers << ","
+         << m_ports.peers << "]\n[listen]\nfrontend = " << at(m_ports.caller_host, m_ports.callers)
+         << "readiness = " << at(m_ports.caller_host, m_ports.readiness)
+         << "registry = " << at(m_ports.caller_host, m_ports.addresses)
          << "[bounds]\ngrace_s = 6\nretry_budget_ratio = 0.2\nretry_window_s = 10\n"
-         << "budget_slack = 56\nttl_max_s = 5\n[platform]\naddress = " << at(m_store_port) << extra;
+         << "budget_slack = 56\nttl_max_s = 5\n[platform]\naddress = "
+         << at(loopback_host, m_store_port) << extra;
 }
 
 bool node_process::ready() const
 {
     try
     {
-        return call_node(m_ports.readiness, make_request("GET", "/readyz", "")).status == 200;
+        return call_node(m_ports.readiness, make_request("GET", "/readyz", ""), m_ports.caller_host)
+                   .status == 200;
     }
     catch (std::exception const&)
     {
@@ -53,9 +63,9 @@
     }
 }
 
-caller_answer call_node(std::uint16_t port, http::request const& request)
+caller_answer call_node(std::uint16_t port, http::request const& request, std::string const& host)
 {
-    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(loopback_host, port));
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(host, port));
     socket.setReceiveTimeout(Poco::Timespan(20, 0));
     send_all(socket, http::write_request(request));
     http::response_reader reader;
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/message.hpp"
+#include "tests/support/connection_server.hpp"
 #include "tests/support/process.hpp"
 
 #include <cstdint>
@@ -18,6 +19,10 @@
     std::uint16_t addresses;
     std::uint16_t readiness;
     std::uint16_t peers;
+    /// Where the node receives reports of its peers, and where callers reach it.
+    std::string host = loopback_host;
+    std::string caller_host = loopback_host;
+    std::string zone = "a";
 };
 
 /// A running jasminepier-node with its settings file.
@@ -29,7 +34,10 @@
     process& program() { return *m_process; }
     node_ports const& ports() const noexcept { return m_ports; }
     bool ready() const;
+    /// Replaces the settings file; `extra` is appended to its last table.
     void rewrite_settings(std::string const& extra);
+    /// Starts the program again after it has ended.
+    void restart();
 
 private:
     std::string m_name;
@@ -50,7 +58,8 @@
 };
 
 /// Sends a request and reads the answer to its end.
-caller_answer call_node(std::uint16_t port, http::request const& request);
+caller_answer call_node(std::uint16_t port, http::request const& request,
+                        std::string const& host = loopback_host);
 
 /// A request with the fields that callers of the platform send.
 http::request make_request(std::string const& method, std::string const& path,
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -14,7 +14,8 @@
 namespace jasminepier::tests
 {
 
-process::process(std::string const& program, std::vector<std::string> const& arguments)
+process::process(std::string const& program, std::vector<std::string> const& arguments,
+                 std::vector<std::string> const& environment)
 {
     std::array<char, 32> path{"/tmp/jasminepier-test-XXXXXX"};
     int const output = mkstemp(path.data());
@@ -26,12 +27,20 @@
     for (auto const& argument : arguments)
         raw.push_back(const_cast<char*>(argument.c_str()));
     raw.push_back(nullptr);
+    std::vector<char*> variables;
+    for (auto const& entry : environment)
+        variables.push_back(const_cast<char*>(entry.c_str()));
+    for (char** inherited = environ; *inherited != nullptr; ++inherited)
+        variables.push_back(*inherited);
+    variables.push_back(nullptr);
     m_pid = fork();
     if (m_pid == 0)
     {
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
-        execv(binary.c_str(), raw.data());
+        // A socket of a test that stays open in the child would hide its end from the peer.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
+        execve(binary.c_str(), raw.data(), variables.data());
         _exit(127);
     }
     close(output);
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -14,7 +14,9 @@
 class process
 {
 public:
-    process(std::string const& program, std::vector<std::string> const& arguments);
+    /// `environment` holds NAME=VALUE entries beside the inherited ones.
+    process(std::string const& program, std::vector<std::string> const& arguments,
+            std::vector<std::string> const& environment = {});
     process(process&& other) noexcept;
     process(process const&) = delete;
     process& operator=(process const&) = delete;
