Http: Do not take an end before the first byte for an answer

Boost.Beast completes a message whose connection ends before any byte, so a kept connection that its server had closed looked like a 200 without fields. The added case of http_messages_test failed before.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -42,14 +42,16 @@
 {
     if (m_state != state::reading_head && m_state != state::reading_body)
         return;
+    // Without a whole head there is no answer. Beast takes an end before the first byte for one.
+    if (m_state == state::reading_head)
+    {
+        m_state = state::malformed;
+        return;
+    }
     boost::beast::error_code failure;
     m_parser->put_eof(failure);
     if (!failure && m_parser->is_done())
-    {
-        if (m_state == state::reading_head)
-            read_head();
         m_state = state::complete;
-    }
 }
 
 void response_reader::parse()
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -102,6 +102,13 @@
     auto chunked = read_answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
     chunked.feed_end();
     EXPECT_NE(chunked.current(), response_reader::state::complete);
+    // A kept connection may end without a byte.
+    response_reader empty;
+    empty.feed_end();
+    EXPECT_EQ(empty.current(), response_reader::state::malformed);
+    auto head = read_answer("HTTP/1.1 200 OK\r\nContent-");
+    head.feed_end();
+    EXPECT_EQ(head.current(), response_reader::state::malformed);
 }
 
 // Guards against a second answer that is taken for that of the next request.
