Node: Renew watches and fetch configurations when a silent store returns

Ruled out: a lost relist after a failed call; nodes whose calls fail do list.

Change: reports carry the newest revision of configuration and evacuations; a difference is fetched at once, from any of the peers that are ahead. A watch that was begun before an outage is begun again once the store is back.

--- a/libraries/configuration/versioned_store.cpp
+++ b/libraries/configuration/versioned_store.cpp
@@ -22,6 +22,15 @@
     return changed;
 }
 
+std::int64_t versioned_store::revision_of(std::string const& kind) const
+{
+    std::int64_t newest = 0;
+    for (auto const& [key, held] : m_objects)
+        if (held.kind == kind)
+            newest = std::max(newest, held.version);
+    return newest;
+}
+
 std::vector<store::object> versioned_store::since(std::int64_t revision) const
 {
     std::vector<store::object> newer;
--- a/libraries/configuration/versioned_store.hpp
+++ b/libraries/configuration/versioned_store.hpp
@@ -23,6 +23,9 @@
     /// The highest version merged; 0 when empty.
     std::int64_t revision() const noexcept { return m_revision; }
 
+    /// The highest version merged of one kind, deletions included; 0 when there is none.
+    std::int64_t revision_of(std::string const& kind) const;
+
     /// Returns all objects with a version above `revision`, deletions included.
     std::vector<store::object> since(std::int64_t revision) const;
 
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -37,7 +37,7 @@
     if (entry.name == m_self.name)
         return;
     auto& node = m_nodes[entry.name];
-    node.entry = entry;
+    node.state.entry = entry;
     node.listed = true;
     if (node.listed_since == base::time_point{})
         node.listed_since = now;
@@ -54,16 +54,10 @@
     if (report.entry.name == m_self.name)
         return false;
     auto& node = m_nodes[report.entry.name];
-    if (report.started < node.started ||
-        (report.started == node.started && report.sequence <= node.sequence))
+    if (report.started < node.state.started ||
+        (report.started == node.state.started && report.sequence <= node.state.sequence))
         return false;
-    node.entry = report.entry;
-    node.started = report.started;
-    node.sequence = report.sequence;
-    node.phase = report.phase;
-    node.store_reached = report.store_reached;
-    node.store_revision = report.store_revision;
-    node.server_digest = report.server_digest;
+    node.state = report;
     node.heard = now;
     node.ever_heard = true;
     return true;
@@ -73,7 +67,7 @@
 {
     std::vector<node_entry> peers;
     for (auto const& [name, node] : m_nodes)
-        peers.push_back(node.entry);
+        peers.push_back(node.state.entry);
     return peers;
 }
 
@@ -101,8 +95,8 @@
     if (m_phase == node_phase::ready)
         addresses.push_back(m_self.caller_address);
     for (auto const& [name, node] : m_nodes)
-        if (alive(node, now) && node.phase == node_phase::ready)
-            addresses.push_back(node.entry.caller_address);
+        if (alive(node, now) && node.state.phase == node_phase::ready)
+            addresses.push_back(node.state.entry.caller_address);
     if (addresses.size() > limit)
     {
         // Each node leaves out others, so that every node is named by about as many.
@@ -114,24 +108,33 @@
     return addresses;
 }
 
-std::vector<node_entry> node_directory::informed_peers(base::time_point now) const
+template <class Predicate>
+std::vector<node_entry> node_directory::living_nodes(base::time_point now, Predicate&& accept) const
 {
-    std::vector<node_entry> informed;
+    std::vector<node_entry> found;
     for (auto const& [name, node] : m_nodes)
-        if (alive(node, now) && node.store_reached)
-            informed.push_back(node.entry);
-    return informed;
+        if (alive(node, now) && accept(node.state))
+            found.push_back(node.state.entry);
+    return found;
 }
 
-std::optional<node_entry> node_directory::newer_peer(std::int64_t revision,
-                                                     base::time_point now) const
+std::vector<node_entry> node_directory::informed_peers(base::time_point now) const
 {
-    known_node const* newest = nullptr;
-    for (auto const& [name, node] : m_nodes)
-        if (alive(node, now) && node.store_revision > revision &&
-            (newest == nullptr || node.store_revision > newest->store_revision))
-            newest = &node;
-    return newest == nullptr ? std::nullopt : std::optional(newest->entry);
+    return living_nodes(now, [](node_state_report const& state) { return state.store_reached; });
+}
+
+std::vector<node_entry> node_directory::newer_peers(std::int64_t revision,
+                                                    base::time_point now) const
+{
+    return living_nodes(now, [&](node_state_report const& state)
+                        { return state.store_revision > revision; });
+}
+
+std::vector<node_entry> node_directory::peers_with_newer_configuration(std::int64_t revision,
+                                                                       base::time_point now) const
+{
+    return living_nodes(now, [&](node_state_report const& state)
+                        { return state.configuration_revision > revision; });
 }
 
 base::milliseconds node_directory::watch_wait(base::random_source& random) const
@@ -152,16 +155,16 @@
     for (auto const& [name, node] : m_nodes)
     {
         auto const weight = base::rendezvous_weight(subject, name);
-        if (alive(node, now) && node.store_reached && node.phase == node_phase::ready &&
+        if (alive(node, now) && node.state.store_reached && node.state.phase == node_phase::ready &&
             (first == nullptr || weight > highest))
         {
             first = &node;
             highest = weight;
         }
     }
-    if (first == nullptr || first->server_digest == digest)
+    if (first == nullptr || first->state.server_digest == digest)
         return std::nullopt;
-    return first->entry;
+    return first->state.entry;
 }
 
 bool node_directory::follows_store(std::string_view subject, bool store_reached,
@@ -172,7 +175,8 @@
     auto const own = base::rendezvous_weight(subject, m_self.name);
     std::size_t ahead = 0;
     for (auto const& [name, node] : m_nodes)
-        ahead += alive(node, now) && node.store_reached && node.phase == node_phase::ready &&
+        ahead += alive(node, now) && node.state.store_reached &&
+                 node.state.phase == node_phase::ready &&
                  base::rendezvous_weight(subject, name) > own;
     // A node that cannot reach the store does not hold the place of one that can.
     return store_reached && ahead < store_followers;
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -34,6 +34,8 @@
     bool store_reached = false;
     /// Newest revision of the node's copies of the store's objects.
     std::int64_t store_revision = 0;
+    /// Newest revision among the node's copies of the configuration and of evacuations.
+    std::int64_t configuration_revision = 0;
     /// Equal on nodes that hold the same entries of servers.
     std::uint64_t server_digest = 0;
 };
@@ -78,8 +80,12 @@
     std::vector<std::string> caller_addresses(std::size_t limit, base::time_point now) const;
     /// Living nodes that reach the store.
     std::vector<node_entry> informed_peers(base::time_point now) const;
-    /// The living node that holds the newest copies, when they are newer than `revision`.
-    std::optional<node_entry> newer_peer(std::int64_t revision, base::time_point now) const;
+    /// Living nodes whose copies of the store's objects are newer than `revision`.
+    std::vector<node_entry> newer_peers(std::int64_t revision, base::time_point now) const;
+    /// Living nodes whose configuration or evacuations are newer than `revision`. Entries of
+    /// servers reach a node in other ways, so its newest copy of any object does not tell.
+    std::vector<node_entry> peers_with_newer_configuration(std::int64_t revision,
+                                                           base::time_point now) const;
     /// How long a watch of the store waits. A store that falls silent never answers the watches
     /// that wait then, so the watches of all nodes together end about twice a second.
     base::milliseconds watch_wait(base::random_source& random) const;
@@ -105,20 +111,17 @@
 private:
     struct known_node
     {
-        node_entry entry;
+        /// As last reported; only the entry is set when the node is known from the store alone.
+        node_state_report state;
         bool listed = false;
         base::time_point listed_since{};
-        std::int64_t started = 0;
-        std::int64_t sequence = 0;
-        node_phase phase = node_phase::starting;
-        bool store_reached = false;
-        std::int64_t store_revision = 0;
-        std::uint64_t server_digest = 0;
         base::time_point heard{};
         bool ever_heard = false;
     };
 
     bool alive(known_node const& node, base::time_point now) const noexcept;
+    template <class Predicate>
+    std::vector<node_entry> living_nodes(base::time_point now, Predicate&& accept) const;
 
     node_entry m_self;
     node_phase m_phase = node_phase::starting;
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -77,6 +77,11 @@
 
     std::map<std::string, listed_server> const& servers() const noexcept { return m_servers; }
     bool store_lost() const noexcept { return m_store_lost; }
+    /// True when the store was away and is back since `time`. What waited there then is lost.
+    bool store_returned_since(base::time_point time) const noexcept
+    {
+        return m_ever_returned && !m_store_lost && m_store_returned > time;
+    }
     std::int64_t revision() const noexcept { return m_revision; }
     /// Changes with every change of a server's entry or phase.
     std::uint64_t generation() const noexcept { return m_generation; }
--- a/libraries/store/http_object_store.hpp
+++ b/libraries/store/http_object_store.hpp
@@ -77,12 +77,14 @@
         return watch(version, kinds, m_settings.watch_timeout);
     }
 
-    /// The same with a waiting time of its own.
+    /// The same with a waiting time of its own. `gives_up` is asked from time to time and ends the
+    /// wait with platform_unavailable.
     base::result<object_page> watch(std::int64_t version, std::vector<std::string> const& kinds,
-                                    std::chrono::milliseconds wait)
+                                    std::chrono::milliseconds wait,
+                                    std::function<bool()> const& gives_up = {})
     {
         BOOST_LEAF_AUTO(received, exchange(m_settings, Dialect::watch(version, kinds, wait),
-                                           wait + m_settings.call_timeout));
+                                           wait + m_settings.call_timeout, gives_up));
         if (received.status != 200)
             return base::fail(failure_of(received.status), "watch was refused");
         return Dialect::read_events(received.body, kinds);
--- a/libraries/store/store_connection.cpp
+++ b/libraries/store/store_connection.cpp
@@ -19,6 +19,8 @@
 constexpr int keep_alive_idle = 1;
 constexpr int keep_alive_interval = 1;
 constexpr int keep_alive_probes = 2;
+// Configurations are to be in force 2 s after the store has them, so a fifth of that at most.
+Poco::Timespan const give_up_check(0, 400000);
 
 Poco::Net::StreamSocket connect(http_object_store_settings const& settings,
                                 std::chrono::milliseconds timeout)
@@ -48,7 +50,8 @@
 }
 
 base::result<store_answer> exchange(http_object_store_settings const& settings,
-                                    store_call const& call, std::chrono::milliseconds timeout)
+                                    store_call const& call, std::chrono::milliseconds timeout,
+                                    std::function<bool()> const& gives_up)
 {
     try
     {
@@ -60,7 +63,13 @@
         if (!call.body.empty())
             request.setContentType("application/json");
         request.setContentLength(static_cast<std::streamsize>(call.body.size()));
-        session.sendRequest(request) << call.body;
+        // Without a flush the request would leave only when its answer is asked for.
+        session.sendRequest(request) << call.body << std::flush;
+        auto const end = std::chrono::steady_clock::now() + timeout;
+        while (gives_up && std::chrono::steady_clock::now() < end &&
+               !session.socket().poll(give_up_check, Poco::Net::Socket::SELECT_READ))
+            if (gives_up())
+                return base::fail(error_kind::platform_unavailable, "platform call was given up");
         Poco::Net::HTTPResponse response;
         store_answer received;
         auto& in = session.receiveResponse(response);
--- a/libraries/store/store_connection.hpp
+++ b/libraries/store/store_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace jasminepier::store
@@ -26,9 +27,10 @@
 };
 
 /// Sends `call` on a new connection and reads the whole answer. Fails with platform_unavailable
-/// when there is none within `timeout`.
+/// when there is none within `timeout`, or when `gives_up` returns true before the answer begins.
 base::result<store_answer> exchange(http_object_store_settings const& settings,
-                                    store_call const& call, std::chrono::milliseconds timeout);
+                                    store_call const& call, std::chrono::milliseconds timeout,
+                                    std::function<bool()> const& gives_up = {});
 
 /// Returns the kind of error that a status other than 200 stands for.
 base::error_kind failure_of(int status) noexcept;
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -1,5 +1,8 @@
 #include "services/node/node_state.hpp"
 
+#include "platform/objects.hpp"
+
+#include <algorithm>
 #include <chrono>
 
 namespace jasminepier::node
@@ -30,6 +33,12 @@
     m_tables.dispatcher.set_nodes({m_settings->name});
 }
 
+std::int64_t node_state::tables::configuration_revision() const
+{
+    return std::max(objects.revision_of(platform::configuration_kind),
+                    objects.revision_of(platform::evacuation_kind));
+}
+
 void node_state::reload(node_settings const& changed)
 {
     std::lock_guard lock(m_mutex);
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -33,6 +33,9 @@
         base::random_source random;
         /// Threads whose requests wait for a place.
         std::set<http::wakeup*> waiting;
+
+        /// Newest revision among the copies of the configuration and of evacuations.
+        std::int64_t configuration_revision() const;
     };
 
     explicit node_state(node_settings settings);
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -73,6 +73,7 @@
             report.ready = held.nodes.phase() == serving::node_phase::ready;
             report.stopping = held.nodes.phase() == serving::node_phase::stopping;
             report.store_revision = held.objects.revision();
+            report.configuration_revision = held.configuration_revision();
             report.server_digest =
                 static_cast<std::int64_t>(held.objects.digest(platform::server_kind));
             report.store_reached = held.configuration && !held.dispatcher.directory().store_lost();
@@ -177,6 +178,7 @@
     state.sequence = report.sequence;
     state.store_reached = report.store_reached;
     state.store_revision = report.store_revision;
+    state.configuration_revision = report.configuration_revision;
     state.server_digest = static_cast<std::uint64_t>(report.server_digest);
     state.phase = report.stopping ? serving::node_phase::stopping
                   : report.ready  ? serving::node_phase::ready
--- a/services/node/peer_objects.cpp
+++ b/services/node/peer_objects.cpp
@@ -49,39 +49,46 @@
 {
 }
 
-std::optional<serving::node_entry> peer_objects::find_better_informed(node_state::tables& held,
-                                                                      std::int64_t& known,
-                                                                      base::time_point now)
+std::vector<serving::node_entry> peer_objects::find_better_informed(node_state::tables& held,
+                                                                    std::int64_t& since,
+                                                                    base::time_point now)
 {
-    auto differing = held.nodes.newer_peer(held.objects.revision(), now);
+    since = std::max<std::int64_t>(0, held.objects.revision() - missed_revisions);
+    // Every node follows the configuration itself, so a difference means that the store is silent.
+    auto newer = held.nodes.peers_with_newer_configuration(held.configuration_revision(), now);
+    if (!newer.empty())
+        return newer;
+    if (!held.configuration || held.dispatcher.directory().store_lost())
+    {
+        since = held.configuration ? held.objects.revision() : 0;
+        return held.nodes.informed_peers(now);
+    }
+    newer = held.nodes.newer_peers(held.objects.revision(), now);
     bool const told =
         held.nodes.relays_store() && !held.nodes.follows_store(platform::server_kind, true, now);
-    if (!differing && told)
-        differing = held.nodes.differing_follower(platform::server_kind,
-                                                  held.objects.digest(platform::server_kind), now);
+    if (newer.empty() && told)
+        if (auto const differing = held.nodes.differing_follower(
+                platform::server_kind, held.objects.digest(platform::server_kind), now))
+            newer.push_back(*differing);
     // News are on their way for a moment, so a difference counts the second time.
-    bool const lasting = differing && m_differed;
-    m_differed = differing.has_value();
+    bool const lasting = !newer.empty() && m_differed;
+    m_differed = !newer.empty();
     if (!lasting)
-        return std::nullopt;
-    known = std::max<std::int64_t>(0, held.objects.revision() - missed_revisions);
-    return differing;
+        newer.clear();
+    return newer;
 }
 
 void peer_objects::pull_if_needed()
 {
     auto const now = base::steady_clock_source{}.now();
-    std::int64_t known = 0;
+    std::int64_t since = 0;
     auto const source = m_state.with(
         [&](node_state::tables& held) -> std::optional<serving::node_entry>
         {
-            bool const current = held.configuration && !held.dispatcher.directory().store_lost();
-            if (current)
-                return find_better_informed(held, known, now);
-            auto const informed = held.nodes.informed_peers(now);
+            auto const informed = find_better_informed(held, since, now);
             if (informed.empty())
                 return std::nullopt;
-            known = held.configuration ? held.objects.revision() : 0;
+            // Any of them, so that one that has just died does not hold this node back.
             std::uniform_int_distribution<std::size_t> pick(0, informed.size() - 1);
             return informed[pick(held.random)];
         });
@@ -93,7 +100,7 @@
         [&](inner_protocol::node_peerClient& peer)
         {
             inner_protocol::configuration_page page;
-            peer.pull_objects(page, known);
+            peer.pull_objects(page, since);
             return page;
         });
     if (!pulled)
@@ -108,7 +115,7 @@
     base::log_line(base::log_level::info, "objects_pulled")
         .field("peer", source->name)
         .field("objects", objects.size())
-        .field("since", known)
+        .field("since", since)
         .field("revision", pulled->revision);
     for (auto const& kind : followed_kinds())
     {
--- a/services/node/peer_objects.hpp
+++ b/services/node/peer_objects.hpp
@@ -20,9 +20,10 @@
 
 private:
     void pull_if_needed();
-    /// A node that knows something of the store that this one has missed.
-    std::optional<serving::node_entry>
-    find_better_informed(node_state::tables& held, std::int64_t& known, base::time_point now);
+    /// Nodes that know something of the store that this one has missed, and the revision from
+    /// which on this one needs changes.
+    std::vector<serving::node_entry>
+    find_better_informed(node_state::tables& held, std::int64_t& since, base::time_point now);
 
     node_state& m_state;
     std::unique_ptr<inner_protocol::rpc_server> m_server;
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -98,10 +98,18 @@
         bool const listing = !version;
         auto const wait =
             m_state.with([&](node_state::tables& held) { return held.nodes.watch_wait(random); });
+        auto const begun = base::steady_clock_source{}.now();
+        auto const outlived = [&]
+        {
+            return m_state.with(
+                [&](node_state::tables& held)
+                { return held.dispatcher.directory().store_returned_since(begun); });
+        };
         auto const page = base::handle(
             [&]() -> base::result<std::optional<store::object_page>>
             {
-                auto call = listing ? m_store.list(kind) : m_store.watch(*version, {kind}, wait);
+                auto call =
+                    listing ? m_store.list(kind) : m_store.watch(*version, {kind}, wait, outlived);
                 if (!call)
                     return call.error();
                 return std::optional(std::move(*call));
@@ -114,6 +122,11 @@
                     version.reset();
                     pause = base::milliseconds(0);
                 }
+                else if (outlived())
+                {
+                    base::log_line(base::log_level::info, "watch_renewed").field("kind", kind);
+                    pause = base::milliseconds(0);
+                }
                 else
                     note_call(kind, false, failure.message);
                 return std::nullopt;
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -149,10 +149,27 @@
     auto report = make_report("n1", 1, 1);
     report.store_revision = 40;
     node.apply_report(report, start);
-    EXPECT_FALSE(node.newer_peer(40, start));
-    ASSERT_TRUE(node.newer_peer(39, start));
-    EXPECT_EQ(node.newer_peer(39, start)->name, "n1");
-    EXPECT_FALSE(node.newer_peer(39, start + node_directory::silence_limit));
+    EXPECT_TRUE(node.newer_peers(40, start).empty());
+    ASSERT_EQ(node.newer_peers(39, start).size(), 1U);
+    EXPECT_EQ(node.newer_peers(39, start).front().name, "n1");
+    EXPECT_TRUE(node.newer_peers(39, start + node_directory::silence_limit).empty());
+}
+
+// Guards against an old configuration that stays because newer entries of servers, which peers tell
+// each other, hide that it is old; and against asking only one peer, which may be dead.
+TEST(store_followers, a_node_finds_all_peers_with_a_newer_configuration)
+{
+    node_directory node(make_node("self"));
+    for (auto const* const name : {"n1", "n2", "n3"})
+    {
+        auto report = make_report(name, 1, 1);
+        report.store_revision = 60;
+        report.configuration_revision = std::string(name) == "n3" ? 30 : 40;
+        node.apply_report(report, start);
+    }
+    EXPECT_EQ(node.peers_with_newer_configuration(39, start).size(), 2U);
+    EXPECT_EQ(node.peers_with_newer_configuration(29, start).size(), 3U);
+    EXPECT_TRUE(node.peers_with_newer_configuration(40, start).empty());
 }
 
 // Guards against watches that all end at the same time, or so rarely that a silent store hides a
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -1,4 +1,5 @@
 /// The node's program against stand-ins of the platform's store and servers, on loopback.
+#include "platform/store_dialect.hpp"
 #include "tests/support/deployment.hpp"
 #include "tests/support/fake_server.hpp"
 #include "tests/support/fake_store.hpp"
@@ -306,6 +307,26 @@
         seconds(8)));
 }
 
+// Guards against watches that wait on at a store which lost them when it fell silent.
+TEST_F(node_process_test, a_watch_ends_when_it_is_given_up)
+{
+    platform::object_store client({"127.0.0.1", store_port});
+    auto const page = [&](bool gives_up)
+    {
+        return base::handle(
+            [&]() -> base::result<bool>
+            {
+                BOOST_LEAF_AUTO(known, client.list("servers"));
+                BOOST_LEAF_AUTO(events, client.watch(known.version, {"servers"}, seconds(1),
+                                                     [&] { return gives_up; }));
+                return events.objects.empty();
+            },
+            [](base::error const&) { return false; });
+    };
+    EXPECT_TRUE(page(false));
+    EXPECT_FALSE(page(true));
+}
+
 // Guards against callers that learn of one node only, or of one that stops.
 TEST_F(node_process_test, names_living_nodes_to_callers)
 {
