Tests: Hold the order's answer until its process is paused

The test gave the order 1 s and failed when the test itself needed longer to pause the process. The stand-in now holds the answer until it is told otherwise, so the case no longer depends on time; what is expected of it is unchanged.

--- a/stand_ins/service/main.cpp
+++ b/stand_ins/service/main.cpp
@@ -1,5 +1,6 @@
 /// A stand-in plain service that counts executions. `GET /stand-in/count` returns the executions
-/// per body; `POST /stand-in/faults` sets {"delay_milliseconds":N} or {"drop_answers":N}.
+/// per body; `POST /stand-in/faults` sets {"delay_milliseconds":N},
+/// {"drop_answers":N} or {"hold_answers":true}, which lasts until it is set to false.
 #include "base/hash.hpp"
 #include "base/settings.hpp"
 #include "base/stop_signal.hpp"
@@ -15,6 +16,8 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds hold_check{10};
+
 struct service_state
 {
     std::mutex mutex;
@@ -23,6 +26,7 @@
     std::atomic<int> running{0};
     std::atomic<int> delay_milliseconds{0};
     std::atomic<int> drop_answers{0};
+    std::atomic<bool> hold_answers{false};
 };
 
 void execute(service_state& state, http_request& request, http_response& response)
@@ -34,6 +38,8 @@
         ++state.executions[request.getURI() + "|" + body];
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(state.delay_milliseconds.load()));
+    while (state.hold_answers)
+        std::this_thread::sleep_for(hold_check);
     --state.running;
     if (state.drop_answers.load() > 0 && state.drop_answers.fetch_sub(1) > 0)
         throw std::runtime_error("answer dropped on request");
@@ -67,6 +73,7 @@
         state.delay_milliseconds =
             fault->optValue("delay_milliseconds", state.delay_milliseconds.load());
         state.drop_answers = fault->optValue("drop_answers", state.drop_answers.load());
+        state.hold_answers = fault->optValue("hold_answers", state.hold_answers.load());
         return send_json(response, 200, new Poco::JSON::Object);
     }
     execute(state, request, response);
--- a/tests/at_most_once_process_test.cpp
+++ b/tests/at_most_once_process_test.cpp
@@ -118,13 +118,15 @@
 TEST(at_most_once_process, keeps_the_outcome_of_a_process_that_was_paused)
 {
     two_nodes running("127.0.14.4");
-    running.set_faults(shop_port, R"({"delay_milliseconds":1000})");
+    // The answer must not come before the process is paused, however late that is.
+    running.set_faults(shop_port, R"({"hold_answers":true})");
     auto first = running.order_in_background(entry_one, "oak");
     ASSERT_TRUE(running.wait_for_execution("oak"));
     running.program("entry-1").send_signal(SIGSTOP);
     auto const meanwhile = running.order(entry_two, "oak");
     EXPECT_TRUE(says(meanwhile, "outcome_unknown", "unknown"))
         << meanwhile.status << " " << meanwhile.body;
+    running.set_faults(shop_port, R"({"hold_answers":false})");
     running.program("entry-1").send_signal(SIGCONT);
     EXPECT_EQ(first.get().status, 200);
     EXPECT_TRUE(wait_until([&] { return running.order(entry_two, "oak").status == 200; }));
