--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -83,8 +83,6 @@
       m_proxy_thread([this] { m_context.run(); }),
       m_store(std::make_unique<fake_store>(m_options.first_port))
 {
-    for (auto const& kind : m_options.hidden_kinds)
-        m_store->hide(kind);
     // Nodes reach each other through the proxies in front of their peer ports.
     m_store->set_rewriting(
         [](std::string const&, std::string const& name, std::string const& spec)
@@ -261,6 +259,8 @@
 
 void soak_world::play(std::vector<planned_fault> const& plan, milliseconds length)
 {
+    for (auto const& kind : m_options.hidden_kinds)
+        m_store->hide(kind);
     auto const begin = clock::now();
     m_history.last_fault_end = begin;
     for (auto const& fault : plan)
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -25,7 +25,7 @@
     int callers = 10;
     unsigned seed = 1;
     std::uint16_t first_port = 25000;
-    /// Kinds of objects that the nodes do not see, to show that a check notices it.
+    /// Kinds of objects whose changes the nodes miss, to show that a check notices it.
     std::vector<std::string> hidden_kinds;
     /// Where outputs of the nodes are kept; empty for nowhere.
     std::string output_folder;
