Node: Say why the process ends when an exception stays unhandled

A node whose address is in use aborted without a word; the soak showed it when programs of an earlier run still held the ports. It now logs the reason and ends with status 1. Programs that a test started end with it.

--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -18,6 +18,7 @@
 #include <Poco/ThreadPool.h>
 
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 
 namespace
@@ -73,31 +74,38 @@
         });
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+/// Ends the process after an exception that nobody handles, such as an address that is in use.
+/// Threads of the node run on meanwhile, so nothing is destroyed.
+[[noreturn]] void end_after_failure()
 {
-    base::block_stop_signals();
-    base::settings_parser parser("Serves callers on a VM of the platform", "jasminepier-node");
-    std::uint16_t metrics_port = 0;
-    int workers = 1024;
-    parser.add_port("metrics-port", metrics_port, "Port for metrics; 0 serves none");
-    parser.add("workers", workers, "Most caller connections served at once")
-        ->check(base::in_range<std::int64_t>(2, 20000));
-    if (auto status = parser.try_parse(argc, argv))
-        return *status;
-    base::configure_logging(parser.level());
-    base::start_background_logging({});
-    auto const settings = load_settings();
-    if (!settings)
-        return 2;
+    std::string reason = "unknown";
+    try
+    {
+        if (auto const failure = std::current_exception())
+            std::rethrow_exception(failure);
+    }
+    catch (Poco::Exception const& failure)
+    {
+        reason = failure.displayText();
+    }
+    catch (std::exception const& failure)
+    {
+        reason = failure.what();
+    }
+    base::log_line(base::log_level::error, "failed").field("reason", reason);
+    base::flush_logs(log_flush_limit);
+    std::_Exit(1);
+}
 
-    node::node_state state(*settings);
+/// Serves until the stop signal.
+void run_node(node::node_settings const& settings, std::uint16_t metrics_port, int workers)
+{
+    node::node_state state(settings);
     base::log_line(base::log_level::info, "started")
-        .field("node", settings->name)
-        .field("zone", settings->zone)
-        .field("callers", settings->callers.text())
-        .field("store", settings->store.text());
+        .field("node", settings.name)
+        .field("zone", settings.zone)
+        .field("callers", settings.callers.text())
+        .field("store", settings.store.text());
     node::connection_pool pool;
     node::node_registrar registrar(state);
     node::peer_link peers(state);
@@ -116,7 +124,7 @@
     parameters->setMaxThreads(workers);
     parameters->setMaxQueued(workers);
     Poco::Net::ServerSocket const socket(
-        Poco::Net::SocketAddress(settings->callers.host, settings->callers.port), 1024);
+        Poco::Net::SocketAddress(settings.callers.host, settings.callers.port), 1024);
     Poco::Net::TCPServer server(new node::caller_session_factory(state, pool), threads, socket,
                                 parameters);
     server.start();
@@ -129,6 +137,28 @@
         reload.check(signal == base::process_signal::reload ? "signal" : "changed");
     }
     stop_gracefully(state, peers);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    base::block_stop_signals();
+    base::settings_parser parser("Serves callers on a VM of the platform", "jasminepier-node");
+    std::uint16_t metrics_port = 0;
+    int workers = 1024;
+    parser.add_port("metrics-port", metrics_port, "Port for metrics; 0 serves none");
+    parser.add("workers", workers, "Most caller connections served at once")
+        ->check(base::in_range<std::int64_t>(2, 20000));
+    if (auto status = parser.try_parse(argc, argv))
+        return *status;
+    base::configure_logging(parser.level());
+    base::start_background_logging({});
+    auto const settings = load_settings();
+    if (!settings)
+        return 2;
+    std::set_terminate(end_after_failure);
+    run_node(*settings, metrics_port, workers);
     base::flush_logs(log_flush_limit);
     std::_Exit(0);
 }
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -307,6 +307,16 @@
         seconds(8)));
 }
 
+// Guards against a start that ends in an abort, without saying what is wrong.
+TEST_F(node_process_test, a_taken_address_ends_the_start_with_its_reason)
+{
+    start_ready();
+    node_process second("n2", m_node.ports(), store_port);
+    EXPECT_EQ(second.program().wait_for_exit(10), 1);
+    EXPECT_NE(second.program().output().find("event=failed"), std::string::npos);
+    EXPECT_NE(second.program().output().find("already in use"), std::string::npos);
+}
+
 // Guards against watches that wait on at a store which lost them when it fell silent.
 TEST_F(node_process_test, a_watch_ends_when_it_is_given_up)
 {
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -38,6 +39,8 @@
     {
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
+        // A test that ends by force leaves no program behind.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         // A socket of a test that stays open in the child would hide its end from the peer.
         close_range(STDERR_FILENO + 1, ~0U, 0);
         execve(binary.c_str(), raw.data(), variables.data());
