--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "platform/headers.hpp"
 #include "services/node/node_metrics.hpp"
+#include "services/node/send_limits.hpp"
 
 #include <algorithm>
 
@@ -14,13 +15,8 @@
 using base::error_kind;
 using serving::server_verdict;
 
-// A connection within one region stands after a round trip and the server's handshake of 1 ms;
-// above this limit the server or the link is in trouble.
-constexpr base::milliseconds connect_limit{300};
 // Part of the latency objective after which a repeatable request is sent to a second server.
 constexpr double hedge_part = 0.7;
-// Sends of one request, refusals included; the retry bound limits their sum over all requests.
-constexpr int most_sends = 4;
 
 base::time_point now()
 {
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -4,6 +4,7 @@
 #include "base/log.hpp"
 #include "platform/headers.hpp"
 #include "services/node/node_metrics.hpp"
+#include "services/node/send_limits.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -15,8 +16,6 @@
 
 using base::error_kind;
 
-// Time for the caller to take an answer; a caller that reads nothing must not hold a worker.
-constexpr base::milliseconds send_limit{5000};
 // Part of the latency objective for which a request waits for a place; later the caller is better
 // served by another attempt.
 constexpr double waiting_part = 0.5;
@@ -266,7 +265,7 @@
     auto text = http::write_response_head(row.http_status, "", fields);
     if (request.method != "HEAD")
         text += body;
-    if (!caller.send(text, base::steady_clock_source{}.now() + send_limit))
+    if (!caller.send(text, base::steady_clock_source{}.now() + caller_send_limit))
         keep_connection = false;
 }
 
@@ -290,7 +289,7 @@
     if (!bodiless && request.method != "HEAD")
         text += answer.body;
     ended = answer.status / 100 == 2 ? request_end::served : request_end::server_answer;
-    if (!caller.send(text, base::steady_clock_source{}.now() + send_limit))
+    if (!caller.send(text, base::steady_clock_source{}.now() + caller_send_limit))
     {
         keep_connection = false;
         ended = request_end::caller_left;
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "platform/headers.hpp"
 #include "services/node/node_metrics.hpp"
+#include "services/node/send_limits.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -15,14 +16,9 @@
 using base::error_kind;
 using serving::server_verdict;
 
-constexpr base::milliseconds connect_limit{300};
-// A caller that takes no events for this long is treated as gone.
-constexpr base::milliseconds send_limit{5000};
 // A resumable stream without a first event for this multiple of its objective is started at another
 // server; callers wait about four times the objective.
 constexpr double silence_factor = 1.4;
-// Sends of one request, refusals included; the retry bound limits their sum over all requests.
-constexpr int most_sends = 4;
 // How often a leaving server's run is looked at when nothing else happens.
 constexpr base::milliseconds leaving_check{100};
 
@@ -114,12 +110,12 @@
     if (!m_context.keep_connection)
         fields.add("Connection", "close");
     return m_context.caller.send(http::write_response_head(m_head->status, m_head->reason, fields),
-                                 now() + send_limit);
+                                 now() + caller_send_limit);
 }
 
 bool stream_relay::send_end()
 {
-    return m_context.caller.send("0\r\n\r\n", now() + send_limit);
+    return m_context.caller.send("0\r\n\r\n", now() + caller_send_limit);
 }
 
 bool stream_relay::forward_events(std::string_view bytes)
@@ -149,7 +145,7 @@
     }
     if (!m_head_sent && !send_head())
         return false;
-    return m_context.caller.send(make_chunk(out), now() + send_limit);
+    return m_context.caller.send(make_chunk(out), now() + caller_send_limit);
 }
 
 std::optional<stream_relay::stream_end> stream_relay::take_arrived()
