Serving: Hear a restarted node whose wall clock was set back

Peers tell the processes of a node apart by their start times. A node that restarted after its clock had been set back was ignored for good, since the store keeps listing it and so its earlier start time was never forgotten. A lower start time now counts as late only while the earlier process is still heard. a_node_returns_with_its_clock_set_back failed before.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -54,7 +54,9 @@
     if (report.entry.name == m_self.name)
         return false;
     auto& node = m_nodes[report.entry.name];
-    if (report.started < node.state.started ||
+    // Late datagrams of an earlier process come soon after it. Beyond that a lower start time means
+    // that the wall clock of the VM was set back.
+    if ((report.started < node.state.started && alive(node, now)) ||
         (report.started == node.state.started && report.sequence <= node.state.sequence))
         return false;
     node.state = report;
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -53,6 +53,17 @@
     EXPECT_TRUE(addresses(start + node_directory::silence_limit).empty());
 }
 
+// Guards against a restarted node that its peers ignore for good because its wall clock, which
+// tells the incarnations apart, was set back meanwhile.
+TEST_F(node_directory_test, a_node_returns_with_its_clock_set_back)
+{
+    EXPECT_TRUE(m_directory.apply_report(make_report("n1", 5000, 9), start));
+    EXPECT_FALSE(m_directory.apply_report(make_report("n1", 2000, 1), start));
+    auto const later = start + node_directory::silence_limit;
+    EXPECT_TRUE(m_directory.apply_report(make_report("n1", 2000, 2), later));
+    EXPECT_EQ(addresses(later), (std::vector<std::string>{"self:8740", "n1:8740"}));
+}
+
 // Guards against late datagrams that make a stopped node look ready again.
 TEST_F(node_directory_test, older_reports_change_nothing)
 {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -78,16 +78,25 @@
     if (!keep.empty())
         std::filesystem::create_directories(keep);
     options.output_folder = keep;
-    soak_world world(options);
-    if (!world.start())
+    std::unique_ptr<soak_world> world;
+    try
     {
-        std::cerr << "the nodes did not become ready\n";
-        return 2;
+        world = std::make_unique<soak_world>(options);
+        if (!world->start())
+        {
+            std::cerr << "the nodes did not become ready\n";
+            return 2;
+        }
+    }
+    catch (std::exception const& failure)
+    {
+        std::cerr << "cannot start: " << failure.what() << '\n';
+        std::_Exit(2);
     }
     auto const begin = std::chrono::steady_clock::now();
-    world.play(plan,
-               settle_time + std::chrono::seconds(seconds) + bounds::recovery + recovered_time);
-    auto const seen = world.finish();
+    world->play(plan,
+                settle_time + std::chrono::seconds(seconds) + bounds::recovery + recovered_time);
+    auto const seen = world->finish();
     auto const timely =
         std::count_if(seen.calls.begin(), seen.calls.end(),
                       [&](auto const& call) { return in_touch(seen, call.node, call.sent); });
