Serving: Fetch a missed configuration however many servers changed since

A node fetched the changes of the last 500 revisions from a peer that had a newer configuration. In a fleet of 2,000 servers more of them change within a silence of the store, and the configuration stayed old. The change is found by reading; first_missed_revision states the rule and its test covers it.

--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -4,6 +4,7 @@
 #include "base/clock.hpp"
 #include "serving/node_entry.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -40,6 +41,17 @@
     std::uint64_t server_digest = 0;
 };
 
+/// The revision behind which a node that missed changes asks a peer for them, from the newest
+/// revisions of its copies of any object and of its configuration.
+constexpr std::int64_t first_missed_revision(std::int64_t newest,
+                                             std::int64_t configuration) noexcept
+{
+    // How far a missed change of a server may lie back; the store counts some tens of changes in a
+    // busy second.
+    constexpr std::int64_t missed_revisions = 500;
+    return std::max<std::int64_t>(0, std::min(newest - missed_revisions, configuration));
+}
+
 /// Merges the store's list of nodes with the nodes' own reports. Not synchronized.
 class node_directory
 {
--- a/services/node/peer_objects.cpp
+++ b/services/node/peer_objects.cpp
@@ -14,8 +14,6 @@
 // Servers give notice 1.5 to 2 s before they leave, so a copy half a second old still helps.
 constexpr std::chrono::milliseconds pull_interval{400};
 constexpr std::chrono::milliseconds pull_timeout{800};
-// How far a missed change may lie back; the store counts some tens of changes in a busy second.
-constexpr std::int64_t missed_revisions = 500;
 
 class node_peer_handler : public inner_protocol::node_peerIf
 {
@@ -53,9 +51,10 @@
                                                                     std::int64_t& since,
                                                                     base::time_point now)
 {
-    since = std::max<std::int64_t>(0, held.objects.revision() - missed_revisions);
+    auto const configuration = held.configuration_revision();
+    since = serving::first_missed_revision(held.objects.revision(), configuration);
     // Every node follows the configuration itself, so a difference means that the store is silent.
-    auto newer = held.nodes.peers_with_newer_configuration(held.configuration_revision(), now);
+    auto newer = held.nodes.peers_with_newer_configuration(configuration, now);
     if (!newer.empty())
         return newer;
     if (!held.configuration || held.dispatcher.directory().store_lost())
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -53,6 +53,14 @@
     EXPECT_TRUE(addresses(start + node_directory::silence_limit).empty());
 }
 
+// Guards against a configuration that is not fetched since many servers have changed after it.
+TEST(store_followers, changes_are_fetched_from_the_older_copy_on)
+{
+    EXPECT_EQ(first_missed_revision(2000, 1900), 1500);
+    EXPECT_EQ(first_missed_revision(2000, 100), 100);
+    EXPECT_EQ(first_missed_revision(300, 200), 0);
+}
+
 // Guards against a restarted node that its peers ignore for good because its wall clock, which
 // tells the incarnations apart, was set back meanwhile.
 TEST_F(node_directory_test, a_node_returns_with_its_clock_set_back)
