Node: End at once when a stop is over

Cause: after the planned stop the process destroyed its objects, and threads that waited for a silent store held it beyond its grace period, at whose end the platform kills it. The change that reports unhandled exceptions brought this in; before, the process ended without destroying anything.

--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -97,8 +97,10 @@
     std::_Exit(1);
 }
 
-/// Serves until the stop signal.
-void run_node(node::node_settings const& settings, std::uint16_t metrics_port, int workers)
+/// Serves until the stop signal and ends the process. Nothing is destroyed: threads could wait for
+/// the store beyond the time that the platform leaves to a stopping process.
+[[noreturn]] void run_node(node::node_settings const& settings, std::uint16_t metrics_port,
+                           int workers)
 {
     node::node_state state(settings);
     base::log_line(base::log_level::info, "started")
@@ -137,6 +139,8 @@
         reload.check(signal == base::process_signal::reload ? "signal" : "changed");
     }
     stop_gracefully(state, peers);
+    base::flush_logs(log_flush_limit);
+    std::_Exit(0);
 }
 
 } // namespace
@@ -159,6 +163,4 @@
         return 2;
     std::set_terminate(end_after_failure);
     run_node(*settings, metrics_port, workers);
-    base::flush_logs(log_flush_limit);
-    std::_Exit(0);
 }
