--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -131,7 +131,7 @@
     bool m_open = true;
 };
 
-link_proxy::link_proxy(asio::io_context& context, endpoint listen, endpoint target,
+link_proxy::link_proxy(asio::io_context& context, endpoint const& listen, endpoint target,
                        bool with_datagrams)
     : m_context(context), m_target(std::move(target)), m_acceptor(context, listen),
       m_datagrams(context)
--- a/tests/soak/link_proxy.hpp
+++ b/tests/soak/link_proxy.hpp
@@ -35,7 +35,7 @@
     using endpoint = boost::asio::ip::tcp::endpoint;
     static constexpr std::chrono::milliseconds delay{150};
 
-    link_proxy(boost::asio::io_context& context, endpoint listen, endpoint target,
+    link_proxy(boost::asio::io_context& context, endpoint const& listen, endpoint target,
                bool with_datagrams = false);
     ~link_proxy();
     link_proxy(link_proxy const&) = delete;
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -12,7 +12,7 @@
 {
 
 node_process::node_process(std::string name, node_ports ports, std::uint16_t store_port)
-    : m_name(std::move(name)), m_ports(ports), m_store_port(store_port),
+    : m_name(std::move(name)), m_ports(std::move(ports)), m_store_port(store_port),
       m_settings_path("/tmp/jasminepier_node_" + m_name + "_" + std::to_string(::getpid()) +
                       ".toml")
 {
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -29,6 +29,7 @@
         raw.push_back(const_cast<char*>(argument.c_str()));
     raw.push_back(nullptr);
     std::vector<char*> variables;
+    variables.reserve(environment.size() + 1);
     for (auto const& entry : environment)
         variables.push_back(const_cast<char*>(entry.c_str()));
     for (char** inherited = environ; *inherited != nullptr; ++inherited)
