HTTP, Node: Bound responses without end and resume stalled streams

Cause: a server in trouble may send bytes without end, in a head or a body. The response reader had no bound for bodies, chunk headers, trailers and rows of informational responses; the relays and the calls to engines collected bodies without a limit, and an event without end grew in the splitter. A resumable stream that had stalled counted as alive while it sent any byte.

Ruled out: limiting the sum of a body, which would end long streams. The bound is on bytes that wait to be taken. Non-resumable streams are not ended early, since a server's silence is no reason to.

Change: an exchange fails as oversized; the callers of a plain request get 502. Silence of a resumable stream is counted from its last new event.

--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -30,6 +30,8 @@
         return "connection_lost";
     case exchange_failure::malformed:
         return "malformed";
+    case exchange_failure::oversized:
+        return "oversized";
     case exchange_failure::none:
         break;
     }
@@ -139,6 +141,8 @@
         m_reader.feed({bytes.data(), static_cast<std::size_t>(received)});
         if (m_reader.current_state() == response_reader::state::malformed)
             m_failure = exchange_failure::malformed;
+        if (m_reader.current_state() == response_reader::state::oversized)
+            m_failure = exchange_failure::oversized;
         return;
     }
     if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -22,6 +22,8 @@
     connection_lost,
     /// The received bytes are not a valid HTTP response.
     malformed,
+    /// The response exceeds a limit on its size.
+    oversized,
 };
 
 std::string_view to_string(exchange_failure failure) noexcept;
@@ -72,6 +74,8 @@
     std::optional<Poco::Net::StreamSocket> release_connection();
     /// Gives up the exchange, for example because the connection was not established in time.
     void fail_as_not_connected() noexcept { m_failure = exchange_failure::not_connected; }
+    /// Gives up a response that is larger than the owner accepts.
+    void fail_as_oversized() noexcept { m_failure = exchange_failure::oversized; }
 
 private:
     void send_pending();
--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -13,6 +13,9 @@
 
 // A response with a larger header would be of no use to a caller.
 constexpr std::uint32_t maximum_head_bytes = 64 * 1024;
+// Bytes that Beast leaves in the buffer until they form a complete line: a chunk header with its
+// extension, or a trailer.
+constexpr std::size_t maximum_unparsed_bytes = 128 * 1024;
 
 } // namespace
 
@@ -32,6 +35,8 @@
 
 void response_reader::feed(std::span<char const> bytes)
 {
+    if (m_state == state::malformed || m_state == state::oversized)
+        return;
     auto const destination = m_buffer.prepare(bytes.size());
     boost::asio::buffer_copy(destination, boost::asio::buffer(bytes.data(), bytes.size()));
     m_buffer.commit(bytes.size());
@@ -67,12 +72,23 @@
         {
             if (m_parser->get().result_int() / 100 == 1 && m_parser->is_done())
             {
+                if (++m_informational_responses > maximum_informational_responses)
+                {
+                    m_state = state::oversized;
+                    return;
+                }
                 start();
                 continue;
             }
             read_head();
             m_state = state::reading_body;
         }
+        if (m_parser->get().body().size() > maximum_untaken_body_bytes ||
+            m_buffer.size() > maximum_unparsed_bytes || error == beast_http::error::header_limit)
+        {
+            m_state = state::oversized;
+            return;
+        }
         if (error == beast_http::error::need_more)
             return;
         if (error)
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -24,11 +24,20 @@
         complete,
         /// The bytes are not a valid HTTP response.
         malformed,
+        /// A head, a chunk header or a trailer exceeds its limit, the response follows too many
+        /// informational ones, or more body bytes than allowed wait for `take_body`.
+        oversized,
     };
 
+    /// Body bytes that may wait for `take_body`, which bounds the memory that a server can occupy
+    /// with a body without end.
+    static constexpr std::size_t maximum_untaken_body_bytes = 1024 * 1024;
+    static constexpr int maximum_informational_responses = 16;
+
     /// `expect_body` is false for the response to a HEAD request.
     explicit response_reader(bool expect_body = true);
 
+    /// Ignores the bytes if the response is malformed or oversized.
     void feed(std::span<char const> bytes);
     /// Reports that the server closed the connection cleanly. This completes a response that has
     /// neither a content length nor a transfer coding; another body stays incomplete. Within the
@@ -53,6 +62,7 @@
 
     bool m_expect_body;
     state m_state = state::reading_head;
+    int m_informational_responses = 0;
     std::unique_ptr<parser> m_parser;
     boost::beast::flat_buffer m_buffer;
     response m_head;
--- a/libraries/serving/event_stream_splitter.cpp
+++ b/libraries/serving/event_stream_splitter.cpp
@@ -47,8 +47,10 @@
 
 std::vector<server_sent_event> event_stream_splitter::feed(std::string_view bytes)
 {
-    m_pending.append(bytes);
     std::vector<server_sent_event> events;
+    if (oversized())
+        return events;
+    m_pending.append(bytes);
     std::string_view remaining = m_pending;
     while (true)
     {
--- a/libraries/serving/event_stream_splitter.hpp
+++ b/libraries/serving/event_stream_splitter.hpp
@@ -23,8 +23,13 @@
 class event_stream_splitter
 {
 public:
+    /// Bounds the memory that a server can occupy with an event without end.
+    static constexpr std::size_t maximum_event_bytes = 256 * 1024;
+
     /// Adds received bytes and returns the events that they complete.
     std::vector<server_sent_event> feed(std::string_view bytes);
+    /// True if an event exceeds `maximum_event_bytes`. The splitter then returns no further events.
+    bool oversized() const noexcept { return m_pending.size() > maximum_event_bytes; }
     bool has_partial_event() const noexcept { return !m_pending.empty(); }
 
 private:
--- a/services/node/generation_handover.cpp
+++ b/services/node/generation_handover.cpp
@@ -25,6 +25,8 @@
 constexpr base::milliseconds maximum_copy_delay{1150};
 // Releasing an unused copy only helps the engine, so it must not block the worker for long.
 constexpr base::milliseconds release_timeout{200};
+// A response holds a handle and a few numbers.
+constexpr std::size_t maximum_response_bytes = 64 * 1024;
 constexpr int not_running_status = 404;
 constexpr int copy_in_progress_status = 409;
 
@@ -57,6 +59,8 @@
     {
         m_exchange->advance(ready_events);
         m_body += m_exchange->take_body();
+        if (m_body.size() > maximum_response_bytes)
+            m_exchange->fail_as_oversized();
         if (!m_exchange->ended() && now >= m_exchange->start_time() + copy_request_timeout)
             m_exchange->fail_as_not_connected();
         if (!m_exchange->ended())
--- a/services/node/server_prober.cpp
+++ b/services/node/server_prober.cpp
@@ -16,6 +16,8 @@
 // Engines announce their removal 1.5 to 2.1 s ahead, and a handover takes about half a second.
 constexpr std::chrono::milliseconds probe_interval{300};
 constexpr base::milliseconds probe_timeout{250};
+// A report lists the runs of an engine, some tens of bytes each.
+constexpr std::size_t maximum_report_bytes = 256 * 1024;
 
 struct engine_probe
 {
@@ -69,6 +71,8 @@
         {
             probes[i].exchange.advance(poll_set.ready(i));
             probes[i].body += probes[i].exchange.take_body();
+            if (probes[i].body.size() > maximum_report_bytes)
+                probes[i].exchange.fail_as_oversized();
         }
     }
     for (auto const& probe : probes)
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -16,8 +16,9 @@
 using base::error_kind;
 using serving::attempt_outcome;
 
-// A resumable stream that is silent for this multiple of its latency objective is resumed at
-// another server. Callers wait for about four times the objective.
+// A resumable stream without a new event for this multiple of its latency objective is resumed at
+// another server, even if it sends comments or parts of an event. Callers wait for about four times
+// the objective.
 constexpr double silence_timeout_factor = 1.4;
 // Maximum time between two checks of a handover or of a resumable stream's silence.
 constexpr base::milliseconds leaving_check_interval{100};
@@ -49,6 +50,7 @@
     auto const forwarded = platform::make_forwarded_request(m_context.request, metadata);
     m_exchange = std::make_unique<http::client_exchange>(
         server.address, http::write_request(forwarded), true, now());
+    m_last_progress = m_exchange->start_time();
     m_event_splitter = {};
     m_head_validated = false;
     m_error_body.clear();
@@ -79,7 +81,7 @@
         silence_timeout_factor * m_context.route->latency_objective);
     bool const silent = m_context.route->idempotency == serving::request_idempotency::resumable &&
                         m_context.possible_executions < m_context.route->maximum_attempts &&
-                        current_time >= m_exchange->last_receive_time() + silence_timeout;
+                        current_time >= m_last_progress + silence_timeout;
     if (silent)
         return stream_outcome::broken;
     return std::nullopt;
@@ -134,12 +136,14 @@
         if (!event.id.empty())
             m_last_event_id = event.id;
         if (number)
+        {
             m_last_event_number = number;
+            m_last_progress = now();
+        }
         out += event.bytes;
     }
     if (out.empty())
         return true;
-    m_last_event_time = now();
     if (!m_any_event_sent)
     {
         m_any_event_sent = true;
@@ -165,6 +169,9 @@
             m_error_body += bytes;
         else if (!bytes.empty() && !forward_events(bytes))
             return stream_outcome::caller_left;
+        if (m_event_splitter.oversized() ||
+            m_error_body.size() > http::response_reader::maximum_untaken_body_bytes)
+            return stream_outcome::broken;
     }
     if (!m_exchange->ended())
         return std::nullopt;
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -76,7 +76,8 @@
     bool m_any_event_sent = false;
     std::string m_last_event_id;
     std::optional<std::int64_t> m_last_event_number;
-    base::time_point m_last_event_time{};
+    /// Time of the last event that the caller did not have yet, or the start of the attempt.
+    base::time_point m_last_progress{};
 };
 
 } // namespace jasminepier::node
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -132,6 +132,70 @@
     EXPECT_EQ(parse_response("garbage\r\n\r\n").current_state(), response_reader::state::malformed);
 }
 
+/// Feeds `prefix` and then `repeated` until the reader ends or `maximum_bytes` have been fed.
+response_reader::state feed_without_end(std::string_view prefix, std::string_view repeated,
+                                        std::size_t maximum_bytes)
+{
+    response_reader reader;
+    reader.feed(prefix);
+    std::string block;
+    while (block.size() < 4096)
+        block += repeated;
+    for (std::size_t fed = 0; fed < maximum_bytes; fed += block.size())
+    {
+        if (reader.current_state() == response_reader::state::oversized ||
+            reader.current_state() == response_reader::state::malformed)
+            break;
+        reader.feed(block);
+    }
+    return reader.current_state();
+}
+
+// Guards against a server in trouble that sends bytes without end, which would otherwise fill the
+// node's memory.
+TEST(response_reader, ends_responses_without_end)
+{
+    constexpr std::size_t enough = 8 * 1024 * 1024;
+    auto const ends = [&](std::string_view prefix, std::string_view repeated)
+    {
+        auto const state = feed_without_end(prefix, repeated, enough);
+        return state == response_reader::state::oversized ||
+               state == response_reader::state::malformed;
+    };
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EXPECT_TRUE(ends("", "x"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 ", "O"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 OK\r\n", "n"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 OK\r\nName: ", "v"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 OK\r\n", "Name: value\r\n"));
+    EXPECT_TRUE(ends("", "HTTP/1.1 103 Early Hints\r\n\r\n"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 OK\r\n\r\n", "b"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "b"));
+    EXPECT_TRUE(ends("HTTP/1.1 200 OK\r\nContent-Length: ", "9"));
+    EXPECT_TRUE(ends(chunked, "1\r\nb\r\n"));
+    EXPECT_TRUE(ends(chunked, "0"));
+    EXPECT_TRUE(ends(chunked + "1;", "e"));
+    EXPECT_TRUE(ends(chunked + "0\r\n", "Trailer: value\r\n"));
+    EXPECT_TRUE(ends(chunked + "0\r\nTrailer: ", "v"));
+}
+
+// Guards against ending a long stream because of the sum of its bytes.
+TEST(response_reader, reads_long_bodies_that_are_taken_as_they_arrive)
+{
+    response_reader reader;
+    reader.feed(std::string_view("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    std::string const block(64 * 1024, 'b');
+    std::size_t taken = 0;
+    for (int i = 0; i < 64; ++i)
+    {
+        reader.feed("10000\r\n" + block + "\r\n");
+        taken += reader.take_body().size();
+    }
+    EXPECT_EQ(taken, 64 * block.size());
+    reader.feed(std::string_view("0\r\n\r\n"));
+    EXPECT_EQ(reader.current_state(), response_reader::state::complete);
+}
+
 TEST(message, hop_by_hop_fields_are_recognized)
 {
     EXPECT_TRUE(is_hop_by_hop("connection", ""));
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <fstream>
 #include <future>
 #include <thread>
 
@@ -216,6 +217,76 @@
     EXPECT_EQ(m_engine_2.execution_count(m_last_request_id), 1);
 }
 
+// Guards against waiting until the deadline for a stream that has stalled but still sends bytes.
+TEST_F(node_process_test, stalled_stream_that_sends_bytes_is_resumed)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    auto const response = call("POST", "/question/stalled-4");
+    EXPECT_TRUE(response.is_complete);
+    EXPECT_EQ(response.body, make_events(1, 1) + ": \n\n" + make_events(2, 4));
+    EXPECT_EQ(run_count(), 2);
+}
+
+// Guards against ending a sound stream whose pauses are long, but within its objective.
+TEST_F(node_process_test, slow_stream_is_not_resumed)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    m_engine_1.set_event_interval(milliseconds(1300));
+    m_engine_2.set_event_interval(milliseconds(1300));
+    auto const response = call("POST", "/question/stream-3");
+    EXPECT_TRUE(response.is_complete);
+    EXPECT_EQ(response.body, make_events(1, 3));
+    EXPECT_EQ(run_count(), 1);
+}
+
+// Guards against delivering the second copy of an earlier response to the next request on the same
+// connection.
+TEST_F(node_process_test, late_copy_of_a_response_is_not_delivered_to_the_next_request)
+{
+    start_until_ready();
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const response = call("GET", i % 2 == 0 ? "/check/copied" : "/check/ok");
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, "response to " + m_last_request_id);
+    }
+}
+
+// Guards against servers that fill the node's memory with bodies without end. A VM has 88 MB.
+TEST_F(node_process_test, bodies_without_end_are_cut_and_leave_memory_for_other_requests)
+{
+    start_until_ready();
+    std::vector<std::future<int>> endless_calls;
+    for (int i = 0; i < 20; ++i)
+        endless_calls.push_back(std::async(
+            std::launch::async,
+            [this, i]
+            {
+                auto const* const path = i % 2 == 0 ? "/check/endless" : "/plan/endless";
+                auto const method = i % 2 == 0 ? "GET" : "POST";
+                return call_node(m_node.ports().callers,
+                                 make_request(method, path, "endless-" + std::to_string(i)))
+                    .status;
+            }));
+    EXPECT_EQ(call("GET", "/open/ok").status, 200);
+    for (auto& endless_call : endless_calls)
+    {
+        auto const status = endless_call.get();
+        EXPECT_TRUE(status == 502 || status == 503) << status;
+    }
+    EXPECT_EQ(call("GET", "/open/ok").status, 200);
+    std::ifstream process_status("/proc/" + std::to_string(m_node.program().id()) + "/status");
+    std::string field;
+    long peak_kilobytes = 0;
+    while (process_status >> field)
+        if (field == "VmHWM:")
+            process_status >> peak_kilobytes;
+    EXPECT_GT(peak_kilobytes, 0);
+    EXPECT_LT(peak_kilobytes, 88 * 1024);
+}
+
 // Guards against losing a generation when the VM of its engine is reclaimed.
 TEST_F(node_process_test, generation_is_handed_over_when_its_engine_drains)
 {
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace jasminepier::tests
 {
@@ -33,9 +34,23 @@
 
 void fake_server::serve(Poco::Net::StreamSocket& socket)
 {
+    std::string late_copy;
     while (auto const request = read_request(socket))
+    {
+        if (!late_copy.empty())
+            send_all(socket, std::exchange(late_copy, {}));
         if (!respond(socket, *request))
             return;
+        if (!request->path().ends_with("/copied"))
+            continue;
+        auto const id = std::string(request->headers.find("Attempt-Id").value_or(""));
+        auto const body = "response to " + id;
+        http::header_list fields;
+        fields.add("Attempt-Id", id);
+        fields.add("Server-Signature", "signed-by-" + m_id);
+        fields.add("Content-Length", std::to_string(body.size()));
+        late_copy = http::write_response_head(200, "", fields) + body;
+    }
 }
 
 bool fake_server::send(Poco::Net::StreamSocket& socket, int status, http::header_list fields,
@@ -119,7 +134,7 @@
     http::header_list fields;
     fields.add("Attempt-Id", id);
     fields.add("Server-Signature", "signed-by-" + m_id);
-    if (action == "ok")
+    if (action == "ok" || action == "copied")
         return send(socket, 200, fields, "response to " + id);
     if (action == "error")
         return send(socket, 500, fields, "failed");
@@ -141,6 +156,13 @@
                send(socket, 200, fields, "response to " + id);
     if (action.starts_with("stream-"))
         return stream(socket, request, std::stoi(action.substr(7)), true), true;
+    if (action == "endless")
+        return send_without_end(socket, request), false;
+    bool const resumed = request.headers.find("Last-Event-Id").has_value();
+    if (action.starts_with("stalled-") && resumed)
+        return stream(socket, request, std::stoi(action.substr(8)), true), true;
+    if (action.starts_with("stalled-"))
+        return stall(socket, request), false;
     if (action.starts_with("broken-"))
         stream(socket, request, std::stoi(action.substr(7)), false);
     return false;
@@ -177,6 +199,32 @@
         send_all(socket, "0\r\n\r\n");
 }
 
+void fake_server::stall(Poco::Net::StreamSocket& socket, http::request const& request)
+{
+    http::header_list fields;
+    fields.add("Attempt-Id", std::string(request.headers.find("Attempt-Id").value_or("")));
+    fields.add("Server-Signature", "signed-by-" + m_id);
+    fields.add("Content-Type", "text/event-stream");
+    fields.add("Transfer-Encoding", "chunked");
+    send_all(socket,
+             http::write_response_head(200, "", fields) + "17\r\nid: 1\ndata: piece\n\n: \n\n\r\n");
+    while (wait_while_connected(socket, std::chrono::milliseconds(100)))
+        send_all(socket, "1\r\n:\r\n");
+}
+
+void fake_server::send_without_end(Poco::Net::StreamSocket& socket, http::request const& request)
+{
+    http::header_list fields;
+    fields.add("Attempt-Id", std::string(request.headers.find("Attempt-Id").value_or("")));
+    fields.add("Server-Signature", "signed-by-" + m_id);
+    fields.add("Transfer-Encoding", "chunked");
+    send_all(socket, http::write_response_head(200, "", fields));
+    auto const chunk = "10000\r\n" + std::string(0x10000, 'b') + "\r\n";
+    while (!peer_has_closed(socket))
+        send_all(socket, chunk);
+    ++m_disconnect_count;
+}
+
 void fake_server::copy_generation(Poco::Net::StreamSocket& socket, http::request const& request)
 {
     ++m_copy_count;
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -15,7 +15,9 @@
 /// `error`, `cut` (closes the connection without a response), `shed` (rejects the request with
 /// 503), `foreign` (sends the response to another request), `hang`, `work-N` (responds after N ms),
 /// `stream-N` (streams N events), `broken-N` (closes the connection after N events without the
-/// terminating chunk).
+/// terminating chunk), `stalled-N` (stops after one event and sends a comment byte now and then; a
+/// resumed stream continues to N events), `endless` (sends a body without end), `copied` (sends its
+/// response a second time when the next request arrives on the connection).
 class fake_server
 {
 public:
@@ -56,6 +58,10 @@
                  std::string const& action);
     /// Waits for `duration`. Returns false as soon as the peer closes the connection.
     bool wait_while_connected(Poco::Net::StreamSocket& socket, std::chrono::milliseconds duration);
+    /// Sends one event, then single bytes of a comment until the peer closes the connection.
+    void stall(Poco::Net::StreamSocket& socket, http::request const& request);
+    /// Sends a chunked body of `block` repeated until the peer closes the connection.
+    void send_without_end(Poco::Net::StreamSocket& socket, http::request const& request);
     void stream(Poco::Net::StreamSocket& socket, http::request const& request, int events,
                 bool complete);
     void copy_generation(Poco::Net::StreamSocket& socket, http::request const& request);
