Node: Report loads within zones and exchange summaries between them

Cause: every node sent each report to all nodes and added up the reports of all nodes for every server at every choice.

Ruled out: gossip of all loads (two seconds old at 295 nodes), cells of nodes and engines (a cell loses a third of its engines at once), one aggregator a zone (its loss blinds the zone).

Change: in fleets of 13 nodes or more, nodes report to their own zone. Two nodes of each zone send its sums to one random node of each other zone every second, which relays them. Totals per server are updated with each report. Addresses for callers, followers of the store, cold starts and turns at an engine's link follow the zones; new work leaves its zone when the zone's engines are fuller by three tenths.

--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -26,6 +26,8 @@
 // A node refutes a suspicion with a higher incarnation, so a received one must leave room below
 // INT64_MAX. Incarnations start at wall-clock seconds, which are far below this limit.
 constexpr std::int64_t maximum_incarnation = std::int64_t{1} << 53U;
+// Enough for a summary of 2,000 servers.
+constexpr int maximum_summary_parts = 64;
 // Messages of this protocol nest three levels deep.
 constexpr int maximum_nesting = 8;
 
@@ -105,6 +107,11 @@
            is_valid_identifier(report.node) && is_valid_name(report.zone) &&
            is_valid_identifier(report.caller_address) && is_valid_port(report.peer_port) &&
            report.started >= 0 && report.sequence >= 0 && report.store_revision >= 0 &&
+           report.summary_parts >= 0 && report.summary_parts <= maximum_summary_parts &&
+           report.summary_part >= 0 && report.summary_part < std::max(report.summary_parts, 1) &&
+           report.zone_nodes >= 0 &&
+           std::all_of(report.zone_addresses.begin(), report.zone_addresses.end(),
+                       is_valid_identifier) &&
            std::all_of(report.uses.begin(), report.uses.end(),
                        [](auto const& use) { return is_valid(use); }) &&
            std::all_of(report.crashes.begin(), report.crashes.end(),
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -166,4 +166,10 @@
   14: list<configuration_object> news,  // objects that the node has just read from the store
   11: list<server_use> uses,
   12: list<crash_record> crashes,
+  // Only in reports to other zones: one part of the loads of all nodes of the zone.
+  16: i32 summary_part,
+  17: i32 summary_parts,          // 0 if the report is not a summary
+  18: i32 zone_nodes,             // live nodes of the zone
+  19: list<string> zone_addresses, // a few ready nodes of the zone, for callers
+  20: bool relayed,               // was forwarded by a node of the receiver's zone
 }
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -30,6 +30,10 @@
 // copy takes twice as long between zones.
 constexpr double cross_zone_penalty = 0.05;
 constexpr double cross_zone_handover_penalty = 1.0;
+// Replaces cross_zone_penalty where nodes report within their zone: loads of other zones are about
+// a second old, and bytes between zones are priced. Work still leaves a zone whose engines are
+// fuller than others by this fraction.
+constexpr double cross_zone_penalty_with_summaries = 0.3;
 // Nodes that have the same reports would otherwise all select the same one of nearly equal servers.
 constexpr double score_noise = 0.05;
 // Backoff after a failed connection; doubles with each further failure up to the maximum.
@@ -91,6 +95,7 @@
 
 void dispatcher::set_configuration(std::shared_ptr<fleet_configuration const> configuration)
 {
+    m_cold_allowances.clear();
     m_configuration = std::move(configuration);
 }
 
@@ -112,46 +117,60 @@
     return nullptr;
 }
 
-dispatcher::combined_load dispatcher::combine_loads(std::string const& id,
+void dispatcher::set_fleet_view(fleet_view view)
+{
+    if (view == m_fleet)
+        return;
+    m_fleet = std::move(view);
+    m_cold_allowances.clear();
+    // The summaries of the other zones contain the loads of their nodes.
+    if (m_fleet.reports_within_zone)
+        m_peer_loads.remove_if(
+            [&](load_source const& source, peer_load_table::source_report const&)
+            { return !source.is_zone_summary() && source.zone != m_settings.zone; });
+}
+
+dispatcher::combined_load dispatcher::combine_loads(listed_server const& server,
                                                     base::time_point now) const
 {
     combined_load load;
-    if (auto const local = m_local_usage.find(id); local != m_local_usage.end())
+    if (auto const local = m_local_usage.find(server.entry.id); local != m_local_usage.end())
         load.total = local->second;
-    if (auto const health = m_server_health.find(id); health != m_server_health.end())
+    if (auto const health = m_server_health.find(server.entry.id); health != m_server_health.end())
     {
         load.attempts = health->second.outcomes.attempts(now);
         load.failures = health->second.outcomes.failures(now);
     }
-    auto const hash = hash_server(id);
-    for (auto const& [node, report] : m_peers)
-    {
-        auto const found = std::lower_bound(report.loads.begin(), report.loads.end(), hash,
-                                            [](server_load const& item, server_hash target)
-                                            { return item.server < target; });
-        if (found == report.loads.end() || found->server != hash)
-            continue;
-        load.total.running += found->running;
-        load.total.reserved_tokens += found->reserved_tokens;
-        load.total.unread_prompt_tokens += found->unread_prompt_tokens;
-        load.attempts += found->recent_attempts / count_scale;
-        load.failures += found->recent_failures / count_scale;
-        load.unreachable_report_count += found->unreachable ? 1 : 0;
-        load.oldest_report_age =
-            std::max(load.oldest_report_age,
-                     std::chrono::duration_cast<base::milliseconds>(now - report.received));
-    }
+    auto const peers = m_peer_loads.find_totals(server.hash);
+    load.total.running += static_cast<int>(peers.running);
+    load.total.reserved_tokens += peers.reserved_tokens;
+    load.total.unread_prompt_tokens += peers.unread_prompt_tokens;
+    load.attempts += static_cast<double>(peers.recent_attempts) / count_scale;
+    load.failures += static_cast<double>(peers.recent_failures) / count_scale;
+    load.unreachable_report_count = peers.unreachable_reports;
     return load;
 }
 
+int dispatcher::cold_allowance(server_entry const& server, int fleet_allowance) const
+{
+    // Only the nodes that report to each other can divide an allowance. A fleet that reports within
+    // zones leaves each cold server to the nodes of its zone.
+    if (m_fleet.reports_within_zone && server.zone != m_settings.zone)
+        return 0;
+    auto const [found, added] = m_cold_allowances.try_emplace(server.id, 0);
+    if (added)
+        found->second = decision::count_local_slots(server.id, m_fleet.reporting_nodes,
+                                                    m_settings.node, fleet_allowance);
+    return found->second;
+}
+
 bool dispatcher::below_cold_rate_limit(listed_server const& server, service const& target_service,
                                        base::time_point now) const
 {
     if (now >= server.cold_until || target_service.cold_requests_per_second <= 0)
         return true;
-    auto const fleet_allowance = static_cast<int>(target_service.cold_requests_per_second);
-    auto const local_allowance = decision::count_local_slots(server.entry.id, m_live_nodes,
-                                                             m_settings.node, fleet_allowance);
+    auto const local_allowance =
+        cold_allowance(server.entry, static_cast<int>(target_service.cold_requests_per_second));
     auto const health = m_server_health.find(server.entry.id);
     if (health == m_server_health.end())
         return local_allowance > 0;
@@ -208,9 +227,11 @@
     total_score += unreachable_report_weight * load.unreachable_report_count;
     bool const crosses_zones =
         !query.preferred_zone.empty() && server.entry.zone != query.preferred_zone;
-    if (crosses_zones)
-        total_score += query.purpose == selection_purpose::handover ? cross_zone_handover_penalty
-                                                                    : cross_zone_penalty;
+    if (crosses_zones && query.purpose == selection_purpose::handover)
+        total_score += cross_zone_handover_penalty;
+    else if (crosses_zones)
+        total_score +=
+            m_fleet.reports_within_zone ? cross_zone_penalty_with_summaries : cross_zone_penalty;
     if (!target_service.engine)
         return total_score +
                static_cast<double>(load.total.running) / std::max(server.entry.slots, 1);
@@ -243,7 +264,7 @@
     {
         if (server.entry.service != query.service)
             continue;
-        auto load = combine_loads(id, now);
+        auto load = combine_loads(server, now);
         attempts += load.attempts;
         failures += load.failures;
         auto const reason = find_exclusion_reason(server, *target_service, load, query, now);
@@ -274,7 +295,7 @@
                             candidate_score,
                             item.load.total.running,
                             static_cast<double>(item.load.total.reserved_tokens) / cache_tokens,
-                            item.load.oldest_report_age};
+                            m_peer_loads.oldest_report_age(item.server->hash, now)};
         result.reason = exclusion_reason::none;
     }
     return result;
@@ -378,6 +399,9 @@
 bool dispatcher::expire(base::time_point now)
 {
     bool const changed = m_directory.expire(now);
+    m_peer_loads.remove_if(
+        [&](load_source const& source, peer_load_table::source_report const& report)
+        { return source.is_zone_summary() && now >= report.received + zone_summary_timeout; });
     std::erase_if(m_server_health,
                   [&](auto const& item) { return !m_directory.servers().contains(item.first); });
     return changed;
@@ -390,16 +414,20 @@
 
 bool dispatcher::try_spend_retry(std::string const& service, base::time_point now)
 {
-    return m_retry_budgets[service].try_spend(m_settings.retry_limits, m_live_nodes.size(), now);
+    return m_retry_budgets[service].try_spend(m_settings.retry_limits, m_fleet.fleet_size, now);
 }
 
 std::vector<server_load> dispatcher::local_loads(base::time_point now) const
 {
     std::vector<server_load> loads;
+    std::unordered_map<std::string_view, std::int32_t> handover_candidates;
+    for (auto const& [attempt_key, attempt] : m_attempts)
+        if (attempt.can_hand_over)
+            ++handover_candidates[attempt.server];
     for (auto const& [id, server] : m_directory.servers())
     {
         server_load load;
-        load.server = hash_server(id);
+        load.server = server.hash;
         if (auto const local = m_local_usage.find(id); local != m_local_usage.end())
         {
             load.running = local->second.running;
@@ -415,8 +443,8 @@
                 static_cast<std::int32_t>(std::lround(outcomes.failures(now) * count_scale));
             load.unreachable = now < health->second.unreachable_until;
         }
-        for (auto const& [attempt_key, attempt] : m_attempts)
-            load.handover_candidates += attempt.can_hand_over && attempt.server == id ? 1 : 0;
+        if (auto const found = handover_candidates.find(id); found != handover_candidates.end())
+            load.handover_candidates = found->second;
         bool const draining_or_removed =
             server.phase == server_phase::draining || server.phase == server_phase::removed;
         load.leaving = draining_or_removed && now < server.phase_since + leaving_report_duration;
@@ -426,28 +454,64 @@
     return loads;
 }
 
-void dispatcher::merge_peer(std::string const& node, std::span<server_load const> loads,
+void dispatcher::merge_peer(load_source const& source, std::span<server_load const> loads,
                             base::time_point now)
 {
-    auto& report = m_peers[node];
-    report.loads.assign(loads.begin(), loads.end());
-    std::sort(report.loads.begin(), report.loads.end(),
-              [](auto const& a, auto const& b) { return a.server < b.server; });
-    report.received = now;
-    for (auto const& [id, server] : m_directory.servers())
+    m_peer_loads.merge(source, loads, now);
+    for (auto const& load : loads)
     {
-        auto const hash = hash_server(id);
-        bool const reported_leaving = std::any_of(loads.begin(), loads.end(),
-                                                  [&](server_load const& load)
-                                                  { return load.leaving && load.server == hash; });
-        if (reported_leaving)
-            m_directory.record_leaving(id, now);
+        if (!load.leaving)
+            continue;
+        for (auto const& [id, server] : m_directory.servers())
+            if (server.hash == load.server)
+            {
+                m_directory.record_leaving(id, now);
+                break;
+            }
     }
 }
 
-void dispatcher::remove_peer(std::string const& node)
+void dispatcher::merge_zone_summary(std::string const& zone, summary_part part,
+                                    std::span<server_load const> loads, base::time_point now)
+{
+    m_peer_loads.remove_if(
+        [&](load_source const& source, peer_load_table::source_report const&)
+        { return source.zone == zone && source.is_zone_summary() && source.part >= part.count; });
+    merge_peer({zone, "", part.index}, loads, now);
+}
+
+void dispatcher::remove_peer(std::string const& zone, std::string const& node)
+{
+    m_peer_loads.remove({zone, node});
+}
+
+std::vector<server_load> dispatcher::zone_loads(base::time_point now) const
 {
-    m_peers.erase(node);
+    std::map<server_hash, server_load> sums;
+    auto const add = [&](server_load const& load)
+    {
+        auto& sum = sums[load.server];
+        sum.server = load.server;
+        sum.running += load.running;
+        sum.reserved_tokens += load.reserved_tokens;
+        sum.unread_prompt_tokens += load.unread_prompt_tokens;
+        sum.recent_attempts += load.recent_attempts;
+        sum.recent_failures += load.recent_failures;
+        sum.handover_candidates += load.handover_candidates;
+        // `unreachable` stays unset: a fault between this zone and the server says nothing about
+        // the paths from other zones.
+        sum.leaving = sum.leaving || load.leaving;
+    };
+    for (auto const& load : local_loads(now))
+        add(load);
+    for (auto const& [source, report] : m_peer_loads.reports())
+        if (!source.is_zone_summary())
+            std::for_each(report.loads.begin(), report.loads.end(), add);
+    std::vector<server_load> loads;
+    loads.reserve(sums.size());
+    for (auto const& [hash, load] : sums)
+        loads.push_back(load);
+    return loads;
 }
 
 void dispatcher::add_waiting(std::string const& service, int priority)
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "serving/fleet_configuration.hpp"
 #include "serving/node_retry_budget.hpp"
 #include "serving/outcome_history.hpp"
+#include "serving/peer_load_table.hpp"
 #include "serving/server_directory.hpp"
 #include "serving/server_load.hpp"
 
@@ -112,6 +113,19 @@
 
 using attempt_id = std::uint64_t;
 
+/// The nodes among which limits that hold for all nodes together are divided.
+struct fleet_view
+{
+    /// Names of the nodes that are alive and report to each other, including this node.
+    std::vector<std::string> reporting_nodes;
+    /// All nodes that may be alive.
+    std::size_t fleet_size = 1;
+    /// Set if only nodes of the same zone report to each other.
+    bool reports_within_zone = false;
+
+    friend bool operator==(fleet_view const&, fleet_view const&) = default;
+};
+
 struct dispatcher_settings
 {
     std::string node;
@@ -124,6 +138,9 @@
 class dispatcher
 {
 public:
+    /// Time after which the summary of a zone that has sent no newer one is dropped.
+    static constexpr base::milliseconds zone_summary_timeout{3500};
+
     explicit dispatcher(dispatcher_settings settings) : m_settings(std::move(settings)) {}
 
     void set_configuration(std::shared_ptr<fleet_configuration const> configuration);
@@ -134,8 +151,8 @@
     /// Servers in evacuated zones are never selected.
     void set_evacuated_zones(std::set<std::string> zones) { m_evacuated_zones = std::move(zones); }
     std::set<std::string> const& evacuated_zones() const noexcept { return m_evacuated_zones; }
-    /// Names of the nodes that are alive, including this node.
-    void set_live_nodes(std::vector<std::string> nodes) { m_live_nodes = std::move(nodes); }
+    /// Replaces the view of the fleet, which shares the limits that hold for all nodes together.
+    void set_fleet_view(fleet_view view);
     server_directory& directory() noexcept { return m_directory; }
     server_directory const& directory() const noexcept { return m_directory; }
 
@@ -182,11 +199,23 @@
 
     /// Returns this node's load on each server, for the report to peers.
     std::vector<server_load> local_loads(base::time_point now) const;
-    /// Replaces the peer's earlier report.
-    void merge_peer(std::string const& node, std::span<server_load const> loads,
+    /// Replaces the source's earlier report.
+    void merge_peer(load_source const& source, std::span<server_load const> loads,
                     base::time_point now);
-    /// Removes the report of a peer that is no longer alive.
-    void remove_peer(std::string const& node);
+    /// Position of one datagram among those of a summary.
+    struct summary_part
+    {
+        int index = 0;
+        int count = 1;
+    };
+    /// Replaces a part of the zone's earlier summary.
+    void merge_zone_summary(std::string const& zone, summary_part part,
+                            std::span<server_load const> loads, base::time_point now);
+    /// Removes the report of a node that is no longer alive.
+    void remove_peer(std::string const& zone, std::string const& node);
+    /// Returns the load of this node and of its reporting peers on each server, for the other
+    /// zones. Only meaningful if the nodes of a zone report among themselves.
+    std::vector<server_load> zone_loads(base::time_point now) const;
 
     /// The priorities of waiting requests. A request must not be sent while a more urgent one
     /// waits for the same service.
@@ -217,11 +246,6 @@
         /// Start times of the attempts of the last second, for the rate limit of cold servers.
         std::deque<base::time_point> recent_attempt_times;
     };
-    struct peer_report
-    {
-        std::vector<server_load> loads;
-        base::time_point received{};
-    };
     /// Load of all nodes on one server.
     struct combined_load
     {
@@ -229,11 +253,14 @@
         double attempts = 0;
         double failures = 0;
         int unreachable_report_count = 0;
-        base::milliseconds oldest_report_age{0};
     };
 
     base::milliseconds estimate_copy_duration(std::string const& server, std::int64_t tokens) const;
-    combined_load combine_loads(std::string const& id, base::time_point now) const;
+    combined_load combine_loads(listed_server const& server, base::time_point now) const;
+    /// Requests per second that this node may send to a cold server.
+    int cold_allowance(server_entry const& server, int fleet_allowance) const;
+    /// True if the generations of `source` are copied from the server before those of this node.
+    bool copies_before_this_node(listed_server const& server, load_source const& source) const;
     exclusion_reason find_exclusion_reason(listed_server const& server,
                                            service const& target_service, combined_load const& load,
                                            selection_query const& query,
@@ -249,12 +276,14 @@
         std::make_shared<fleet_configuration>();
     server_directory m_directory;
     std::set<std::string> m_evacuated_zones;
-    std::vector<std::string> m_live_nodes;
+    fleet_view m_fleet;
+    /// Results of `cold_allowance` for the current view of the fleet, by server id.
+    mutable std::unordered_map<std::string, int> m_cold_allowances;
     std::unordered_map<attempt_id, attempt_record> m_attempts;
     attempt_id m_next_attempt_id = 1;
     std::unordered_map<std::string, usage> m_local_usage;
     std::unordered_map<std::string, server_health> m_server_health;
-    std::map<std::string, peer_report> m_peers;
+    peer_load_table m_peer_loads;
     std::map<std::string, node_retry_budget> m_retry_budgets;
     std::map<std::string, std::multiset<int>> m_waiting;
 };
--- a/libraries/serving/dispatcher_handover.cpp
+++ b/libraries/serving/dispatcher_handover.cpp
@@ -36,23 +36,38 @@
         (target_service->engine->link_megabits_per_second * bits_per_megabit_in_milliseconds)));
 }
 
+bool dispatcher::copies_before_this_node(listed_server const& server,
+                                         load_source const& source) const
+{
+    // The server's own zone comes first, since its copies are the shortest. Zones before nodes: a
+    // node knows only the summaries of other zones, and all nodes must derive the same order.
+    auto const rank_zone = [&](std::string const& zone) {
+        return std::pair(zone == server.entry.zone, base::rendezvous_weight(server.entry.id, zone));
+    };
+    if (source.zone != m_settings.zone)
+        return rank_zone(source.zone) > rank_zone(m_settings.zone);
+    return base::rendezvous_weight(server.entry.id, source.node) >
+           base::rendezvous_weight(server.entry.id, m_settings.node);
+}
+
 base::milliseconds dispatcher::copy_start_delay(attempt_id id) const
 {
     auto const found = m_attempts.find(id);
     if (found == m_attempts.end())
         return base::milliseconds(0);
     auto const& server = found->second.server;
-    auto const hash = hash_server(server);
-    auto const local_weight = base::rendezvous_weight(server, m_settings.node);
+    auto const listed = m_directory.servers().find(server);
+    if (listed == m_directory.servers().end())
+        return base::milliseconds(0);
     std::int64_t preceding_tokens = 0;
     std::int64_t total_tokens = 0;
-    for (auto const& [node, report] : m_peers)
+    for (auto const& [source, report] : m_peer_loads.reports())
         for (auto const& load : report.loads)
         {
-            if (load.server != hash || load.handover_candidates == 0)
+            if (load.server != listed->second.hash || load.handover_candidates == 0)
                 continue;
             total_tokens += load.reserved_tokens;
-            if (base::rendezvous_weight(server, node) > local_weight)
+            if (copies_before_this_node(listed->second, source))
                 preceding_tokens += load.reserved_tokens;
         }
     for (auto const& [other_id, attempt] : m_attempts)
@@ -81,12 +96,13 @@
     for (auto const& [other_id, attempt] : m_attempts)
         if (attempt.server == server && attempt.can_hand_over && other_id < id)
             return false;
-    auto const hash = hash_server(server);
-    auto const local_weight = base::rendezvous_weight(server, m_settings.node);
-    for (auto const& [node, report] : m_peers)
+    auto const listed = m_directory.servers().find(server);
+    if (listed == m_directory.servers().end())
+        return true;
+    for (auto const& [source, report] : m_peer_loads.reports())
         for (auto const& load : report.loads)
-            if (load.server == hash && load.handover_candidates > 0 &&
-                base::rendezvous_weight(server, node) > local_weight)
+            if (load.server == listed->second.hash && load.handover_candidates > 0 &&
+                copies_before_this_node(listed->second, source))
                 return false;
     return true;
 }
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -22,6 +22,11 @@
 constexpr base::milliseconds minimum_watch_timeout{2000};
 constexpr base::milliseconds maximum_watch_timeout{25000};
 
+// Callers that keep an answer while their zone fails still have these nodes.
+constexpr std::size_t addresses_of_other_zones = 4;
+// With fewer ready nodes in the zone, callers are spread over all known nodes of other zones, too.
+constexpr std::size_t minimum_zone_addresses = 8;
+
 } // namespace
 
 void node_directory::apply_listed(std::vector<node_entry> const& entries, base::time_point now)
@@ -36,11 +41,15 @@
 {
     if (entry.name == m_self.name)
         return;
-    auto& node = m_nodes[entry.name];
+    auto const [position, added] = m_nodes.try_emplace(entry.name);
+    auto& node = position->second;
+    bool const moved = node.state.entry.zone != entry.zone;
     node.state.entry = entry;
     node.listed = true;
     if (node.listed_since == base::time_point{})
         node.listed_since = now;
+    if (added || moved)
+        update_zone_peers();
 }
 
 void node_directory::remove_listed(std::string const& name)
@@ -53,18 +62,36 @@
 {
     if (report.entry.name == m_self.name)
         return false;
-    auto& node = m_nodes[report.entry.name];
+    auto const [position, added] = m_nodes.try_emplace(report.entry.name);
+    auto& node = position->second;
     // Late datagrams of an earlier process only arrive while the node still counts as alive. After
     // that, a lower start time means that the VM's wall clock was set back.
     if ((report.started < node.state.started && is_alive(node, now)) ||
         (report.started == node.state.started && report.sequence <= node.state.sequence))
         return false;
+    bool const moved = node.state.entry.zone != report.entry.zone;
     node.state = report;
     node.last_report = now;
     node.has_reported = true;
+    if (added || moved)
+        update_zone_peers();
     return true;
 }
 
+void node_directory::apply_zone_summary(std::string const& zone, zone_summary summary,
+                                        base::time_point now)
+{
+    if (zone != m_self.zone)
+        m_zones[zone] = {std::move(summary), now};
+}
+
+void node_directory::update_zone_peers()
+{
+    m_zone_peers = static_cast<std::size_t>(std::count_if(
+        m_nodes.begin(), m_nodes.end(),
+        [&](auto const& item) { return item.second.state.entry.zone == m_self.zone; }));
+}
+
 std::vector<node_entry> node_directory::peers() const
 {
     std::vector<node_entry> peers;
@@ -73,10 +100,88 @@
     return peers;
 }
 
+std::vector<node_entry> node_directory::report_recipients() const
+{
+    std::vector<node_entry> recipients;
+    for (auto const& [name, node] : m_nodes)
+        if (reports_to_this_node(node))
+            recipients.push_back(node.state.entry);
+    return recipients;
+}
+
+template <class Predicate>
+std::size_t node_directory::count_nodes_ahead(std::string_view key, base::time_point now,
+                                              Predicate&& accept) const
+{
+    auto const local_weight = base::rendezvous_weight(key, m_self.name);
+    std::size_t nodes_ahead = 0;
+    for (auto const& [name, node] : m_nodes)
+        nodes_ahead += reports_to_this_node(node) && is_alive(node, now) &&
+                       node.state.phase == node_phase::ready && accept(node.state) &&
+                       base::rendezvous_weight(key, name) > local_weight;
+    return nodes_ahead;
+}
+
+bool node_directory::reports_zone(base::time_point now) const
+{
+    return is_large_fleet() && m_phase == node_phase::ready &&
+           count_nodes_ahead("zone-summary", now, [](node_state_report const&) { return true; }) <
+               zone_reporters;
+}
+
+std::vector<node_entry> node_directory::pick_summary_recipients(base::random_source& random) const
+{
+    std::map<std::string_view, std::vector<node_entry const*>> nodes_by_zone;
+    for (auto const& [name, node] : m_nodes)
+        if (!reports_to_this_node(node))
+            nodes_by_zone[node.state.entry.zone].push_back(&node.state.entry);
+    std::vector<node_entry> recipients;
+    for (auto const& [zone, nodes] : nodes_by_zone)
+    {
+        std::uniform_int_distribution<std::size_t> index(0, nodes.size() - 1);
+        recipients.push_back(*nodes[index(random)]);
+    }
+    return recipients;
+}
+
+zone_summary node_directory::summarize_zone(base::random_source& random, base::time_point now) const
+{
+    zone_summary summary;
+    summary.live_nodes = live_node_names(now).size();
+    if (m_phase == node_phase::ready)
+        summary.caller_addresses.push_back(m_self.caller_address);
+    for (auto const& [name, node] : m_nodes)
+        if (reports_to_this_node(node) && is_alive(node, now) &&
+            node.state.phase == node_phase::ready)
+            summary.caller_addresses.push_back(node.state.entry.caller_address);
+    std::shuffle(summary.caller_addresses.begin(), summary.caller_addresses.end(), random);
+    if (summary.caller_addresses.size() > addresses_per_summary)
+        summary.caller_addresses.resize(addresses_per_summary);
+    return summary;
+}
+
+std::size_t node_directory::fleet_size(base::time_point now) const
+{
+    auto size = live_node_names(now).size();
+    if (!is_large_fleet())
+        return size;
+    std::map<std::string_view, std::size_t> other_zones;
+    for (auto const& [name, node] : m_nodes)
+        if (!reports_to_this_node(node))
+            ++other_zones[node.state.entry.zone];
+    // The list of nodes may be incomplete while the fleet starts.
+    for (auto const& [zone, record] : m_zones)
+        other_zones[zone] = std::max(other_zones[zone], record.summary.live_nodes);
+    for (auto const& [zone, count] : other_zones)
+        size += count;
+    return size;
+}
+
 bool node_directory::is_alive(node_record const& node, base::time_point now) const noexcept
 {
-    auto const timeout =
-        report_interval() < base::milliseconds(300) ? short_report_timeout : report_timeout;
+    bool const reports_often =
+        report_interval() < base::milliseconds(300) && reports_to_this_node(node);
+    auto const timeout = reports_often ? short_report_timeout : report_timeout;
     return node.has_reported && now < node.last_report + timeout;
 }
 
@@ -84,7 +189,7 @@
 {
     std::vector<std::string> names{m_self.name};
     for (auto const& [name, node] : m_nodes)
-        if (is_alive(node, now))
+        if (reports_to_this_node(node) && is_alive(node, now))
             names.push_back(name);
     std::sort(names.begin(), names.end());
     return names;
@@ -97,16 +202,28 @@
     if (m_phase == node_phase::ready)
         addresses.push_back(m_self.caller_address);
     for (auto const& [name, node] : m_nodes)
-        if (is_alive(node, now) && node.state.phase == node_phase::ready)
+        if (reports_to_this_node(node) && is_alive(node, now) &&
+            node.state.phase == node_phase::ready)
             addresses.push_back(node.state.entry.caller_address);
-    if (addresses.size() > limit)
+    std::vector<std::string> other_zones;
+    for (auto const& [zone, record] : m_zones)
+        if (is_large_fleet() && now < record.received + zone_address_lifetime)
+            other_zones.insert(other_zones.end(), record.summary.caller_addresses.begin(),
+                               record.summary.caller_addresses.end());
+    // Each node names different nodes, so that callers are spread evenly.
+    auto const select_part = [&](std::vector<std::string>& all, std::size_t maximum)
     {
-        // Each node omits different nodes, so that callers are spread evenly.
+        if (all.size() <= maximum)
+            return;
         auto const offset =
-            static_cast<std::ptrdiff_t>(std::hash<std::string>{}(m_self.name) % addresses.size());
-        std::rotate(addresses.begin(), addresses.begin() + offset, addresses.end());
-        addresses.resize(limit);
-    }
+            static_cast<std::ptrdiff_t>(std::hash<std::string>{}(m_self.name) % all.size());
+        std::rotate(all.begin(), all.begin() + offset, all.end());
+        all.resize(maximum);
+    };
+    if (addresses.size() >= minimum_zone_addresses)
+        select_part(other_zones, addresses_of_other_zones);
+    select_part(addresses, limit - std::min(limit, other_zones.size()));
+    addresses.insert(addresses.end(), other_zones.begin(), other_zones.end());
     return addresses;
 }
 
@@ -143,7 +260,7 @@
 base::milliseconds node_directory::watch_timeout(base::random_source& random) const
 {
     auto const upper_limit =
-        std::clamp(watch_timeout_per_node * static_cast<int>(m_nodes.size() + 1),
+        std::clamp(watch_timeout_per_node * static_cast<int>(count_report_recipients() + 1),
                    minimum_watch_timeout, maximum_watch_timeout);
     // The watches of all nodes return together after a change. Without the random spread, they
     // would also time out together.
@@ -161,7 +278,7 @@
     for (auto const& [name, node] : m_nodes)
     {
         auto const weight = base::rendezvous_weight(kind, name);
-        if (is_alive(node, now) && node.state.store_reached &&
+        if (reports_to_this_node(node) && is_alive(node, now) && node.state.store_reached &&
             node.state.phase == node_phase::ready &&
             (follower == nullptr || weight > highest_weight))
         {
@@ -177,40 +294,37 @@
 bool node_directory::follows_store(std::string_view kind, bool store_reached,
                                    base::time_point now) const
 {
-    if (!relays_store_changes())
+    if (!is_large_fleet())
         return true;
-    auto const local_weight = base::rendezvous_weight(kind, m_self.name);
-    std::size_t nodes_ahead = 0;
-    for (auto const& [name, node] : m_nodes)
-        nodes_ahead += is_alive(node, now) && node.state.store_reached &&
-                       node.state.phase == node_phase::ready &&
-                       base::rendezvous_weight(kind, name) > local_weight;
     // Peers don't count a node that cannot reach the store, so another node follows instead of it.
-    return store_reached && nodes_ahead < store_followers;
+    return store_reached && count_nodes_ahead(kind, now,
+                                              [](node_state_report const& state)
+                                              { return state.store_reached; }) < store_followers;
 }
 
 base::milliseconds node_directory::minimum_report_gap() const noexcept
 {
-    return std::chrono::duration_cast<base::milliseconds>(report_gap_per_peer *
-                                                          static_cast<int>(m_nodes.size()));
+    return std::chrono::duration_cast<base::milliseconds>(
+        report_gap_per_peer * static_cast<int>(count_report_recipients()));
 }
 
 base::milliseconds node_directory::report_interval() const noexcept
 {
-    return std::clamp(report_interval_per_peer * static_cast<int>(m_nodes.size()),
+    return std::clamp(report_interval_per_peer * static_cast<int>(count_report_recipients()),
                       minimum_report_interval, maximum_report_interval);
 }
 
-std::vector<std::string> node_directory::expire(base::time_point now)
+std::vector<node_entry> node_directory::expire(base::time_point now)
 {
-    std::vector<std::string> silent_nodes;
+    std::vector<node_entry> silent_nodes;
     for (auto it = m_nodes.begin(); it != m_nodes.end();)
     {
         bool const removable = !it->second.listed && !is_alive(it->second, now);
         if (!is_alive(it->second, now))
-            silent_nodes.push_back(it->first);
+            silent_nodes.push_back(it->second.state.entry);
         it = removable ? m_nodes.erase(it) : std::next(it);
     }
+    update_zone_peers();
     return silent_nodes;
 }
 
@@ -218,7 +332,8 @@
 {
     std::vector<std::string> names;
     for (auto const& [name, node] : m_nodes)
-        if (node.listed && now > std::max(node.last_report, node.listed_since) + removal_timeout)
+        if (node.listed && reports_to_this_node(node) &&
+            now > std::max(node.last_report, node.listed_since) + removal_timeout)
             names.push_back(name);
     return names;
 }
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -42,6 +42,14 @@
     std::uint64_t server_digest = 0;
 };
 
+/// What another zone reports about its nodes.
+struct zone_summary
+{
+    std::size_t live_nodes = 0;
+    /// Addresses for callers of a few ready nodes.
+    std::vector<std::string> caller_addresses;
+};
+
 /// Returns the revision after which a node that missed changes pulls objects from a peer, given the
 /// newest revisions of all its objects and of its configuration.
 constexpr std::int64_t pull_start_revision(std::int64_t newest_revision,
@@ -67,11 +75,22 @@
     /// Time without reports after which a node's entry is removed from the store.
     static constexpr base::milliseconds removal_timeout{30000};
 
-    /// From this number of peers on, only a few nodes watch the servers in the store and relay the
-    /// changes. With fewer peers, a store request per node and change is cheap (docs/platform.md).
-    static constexpr std::size_t relaying_peer_threshold = 12;
-    /// Nodes that watch the store in larger fleets. Two can fail at once, with one to spare.
-    static constexpr std::size_t store_followers = 4;
+    /// From this number of peers on, nodes report to the nodes of their own zone only, and only a
+    /// few nodes of each zone watch the servers in the store and relay the changes. With fewer
+    /// peers, a full mesh of reports and a store request per node and change are cheap
+    /// (docs/platform.md).
+    static constexpr std::size_t large_fleet_threshold = 12;
+    /// Nodes of a zone that watch the store in large fleets. Two can fail at once.
+    static constexpr std::size_t store_followers = 3;
+    /// Nodes of a zone that send its summary to the other zones. One can fail.
+    static constexpr std::size_t zone_reporters = 2;
+    /// Reporters send a summary once per interval each.
+    static constexpr base::milliseconds summary_interval{1000};
+    /// Addresses of other zones are named to callers for this time after the summary, so that nodes
+    /// that fail are not named longer than those of the own zone.
+    static constexpr base::milliseconds zone_address_lifetime{2000};
+    /// Addresses of ready nodes in a zone's summary.
+    static constexpr std::size_t addresses_per_summary = 4;
 
     explicit node_directory(node_entry self) : m_self(std::move(self)) {}
 
@@ -86,11 +105,29 @@
     /// Returns false if the report is older than the latest one.
     bool apply_report(node_state_report const& report, base::time_point now);
 
+    /// Applies the summary of another zone.
+    void apply_zone_summary(std::string const& zone, zone_summary summary, base::time_point now);
+
     /// All known nodes except this one, alive or not.
     std::vector<node_entry> peers() const;
-    /// Sorted names of the nodes that are alive, including this node.
+    /// The nodes that receive this node's reports: in a large fleet those of its zone, otherwise
+    /// all.
+    std::vector<node_entry> report_recipients() const;
+    /// True if this node sends the other zones a summary of its zone.
+    bool reports_zone(base::time_point now) const;
+    /// One node of each other zone, at random. It relays the summary within its zone.
+    std::vector<node_entry> pick_summary_recipients(base::random_source& random) const;
+    /// Returns the summary of this node's zone. The addresses are chosen at random.
+    zone_summary summarize_zone(base::random_source& random, base::time_point now) const;
+    /// Sorted names of the nodes that are alive and report to this node, including this node. In a
+    /// large fleet, nodes of other zones are left out.
     std::vector<std::string> live_node_names(base::time_point now) const;
-    /// Addresses for callers of at most `limit` nodes that are alive and ready.
+    /// Number of all nodes that may be alive. Zones that stopped reporting count as they were,
+    /// since they may only be cut off.
+    std::size_t fleet_size(base::time_point now) const;
+    /// Addresses for callers of at most `limit` nodes that are alive and ready. In a large fleet
+    /// these are the nodes of this node's zone, with a few of other zones for callers that lose the
+    /// whole zone.
     std::vector<std::string> caller_addresses(std::size_t limit, base::time_point now) const;
     /// Live peers that reach the store.
     std::vector<node_entry> peers_reaching_store(base::time_point now) const;
@@ -109,20 +146,20 @@
     std::optional<node_entry> follower_with_different_servers(std::string_view kind,
                                                               std::uint64_t digest,
                                                               base::time_point now) const;
-    /// True if this node watches `kind` in the store. In small fleets every node does. In larger
-    /// fleets the first few live, ready nodes in rendezvous order that reach the store do, and
-    /// relay the changes to the other nodes.
+    /// True if this node watches `kind` in the store. In small fleets every node does. In large
+    /// fleets the first few live, ready nodes of each zone in rendezvous order that reach the store
+    /// do, and relay the changes to the other nodes of the zone.
     bool follows_store(std::string_view kind, bool store_reached, base::time_point now) const;
-    /// True if the fleet is so large that only a few nodes watch the store.
-    bool relays_store_changes() const noexcept { return m_nodes.size() >= relaying_peer_threshold; }
+    /// True if nodes report within their zone and only a few nodes watch the store.
+    bool is_large_fleet() const noexcept { return m_nodes.size() >= large_fleet_threshold; }
     /// Minimum time between two reports, which limits the reports that load changes trigger.
     base::milliseconds minimum_report_gap() const noexcept;
     /// Time between two periodic reports; grows with the fleet to limit each node's traffic.
     base::milliseconds report_interval() const noexcept;
-    /// Removes nodes that are neither alive nor listed in the store. Returns the names of all nodes
-    /// that are not alive.
-    std::vector<std::string> expire(base::time_point now);
-    /// Listed nodes that have not reported for `removal_timeout`.
+    /// Removes nodes that are neither alive nor listed in the store. Returns all nodes that are not
+    /// alive.
+    std::vector<node_entry> expire(base::time_point now);
+    /// Listed nodes that report to this node and have not done so for `removal_timeout`.
     std::vector<std::string> nodes_past_removal_timeout(base::time_point now) const;
 
 private:
@@ -136,13 +173,37 @@
         bool has_reported = false;
     };
 
+    struct zone_record
+    {
+        zone_summary summary;
+        base::time_point received{};
+    };
+
     bool is_alive(node_record const& node, base::time_point now) const noexcept;
+    /// True if the node's reports come directly, not as a part of its zone's summary.
+    bool reports_to_this_node(node_record const& node) const noexcept
+    {
+        return !is_large_fleet() || node.state.entry.zone == m_self.zone;
+    }
+    std::size_t count_report_recipients() const noexcept
+    {
+        return is_large_fleet() ? m_zone_peers : m_nodes.size();
+    }
+    /// Number of live, ready nodes that report to this node, satisfy the predicate and come before
+    /// it in the rendezvous order of `key`.
+    template <class Predicate>
+    std::size_t count_nodes_ahead(std::string_view key, base::time_point now,
+                                  Predicate&& accept) const;
+    void update_zone_peers();
     template <class Predicate>
     std::vector<node_entry> find_live_nodes(base::time_point now, Predicate&& accept) const;
 
     node_entry m_self;
     node_phase m_phase = node_phase::starting;
     std::map<std::string, node_record> m_nodes;
+    std::map<std::string, zone_record> m_zones;
+    /// Number of known nodes of this node's zone, without this node.
+    std::size_t m_zone_peers = 0;
 };
 
 } // namespace jasminepier::serving
--- a/libraries/serving/server_directory.cpp
+++ b/libraries/serving/server_directory.cpp
@@ -37,6 +37,7 @@
         server.phase_since = now;
     server.phase = phase;
     server.entry = entry;
+    server.hash = hash_server(entry.id);
     server.cold_until = now + entry.remaining_warm_up;
     ++m_change_count;
 }
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "serving/server_load.hpp"
 
 #include <cstdint>
 #include <map>
@@ -45,6 +46,8 @@
 struct listed_server
 {
     server_entry entry;
+    /// Identifies the server in reports.
+    server_hash hash = 0;
     server_phase phase = server_phase::ready;
     base::time_point phase_since{};
     base::time_point cold_until{};
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -30,7 +30,7 @@
                                       std::chrono::system_clock::now().time_since_epoch())
                                       .count())
 {
-    m_tables.dispatcher.set_live_nodes({m_settings->name});
+    m_tables.dispatcher.set_fleet_view({{m_settings->name}, 1, false});
 }
 
 std::int64_t node_state::tables::configuration_revision() const
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -6,6 +6,7 @@
 #include "services/node/node_metrics.hpp"
 #include "services/node/object_updates.hpp"
 
+#include <algorithm>
 #include <thread>
 
 namespace jasminepier::node
@@ -17,6 +18,8 @@
 // Keeps a report well below the maximum size of a datagram: a load takes about 20 bytes.
 constexpr std::size_t maximum_loads_per_report = 40;
 constexpr std::size_t maximum_crashes_per_report = 4;
+// Sums over a zone take more bytes, and the summary also holds addresses.
+constexpr std::size_t maximum_loads_per_summary = 30;
 
 inner_protocol::server_use to_message(serving::server_load const& load)
 {
@@ -33,6 +36,23 @@
     return use;
 }
 
+/// Converts as many loads as a report holds; loads of servers with running requests go first.
+std::vector<inner_protocol::server_use> to_messages(std::vector<serving::server_load> loads)
+{
+    std::stable_partition(loads.begin(), loads.end(),
+                          [](auto const& load) { return load.running > 0 || load.leaving; });
+    if (loads.size() > maximum_loads_per_report)
+    {
+        observe_event("peer_report", "loads_left_out");
+        loads.resize(maximum_loads_per_report);
+    }
+    std::vector<inner_protocol::server_use> uses;
+    uses.reserve(loads.size());
+    for (auto const& load : loads)
+        uses.push_back(to_message(load));
+    return uses;
+}
+
 serving::server_load from_message(inner_protocol::server_use const& use)
 {
     serving::server_load load;
@@ -57,6 +77,25 @@
     std::thread([this] { send_loop(); }).detach();
 }
 
+inner_protocol::node_report peer_link::make_report(node_state::tables& tables)
+{
+    inner_protocol::node_report report;
+    auto const& self = tables.nodes.self();
+    report.node = self.name;
+    report.zone = self.zone;
+    report.caller_address = self.caller_address;
+    report.peer_port = self.peer_port;
+    report.ready = tables.nodes.phase() == serving::node_phase::ready;
+    report.stopping = tables.nodes.phase() == serving::node_phase::shutting_down;
+    report.store_revision = tables.objects.revision();
+    report.configuration_revision = tables.configuration_revision();
+    report.server_digest = static_cast<std::int64_t>(tables.objects.digest(platform::server_kind));
+    report.store_reached = tables.configuration && !tables.dispatcher.directory().store_lost();
+    report.started = m_state.started_unix_milliseconds();
+    report.sequence = ++m_sequence;
+    return report;
+}
+
 void peer_link::send_report(std::span<store::object const> changes)
 {
     auto const now = base::steady_clock_source{}.now();
@@ -65,27 +104,12 @@
     m_state.with(
         [&](node_state::tables& tables)
         {
-            auto const& self = tables.nodes.self();
-            report.node = self.name;
-            report.zone = self.zone;
-            report.caller_address = self.caller_address;
-            report.peer_port = self.peer_port;
-            report.ready = tables.nodes.phase() == serving::node_phase::ready;
-            report.stopping = tables.nodes.phase() == serving::node_phase::shutting_down;
-            report.store_revision = tables.objects.revision();
-            report.configuration_revision = tables.configuration_revision();
-            report.server_digest =
-                static_cast<std::int64_t>(tables.objects.digest(platform::server_kind));
-            report.store_reached =
-                tables.configuration && !tables.dispatcher.directory().store_lost();
+            report = make_report(tables);
             // Changes and loads together could exceed a datagram.
-            for (auto const& load : tables.dispatcher.local_loads(now))
-                if (changes.empty() && report.uses.size() < maximum_loads_per_report)
-                    report.uses.push_back(to_message(load));
-            peers = tables.nodes.peers();
+            if (changes.empty())
+                report.uses = to_messages(tables.dispatcher.local_loads(now));
+            peers = tables.nodes.report_recipients();
         });
-    report.started = m_state.started_unix_milliseconds();
-    report.sequence = ++m_sequence;
     auto const crashes = m_state.poison_requests().events(now);
     for (auto const& event : crashes)
     {
@@ -105,6 +129,53 @@
         m_socket.send_bytes(peer.peer_host, peer.peer_port, bytes);
 }
 
+void peer_link::send_zone_summary()
+{
+    auto const now = base::steady_clock_source{}.now();
+    std::vector<inner_protocol::node_report> parts;
+    std::vector<serving::node_entry> recipients;
+    m_state.with(
+        [&](node_state::tables& tables)
+        {
+            if (!tables.nodes.reports_zone(now))
+                return;
+            recipients = tables.nodes.pick_summary_recipients(tables.random);
+            auto const summary = tables.nodes.summarize_zone(tables.random, now);
+            auto const loads = tables.dispatcher.zone_loads(now);
+            auto const part_count = std::max<std::size_t>(
+                1, (loads.size() + maximum_loads_per_summary - 1) / maximum_loads_per_summary);
+            for (std::size_t i = 0; i < part_count; ++i)
+            {
+                auto part = make_report(tables);
+                part.summary_part = static_cast<std::int32_t>(i);
+                part.summary_parts = static_cast<std::int32_t>(part_count);
+                part.zone_nodes = static_cast<std::int32_t>(summary.live_nodes);
+                part.zone_addresses = summary.caller_addresses;
+                auto const begin = i * maximum_loads_per_summary;
+                auto const end = std::min(begin + maximum_loads_per_summary, loads.size());
+                for (auto k = begin; k < end; ++k)
+                    part.uses.push_back(to_message(loads[k]));
+                parts.push_back(std::move(part));
+            }
+        });
+    for (auto const& part : parts)
+    {
+        auto const bytes = inner_protocol::encode_node_report(part);
+        for (auto const& recipient : recipients)
+            m_socket.send_bytes(recipient.peer_host, recipient.peer_port, bytes);
+    }
+}
+
+void peer_link::relay_summary(inner_protocol::node_report summary)
+{
+    summary.relayed = true;
+    auto const bytes = inner_protocol::encode_node_report(summary);
+    auto const recipients =
+        m_state.with([](node_state::tables& tables) { return tables.nodes.report_recipients(); });
+    for (auto const& recipient : recipients)
+        m_socket.send_bytes(recipient.peer_host, recipient.peer_port, bytes);
+}
+
 void peer_link::publish_changes(std::span<store::object const> changes)
 {
     // The entry of a server takes about 300 bytes, and a datagram holds 1,200.
@@ -120,17 +191,26 @@
 void peer_link::send_loop()
 {
     http::wait_set poll_set;
+    base::time_point next_summary{};
     while (true)
     {
         send_report({});
+        if (base::steady_clock_source{}.now() >= next_summary)
+        {
+            next_summary =
+                base::steady_clock_source{}.now() + serving::node_directory::summary_interval;
+            send_zone_summary();
+        }
         auto const now = base::steady_clock_source{}.now();
         base::milliseconds minimum_gap{0};
         auto const interval = m_state.with(
             [&](node_state::tables& tables)
             {
-                for (auto const& name : tables.nodes.expire(now))
-                    tables.dispatcher.remove_peer(name);
-                tables.dispatcher.set_live_nodes(tables.nodes.live_node_names(now));
+                for (auto const& node : tables.nodes.expire(now))
+                    tables.dispatcher.remove_peer(node.zone, node.name);
+                tables.dispatcher.set_fleet_view({tables.nodes.live_node_names(now),
+                                                  tables.nodes.fleet_size(now),
+                                                  tables.nodes.is_large_fleet()});
                 if (tables.dispatcher.expire(now))
                     tables.dispatcher.notify_leaving();
                 minimum_gap = tables.nodes.minimum_report_gap();
@@ -187,16 +267,32 @@
     std::vector<serving::server_load> loads;
     for (auto const& use : report.uses)
         loads.push_back(from_message(use));
+    bool is_new = false;
     m_state.with(
         [&](node_state::tables& tables)
         {
-            if (!tables.nodes.apply_report(peer_state, now) || !report.news.empty())
+            bool const is_summary = report.summary_parts > 0;
+            is_new = tables.nodes.apply_report(peer_state, now);
+            if (!is_new || !report.news.empty())
                 return;
-            tables.dispatcher.merge_peer(report.node, loads, now);
+            bool const same_zone = report.zone == tables.nodes.self().zone;
+            if (is_summary && !same_zone)
+            {
+                tables.nodes.apply_zone_summary(
+                    report.zone,
+                    {static_cast<std::size_t>(report.zone_nodes), report.zone_addresses}, now);
+                tables.dispatcher.merge_zone_summary(
+                    report.zone, {report.summary_part, report.summary_parts}, loads, now);
+            }
+            // The summary of a node's zone already contains its loads.
+            if (!is_summary && (same_zone || !tables.nodes.is_large_fleet()))
+                tables.dispatcher.merge_peer({report.zone, report.node}, loads, now);
             // The peer may have reported that a server is leaving or that its own generations have
             // left that server.
             tables.dispatcher.notify_leaving();
         });
+    if (is_new && report.summary_parts > 0 && !report.relayed)
+        relay_summary(report);
     for (auto const& object : inner_protocol::from_thrift(report.news))
     {
         store::object_page page;
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -29,6 +29,11 @@
 
 private:
     void send_loop();
+    /// Sends the loads of this node's zone to the other zones.
+    void send_zone_summary();
+    /// Forwards another zone's summary to the nodes of this node's zone.
+    void relay_summary(inner_protocol::node_report summary);
+    inner_protocol::node_report make_report(node_state::tables& tables);
     void receive_loop();
     void apply_report(inner_protocol::node_report const& report);
 
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -65,7 +65,7 @@
     }
     up_to_date_peers = tables.nodes.peers_with_newer_objects(tables.objects.revision(), now);
     bool const receives_changes_from_peers =
-        tables.nodes.relays_store_changes() &&
+        tables.nodes.is_large_fleet() &&
         !tables.nodes.follows_store(platform::server_kind, true, now);
     if (up_to_date_peers.empty() && receives_changes_from_peers)
         if (auto const different_peer = tables.nodes.follower_with_different_servers(
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -58,10 +58,6 @@
             [&](node_state::tables& tables)
             {
                 bool const store_reached = !tables.dispatcher.directory().store_lost();
-                // In large fleets, no node watches the list of nodes, since they learn of each
-                // other from reports.
-                if (kind == platform::node_kind)
-                    return !tables.nodes.relays_store_changes();
                 return tables.nodes.follows_store(kind, store_reached, now);
             });
         if (is_follower)
@@ -153,8 +149,8 @@
         else
         {
             apply_changes(m_state, kind, *page);
-            bool const relays_changes = m_state.with(
-                [](node_state::tables& tables) { return tables.nodes.relays_store_changes(); });
+            bool const relays_changes = m_state.with([](node_state::tables& tables)
+                                                     { return tables.nodes.is_large_fleet(); });
             if (relays_changes && kind == platform::server_kind)
                 m_publish_to_peers(page->objects);
         }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -50,7 +50,7 @@
     {
         dispatcher node({name, "a", {0.2, 56, seconds(10)}});
         node.set_configuration(make_configuration());
-        node.set_live_nodes({"n0", "n1", "n2", "n3"});
+        node.set_fleet_view({{"n0", "n1", "n2", "n3"}, 4, false});
         constexpr std::string_view zones = "abc";
         for (int i = 0; i < servers; ++i)
             node.directory().apply_entry(
@@ -131,10 +131,10 @@
     peer_load.server = hash_server("s0");
     peer_load.running = 6;
     peer_load.reserved_tokens = 24000;
-    node.merge_peer("n1", {&peer_load, 1}, start);
+    node.merge_peer({"a", "n1"}, {&peer_load, 1}, start);
     for (int i = 0; i < 10; ++i)
         EXPECT_EQ(select(node, engine_query(3000, 900)).server->id, "s1");
-    node.remove_peer("n1");
+    node.remove_peer("a", "n1");
     std::set<std::string> selected;
     for (int i = 0; i < 50; ++i)
         selected.insert(select(node, engine_query(3000, 900)).server->id);
@@ -170,7 +170,7 @@
     server_load peer_load;
     peer_load.server = hash_server("s0");
     peer_load.leaving = true;
-    node.merge_peer("n1", {&peer_load, 1}, start);
+    node.merge_peer({"a", "n1"}, {&peer_load, 1}, start);
     node.notify_leaving();
     EXPECT_EQ(notifications, 1);
     EXPECT_TRUE(node.is_leaving("s0"));
@@ -221,7 +221,7 @@
     for (auto const& name : names)
     {
         auto node = make_dispatcher(name, "engines", 0);
-        node.set_live_nodes(names);
+        node.set_fleet_view({names, names.size(), false});
         auto cold_server = make_server("s0", "engines", "a");
         cold_server.remaining_warm_up = seconds(5);
         node.directory().apply_entry(cold_server, start);
@@ -291,7 +291,7 @@
         for (std::size_t from = 0; from < m_nodes.size(); ++from)
             for (std::size_t to = 0; to < m_nodes.size(); ++to)
                 if (from != to)
-                    m_nodes[to].merge_peer("n" + std::to_string(from),
+                    m_nodes[to].merge_peer({"a", "n" + std::to_string(from)},
                                            m_nodes[from].local_loads(start), start);
     }
 
