Tests: Wait for the engine that runs the generation before it is reclaimed

Cause of the red check serving_limits_test, request_crashes.are_not_seen_in_a_planned_end: the stream's first event precedes its first token, and the stand-in admits the generation at its next step. If the step's thread gets the processor late, both engines still report "running":0 and none is reclaimed.

Ruled out: slower steps (300 ms a step, four runs passed, since an idle engine is woken at once).

Change: the test waits until an engine reports the generation and reclaims that one. It now fails if none does; the check of the log is as it was.

--- a/tests/serving_limits_test.cpp
+++ b/tests/serving_limits_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <optional>
 
 namespace jasminepier::tests
 {
@@ -67,13 +68,22 @@
     received_completion completion;
     stream_client client(test_deployment, 1, stream_body(600), proposal);
     client.read_event(completion);
-    for (int engine = 1; engine <= 2; ++engine)
-    {
-        auto const port = static_cast<std::uint16_t>(engine_port_base + engine);
-        if (test_deployment.call(port, "GET", "/load").body.find("\"running\":0") ==
-            std::string::npos)
-            test_deployment.set_faults(port, R"({"reclaim_in_milliseconds":2000})");
-    }
+    // The first event precedes the first token, and the engine admits the generation at its next
+    // step.
+    std::optional<std::uint16_t> busy_engine;
+    ASSERT_TRUE(wait_until(
+        [&]
+        {
+            for (int engine = 1; engine <= 2; ++engine)
+            {
+                auto const port = static_cast<std::uint16_t>(engine_port_base + engine);
+                if (test_deployment.call(port, "GET", "/load").body.find("\"running\":0") ==
+                    std::string::npos)
+                    busy_engine = port;
+            }
+            return busy_engine.has_value();
+        }));
+    test_deployment.set_faults(*busy_engine, R"({"reclaim_in_milliseconds":2000})");
     client.read(completion);
     EXPECT_EQ(completion.text, expected_text(600)) << completion.error_code;
     EXPECT_NE(test_deployment.program("entry-1").output().find("suspected=no"), std::string::npos);
