Node: Watch the store from one node of each zone and wait for its return

After a loss of all nodes, requests were rejected before the configuration and the servers' entries were back, with a Retry-After that led to a second rejection.

Ruled out: watches with stale reads (a tenth of the price, but seconds old); all nodes reading a changed configuration from the store (as many calls); all nodes pulling it from one peer (a large configuration times 58 exceeds a small VM's link).

Change: at least one and in all about three nodes follow the store, spread over the zones, and relay changes of servers, evacuations and nodes, also to the other zones. Configurations are pulled from peer to peer through a tree; a node whose parent lacks one asks any peer. Followers report whether the store responds, so the others don't take expired entries for removed ones. Requests wait for the first configuration for a quarter of their timeout, and for servers whose entries may be missing for most of their latency objective. Datagrams are read without creating an epoll descriptor each.

--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <poll.h>
+#include <sys/socket.h>
 
 namespace jasminepier::inner_protocol
 {
@@ -214,19 +216,24 @@
 {
     // With one byte more than the maximum, a datagram that is too long is recognized by its size.
     std::string buffer(maximum_datagram_bytes + 1, '\0');
-    try
+    // Reads before it polls, since datagrams often wait already. POCO's poll would create and close
+    // an epoll descriptor for each datagram.
+    auto const descriptor = m_socket.impl()->sockfd();
+    auto const read_waiting = [&]
+    { return ::recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT); };
+    auto length = read_waiting();
+    if (length < 0)
     {
-        if (!m_socket.poll(Poco::Timespan(timeout.count() * 1000), Poco::Net::Socket::SELECT_READ))
+        pollfd entry{descriptor, POLLIN, 0};
+        if (::poll(&entry, 1, static_cast<int>(timeout.count())) <= 0)
             return std::nullopt;
-        auto const length = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-        buffer.resize(static_cast<std::size_t>(std::max(length, 0)));
-        return buffer;
+        length = read_waiting();
     }
-    catch (std::exception const&)
-    {
-        // A previous send to a closed port is reported here as "connection refused".
+    // A previous send to a closed port is reported here as "connection refused".
+    if (length < 0)
         return std::nullopt;
-    }
+    buffer.resize(static_cast<std::size_t>(length));
+    return buffer;
 }
 
 std::optional<gossip_datagram> datagram_socket::receive(std::chrono::milliseconds timeout)
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -171,5 +171,6 @@
   17: i32 summary_parts,          // 0 if the report is not a summary
   18: i32 zone_nodes,             // live nodes of the zone
   19: list<string> zone_addresses, // a few ready nodes of the zone, for callers
-  20: bool relayed,               // was forwarded by a node of the receiver's zone
+  21: bool follows_store,         // watches the store; store_reached then tells whether it responds
+  20: bool relay,                 // the receiver forwards the report to the nodes of its zone
 }
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -89,6 +89,8 @@
         return "full";
     case exclusion_reason::already_tried:
         return "excluded";
+    case exclusion_reason::unlisted:
+        return "unlisted";
     }
     return "unknown";
 }
@@ -260,6 +262,7 @@
     std::vector<candidate> candidates;
     double attempts = 0;
     double failures = 0;
+    bool any_evacuated = false;
     for (auto const& [id, server] : m_directory.servers())
     {
         if (server.entry.service != query.service)
@@ -268,11 +271,15 @@
         attempts += load.attempts;
         failures += load.failures;
         auto const reason = find_exclusion_reason(server, *target_service, load, query, now);
+        any_evacuated = any_evacuated || reason == exclusion_reason::zone_evacuated;
         if (reason == exclusion_reason::none)
             candidates.push_back({&server, load});
         else if (recovery_rank(reason) < recovery_rank(result.reason))
             result.reason = reason;
     }
+    if (candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated &&
+        m_directory.may_miss_servers(now))
+        result.reason = exclusion_reason::unlisted;
     auto const mean_failure_rate = attempts > 0 ? failures / attempts : 0;
     std::uniform_real_distribution<double> noise(0, score_noise);
     double best_score = std::numeric_limits<double>::max();
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -47,6 +47,8 @@
     full,
     /// The request has already failed on this server.
     already_tried,
+    /// No server of the service is listed, but the list may be incomplete.
+    unlisted,
 };
 
 std::string_view to_string(exclusion_reason reason) noexcept;
@@ -90,10 +92,11 @@
     std::optional<selected_server> server;
     /// The reason that passes soonest among all servers of the service.
     exclusion_reason reason = exclusion_reason::none;
-    /// `full` and `cold` pass without an operator or a change of the server list.
+    /// `full`, `cold` and `unlisted` pass without an operator.
     bool worth_waiting() const noexcept
     {
-        return reason == exclusion_reason::full || reason == exclusion_reason::cold;
+        return reason == exclusion_reason::full || reason == exclusion_reason::cold ||
+               reason == exclusion_reason::unlisted;
     }
 };
 
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace jasminepier::serving
 {
@@ -24,6 +25,9 @@
 
 // Callers that keep an answer while their zone fails still have these nodes.
 constexpr std::size_t addresses_of_other_zones = 4;
+// Nodes that pull a new configuration from the same peer. A pull of a large configuration takes
+// about 0.1 s of a small VM's link.
+constexpr std::size_t configuration_tree_fan_out = 4;
 // With fewer ready nodes in the zone, callers are spread over all known nodes of other zones, too.
 constexpr std::size_t minimum_zone_addresses = 8;
 
@@ -49,7 +53,7 @@
     if (node.listed_since == base::time_point{})
         node.listed_since = now;
     if (added || moved)
-        update_zone_peers();
+        count_zones();
 }
 
 void node_directory::remove_listed(std::string const& name)
@@ -74,7 +78,7 @@
     node.last_report = now;
     node.has_reported = true;
     if (added || moved)
-        update_zone_peers();
+        count_zones();
     return true;
 }
 
@@ -85,11 +89,16 @@
         m_zones[zone] = {std::move(summary), now};
 }
 
-void node_directory::update_zone_peers()
+void node_directory::count_zones()
 {
-    m_zone_peers = static_cast<std::size_t>(std::count_if(
-        m_nodes.begin(), m_nodes.end(),
-        [&](auto const& item) { return item.second.state.entry.zone == m_self.zone; }));
+    std::set<std::string_view> zones{m_self.zone};
+    m_zone_peers = 0;
+    for (auto const& [name, node] : m_nodes)
+    {
+        zones.insert(node.state.entry.zone);
+        m_zone_peers += node.state.entry.zone == m_self.zone ? 1 : 0;
+    }
+    m_zone_count = zones.size();
 }
 
 std::vector<node_entry> node_directory::peers() const
@@ -129,7 +138,7 @@
                zone_reporters;
 }
 
-std::vector<node_entry> node_directory::pick_summary_recipients(base::random_source& random) const
+std::vector<node_entry> node_directory::pick_relays(base::random_source& random) const
 {
     std::map<std::string_view, std::vector<node_entry const*>> nodes_by_zone;
     for (auto const& [name, node] : m_nodes)
@@ -257,11 +266,43 @@
                            { return state.configuration_revision > revision; });
 }
 
+std::optional<node_entry> node_directory::configuration_source(std::string_view kind,
+                                                               std::int64_t revision, bool any_peer,
+                                                               base::time_point now,
+                                                               base::random_source& random) const
+{
+    auto const newer_peers = peers_with_newer_configuration(revision, now);
+    if (newer_peers.empty())
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> index(0, newer_peers.size() - 1);
+    if (any_peer || !is_large_fleet())
+        return newer_peers[index(random)];
+    // The rendezvous order of the followers, which therefore come first.
+    std::vector<std::pair<std::uint64_t, std::string_view>> zone_nodes;
+    for (auto const& [name, node] : m_nodes)
+        if (reports_to_this_node(node) && is_alive(node, now) && node.state.store_reached &&
+            node.state.phase == node_phase::ready)
+            zone_nodes.emplace_back(base::rendezvous_weight(kind, name), name);
+    zone_nodes.emplace_back(base::rendezvous_weight(kind, m_self.name), m_self.name);
+    std::sort(zone_nodes.rbegin(), zone_nodes.rend());
+    auto const self = std::find_if(zone_nodes.begin(), zone_nodes.end(),
+                                   [&](auto const& node) { return node.second == m_self.name; });
+    auto const rank = static_cast<std::size_t>(self - zone_nodes.begin());
+    // The first node has no parent: its watch of the store returns the configuration.
+    if (rank == 0)
+        return std::nullopt;
+    auto const parent = zone_nodes[(rank - 1) / configuration_tree_fan_out].second;
+    auto const found = std::find_if(newer_peers.begin(), newer_peers.end(),
+                                    [&](node_entry const& peer) { return peer.name == parent; });
+    return found == newer_peers.end() ? std::nullopt : std::optional(*found);
+}
+
 base::milliseconds node_directory::watch_timeout(base::random_source& random) const
 {
-    auto const upper_limit =
-        std::clamp(watch_timeout_per_node * static_cast<int>(count_report_recipients() + 1),
-                   minimum_watch_timeout, maximum_watch_timeout);
+    // In a large fleet only the few followers watch.
+    auto const watchers = is_large_fleet() ? followers_per_zone() : m_nodes.size() + 1;
+    auto const upper_limit = std::clamp(watch_timeout_per_node * static_cast<int>(watchers),
+                                        minimum_watch_timeout, maximum_watch_timeout);
     // The watches of all nodes return together after a change. Without the random spread, they
     // would also time out together.
     std::uniform_int_distribution<std::int64_t> distribution(upper_limit.count() / 2,
@@ -298,8 +339,18 @@
         return true;
     // Peers don't count a node that cannot reach the store, so another node follows instead of it.
     return store_reached && count_nodes_ahead(kind, now,
-                                              [](node_state_report const& state)
-                                              { return state.store_reached; }) < store_followers;
+                                              [](node_state_report const& state) {
+                                                  return state.store_reached;
+                                              }) < followers_per_zone();
+}
+
+std::optional<bool> node_directory::followers_reach_store(base::time_point now) const
+{
+    std::optional<bool> reached;
+    for (auto const& [name, node] : m_nodes)
+        if (reports_to_this_node(node) && node.state.follows_store && is_alive(node, now))
+            reached = reached.value_or(false) || node.state.store_reached;
+    return reached;
 }
 
 base::milliseconds node_directory::minimum_report_gap() const noexcept
@@ -324,7 +375,7 @@
             silent_nodes.push_back(it->second.state.entry);
         it = removable ? m_nodes.erase(it) : std::next(it);
     }
-    update_zone_peers();
+    count_zones();
     return silent_nodes;
 }
 
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -32,7 +32,7 @@
     std::int64_t started = 0;
     std::int64_t sequence = 0;
     node_phase phase = node_phase::starting;
-    /// The node reaches the store, so its copies of the store's objects are current.
+    /// The node's last call to the store succeeded.
     bool store_reached = false;
     /// Newest revision among the node's copies of all objects.
     std::int64_t store_revision = 0;
@@ -40,6 +40,8 @@
     std::int64_t configuration_revision = 0;
     /// Equal on nodes that have the same server entries.
     std::uint64_t server_digest = 0;
+    /// The node watches the store, so `store_reached` is up to date.
+    bool follows_store = false;
 };
 
 /// What another zone reports about its nodes.
@@ -80,7 +82,8 @@
     /// peers, a full mesh of reports and a store request per node and change are cheap
     /// (docs/platform.md).
     static constexpr std::size_t large_fleet_threshold = 12;
-    /// Nodes of a zone that watch the store in large fleets. Two can fail at once.
+    /// Nodes that watch the store in large fleets, spread over the zones; at least one in each
+    /// zone. Two can fail at once, since changes are relayed between zones.
     static constexpr std::size_t store_followers = 3;
     /// Nodes of a zone that send its summary to the other zones. One can fail.
     static constexpr std::size_t zone_reporters = 2;
@@ -115,8 +118,8 @@
     std::vector<node_entry> report_recipients() const;
     /// True if this node sends the other zones a summary of its zone.
     bool reports_zone(base::time_point now) const;
-    /// One node of each other zone, at random. It relays the summary within its zone.
-    std::vector<node_entry> pick_summary_recipients(base::random_source& random) const;
+    /// One node of each other zone, at random. It relays reports within its zone.
+    std::vector<node_entry> pick_relays(base::random_source& random) const;
     /// Returns the summary of this node's zone. The addresses are chosen at random.
     zone_summary summarize_zone(base::random_source& random, base::time_point now) const;
     /// Sorted names of the nodes that are alive and report to this node, including this node. In a
@@ -146,9 +149,16 @@
     std::optional<node_entry> follower_with_different_servers(std::string_view kind,
                                                               std::uint64_t digest,
                                                               base::time_point now) const;
+    /// Returns the peer from which this node pulls a configuration newer than `revision`, if any
+    /// has one. In a large fleet, the nodes of a zone form a tree with the followers of the store
+    /// at the top, so that no node serves many pulls at once; `any_peer` selects a random peer
+    /// instead, for a node whose parent does not have the configuration in time.
+    std::optional<node_entry> configuration_source(std::string_view kind, std::int64_t revision,
+                                                   bool any_peer, base::time_point now,
+                                                   base::random_source& random) const;
     /// True if this node watches `kind` in the store. In small fleets every node does. In large
-    /// fleets the first few live, ready nodes of each zone in rendezvous order that reach the store
-    /// do, and relay the changes to the other nodes of the zone.
+    /// fleets the first live, ready nodes of each zone in rendezvous order that reach the store do,
+    /// and relay the changes to the other nodes.
     bool follows_store(std::string_view kind, bool store_reached, base::time_point now) const;
     /// True if nodes report within their zone and only a few nodes watch the store.
     bool is_large_fleet() const noexcept { return m_nodes.size() >= large_fleet_threshold; }
@@ -156,6 +166,9 @@
     base::milliseconds minimum_report_gap() const noexcept;
     /// Time between two periodic reports; grows with the fleet to limit each node's traffic.
     base::milliseconds report_interval() const noexcept;
+    /// Returns whether the nodes that watch the store for this node's zone reach it: true if any
+    /// does, nothing if none of them reports.
+    std::optional<bool> followers_reach_store(base::time_point now) const;
     /// Removes nodes that are neither alive nor listed in the store. Returns all nodes that are not
     /// alive.
     std::vector<node_entry> expire(base::time_point now);
@@ -194,7 +207,12 @@
     template <class Predicate>
     std::size_t count_nodes_ahead(std::string_view key, base::time_point now,
                                   Predicate&& accept) const;
-    void update_zone_peers();
+    /// Updates the counts of zones and of nodes in this node's zone.
+    void count_zones();
+    std::size_t followers_per_zone() const noexcept
+    {
+        return (store_followers + m_zone_count - 1) / m_zone_count;
+    }
     template <class Predicate>
     std::vector<node_entry> find_live_nodes(base::time_point now, Predicate&& accept) const;
 
@@ -204,6 +222,8 @@
     std::map<std::string, zone_record> m_zones;
     /// Number of known nodes of this node's zone, without this node.
     std::size_t m_zone_peers = 0;
+    /// Number of zones with known nodes, including this node's.
+    std::size_t m_zone_count = 1;
 };
 
 } // namespace jasminepier::serving
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -62,6 +63,9 @@
     /// Servers write expired entries again within about 2 s after the store recovers, according to
     /// the platform's documentation.
     static constexpr base::milliseconds expired_entry_grace_period{2200};
+    /// Time after this node's first list of servers in which the list may be incomplete: if the
+    /// store failed together with the nodes, the servers write their entries again only now.
+    static constexpr base::milliseconds startup_period{3000};
     /// How long a removed server stays in the list. Generations that it still runs may end in this
     /// time, and its address isn't assigned to another server.
     static constexpr base::milliseconds removed_server_retention{30000};
@@ -72,6 +76,12 @@
     void apply_entry(server_entry const& entry, base::time_point now);
     void apply_removal(std::string const& id, std::int64_t revision, base::time_point now);
 
+    /// Records that the list of servers has been read. Only the first call has an effect.
+    void record_list(base::time_point now)
+    {
+        if (!m_first_list)
+            m_first_list = now;
+    }
     /// Marks the server as draining because a peer or the server itself reports that it leaves.
     void record_leaving(std::string const& id, base::time_point now);
 
@@ -89,6 +99,12 @@
     {
         return m_store_ever_recovered && !m_store_lost && m_store_recovered_at > time;
     }
+    /// True if running servers may be missing from the list, and will be back in a moment.
+    bool may_miss_servers(base::time_point now) const noexcept
+    {
+        return m_store_lost || !m_first_list || now < *m_first_list + startup_period ||
+               (m_store_ever_recovered && now < m_store_recovered_at + expired_entry_grace_period);
+    }
     std::int64_t revision() const noexcept { return m_revision; }
     /// Increases with every change of a server's entry or phase.
     std::uint64_t change_count() const noexcept { return m_change_count; }
@@ -101,6 +117,7 @@
     std::map<std::string, std::int64_t> m_removal_revisions;
     std::int64_t m_revision = 0;
     std::uint64_t m_change_count = 0;
+    std::optional<base::time_point> m_first_list;
     bool m_store_lost = false;
     base::time_point m_store_recovered_at{};
     bool m_store_ever_recovered = false;
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -116,8 +116,7 @@
 
 base::result<void> caller_session::validate_and_relay(request_context& context)
 {
-    context.configuration = m_state.configuration();
-    if (!context.configuration)
+    if (!context.wait_for_configuration())
         return base::fail(error_kind::not_ready, "no configuration has been received yet");
     context.route =
         context.configuration->find_route(context.metadata.host, context.request.path());
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -25,6 +25,8 @@
                nullptr,
                {},
                base::random_source(std::random_device{}()),
+               true,
+               false,
                {}},
       m_started_unix_milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(
                                       std::chrono::system_clock::now().time_since_epoch())
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -31,6 +31,11 @@
         /// Copies of the store's objects, also served to peers that cannot reach the store.
         configuration::versioned_store objects;
         base::random_source random;
+        /// This node watches the store for its zone, or for itself in a small fleet.
+        bool follows_store = true;
+        /// This node's last call to the store failed. Unlike `server_directory::store_lost`, this
+        /// says nothing about other nodes.
+        bool store_call_failed = false;
         /// Wakeups of the requests that wait for a free slot at a server.
         std::set<http::wakeup*> waiting_requests;
 
--- a/services/node/object_updates.cpp
+++ b/services/node/object_updates.cpp
@@ -87,14 +87,18 @@
                 tables.dispatcher.set_configuration(*parsed);
                 if (tables.nodes.phase() == serving::node_phase::starting)
                     tables.nodes.set_phase(serving::node_phase::ready);
+                notify_waiting_requests(tables);
                 return true;
             });
-        if (is_newer)
-            base::log_line(base::log_level::info, "configuration_applied")
-                .field("version", (*parsed)->version)
-                .field("revision", (*parsed)->revision)
-                .field("routes", (*parsed)->route_count())
-                .field("keys", (*parsed)->customers_by_key.size());
+        if (!is_newer)
+            continue;
+        // Peers that pull their configuration from this node learn of it from the report.
+        state.report_due().signal();
+        base::log_line(base::log_level::info, "configuration_applied")
+            .field("version", (*parsed)->version)
+            .field("revision", (*parsed)->revision)
+            .field("routes", (*parsed)->route_count())
+            .field("keys", (*parsed)->customers_by_key.size());
     }
 }
 
@@ -175,6 +179,8 @@
     state.with(
         [&](node_state::tables& tables)
         {
+            if (kind == platform::server_kind)
+                tables.dispatcher.directory().record_list(base::steady_clock_source{}.now());
             tables.objects.for_each(
                 [&](store::object const& stored)
                 {
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -90,7 +90,8 @@
     report.store_revision = tables.objects.revision();
     report.configuration_revision = tables.configuration_revision();
     report.server_digest = static_cast<std::int64_t>(tables.objects.digest(platform::server_kind));
-    report.store_reached = tables.configuration && !tables.dispatcher.directory().store_lost();
+    report.store_reached = tables.configuration && !tables.store_call_failed;
+    report.follows_store = tables.follows_store || tables.store_call_failed;
     report.started = m_state.started_unix_milliseconds();
     report.sequence = ++m_sequence;
     return report;
@@ -101,6 +102,7 @@
     auto const now = base::steady_clock_source{}.now();
     inner_protocol::node_report report;
     std::vector<serving::node_entry> peers;
+    std::vector<serving::node_entry> relays;
     m_state.with(
         [&](node_state::tables& tables)
         {
@@ -109,6 +111,9 @@
             if (changes.empty())
                 report.uses = to_messages(tables.dispatcher.local_loads(now));
             peers = tables.nodes.report_recipients();
+            // Each zone also has followers of its own; this covers their failure.
+            if (!changes.empty())
+                relays = tables.nodes.pick_relays(tables.random);
         });
     auto const crashes = m_state.poison_requests().events(now);
     for (auto const& event : crashes)
@@ -127,6 +132,12 @@
     auto const bytes = inner_protocol::encode_node_report(report);
     for (auto const& peer : peers)
         m_socket.send_bytes(peer.peer_host, peer.peer_port, bytes);
+    if (relays.empty())
+        return;
+    report.relay = true;
+    auto const relayed_bytes = inner_protocol::encode_node_report(report);
+    for (auto const& relay_node : relays)
+        m_socket.send_bytes(relay_node.peer_host, relay_node.peer_port, relayed_bytes);
 }
 
 void peer_link::send_zone_summary()
@@ -139,7 +150,7 @@
         {
             if (!tables.nodes.reports_zone(now))
                 return;
-            recipients = tables.nodes.pick_summary_recipients(tables.random);
+            recipients = tables.nodes.pick_relays(tables.random);
             auto const summary = tables.nodes.summarize_zone(tables.random, now);
             auto const loads = tables.dispatcher.zone_loads(now);
             auto const part_count = std::max<std::size_t>(
@@ -151,6 +162,7 @@
                 part.summary_parts = static_cast<std::int32_t>(part_count);
                 part.zone_nodes = static_cast<std::int32_t>(summary.live_nodes);
                 part.zone_addresses = summary.caller_addresses;
+                part.relay = true;
                 auto const begin = i * maximum_loads_per_summary;
                 auto const end = std::min(begin + maximum_loads_per_summary, loads.size());
                 for (auto k = begin; k < end; ++k)
@@ -166,10 +178,10 @@
     }
 }
 
-void peer_link::relay_summary(inner_protocol::node_report summary)
+void peer_link::relay(inner_protocol::node_report report)
 {
-    summary.relayed = true;
-    auto const bytes = inner_protocol::encode_node_report(summary);
+    report.relay = false;
+    auto const bytes = inner_protocol::encode_node_report(report);
     auto const recipients =
         m_state.with([](node_state::tables& tables) { return tables.nodes.report_recipients(); });
     for (auto const& recipient : recipients)
@@ -247,6 +259,18 @@
     }
 }
 
+void peer_link::learn_store_state(node_state::tables& tables, base::time_point now)
+{
+    // A node that watches the store itself knows better.
+    if (tables.follows_store || tables.store_call_failed)
+        return;
+    auto const reached = tables.nodes.followers_reach_store(now);
+    if (reached && *reached)
+        tables.dispatcher.directory().handle_store_reached(now);
+    if (reached && !*reached)
+        tables.dispatcher.directory().handle_store_lost(now);
+}
+
 void peer_link::apply_report(inner_protocol::node_report const& report)
 {
     auto const now = base::steady_clock_source{}.now();
@@ -258,6 +282,7 @@
     peer_state.started = report.started;
     peer_state.sequence = report.sequence;
     peer_state.store_reached = report.store_reached;
+    peer_state.follows_store = report.follows_store;
     peer_state.store_revision = report.store_revision;
     peer_state.configuration_revision = report.configuration_revision;
     peer_state.server_digest = static_cast<std::uint64_t>(report.server_digest);
@@ -273,6 +298,8 @@
         {
             bool const is_summary = report.summary_parts > 0;
             is_new = tables.nodes.apply_report(peer_state, now);
+            if (is_new && report.follows_store)
+                learn_store_state(tables, now);
             if (!is_new || !report.news.empty())
                 return;
             bool const same_zone = report.zone == tables.nodes.self().zone;
@@ -291,8 +318,8 @@
             // left that server.
             tables.dispatcher.notify_leaving();
         });
-    if (is_new && report.summary_parts > 0 && !report.relayed)
-        relay_summary(report);
+    if (is_new && report.relay)
+        relay(report);
     for (auto const& object : inner_protocol::from_thrift(report.news))
     {
         store::object_page page;
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -31,8 +31,11 @@
     void send_loop();
     /// Sends the loads of this node's zone to the other zones.
     void send_zone_summary();
-    /// Forwards another zone's summary to the nodes of this node's zone.
-    void relay_summary(inner_protocol::node_report summary);
+    /// Forwards a report from another zone to the nodes of this node's zone.
+    void relay(inner_protocol::node_report report);
+    /// Takes over what the followers of the store report about it, which decides whether missing
+    /// server entries may have expired in an outage.
+    static void learn_store_state(node_state::tables& tables, base::time_point now);
     inner_protocol::node_report make_report(node_state::tables& tables);
     void receive_loop();
     void apply_report(inner_protocol::node_report const& report);
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -11,8 +11,12 @@
 namespace
 {
 
+// A new configuration takes a few pulls to reach the last node of a zone.
+constexpr std::chrono::milliseconds configuration_check_interval{200};
 // Servers announce their removal 1.5 to 2 s ahead, so changes are still useful half a second late.
-constexpr std::chrono::milliseconds pull_interval{400};
+constexpr int checks_per_object_check = 2;
+// Time after which a node pulls a configuration from any peer instead of its parent.
+constexpr int checks_per_parent_wait = 3;
 constexpr std::chrono::milliseconds pull_timeout{800};
 
 class node_peer_handler : public inner_protocol::node_peerIf
@@ -43,30 +47,40 @@
                           std::make_shared<inner_protocol::node_peerProcessor>(
                               std::make_shared<node_peer_handler>(state)),
                           state.settings()->host, state.settings()->peer_port)),
-      m_pull_thread(pull_interval, [this] { pull_if_needed(); })
+      m_pull_thread(configuration_check_interval, [this] { pull_if_needed(); })
 {
 }
 
+std::optional<serving::node_entry>
+peer_object_sync::find_configuration_source(node_state::tables& tables, base::time_point now)
+{
+    auto const revision = tables.configuration_revision();
+    bool const any_peer = m_checks_behind >= checks_per_parent_wait;
+    auto const source = tables.nodes.configuration_source(platform::server_kind, revision, any_peer,
+                                                          now, tables.random);
+    bool const behind = !tables.nodes.peers_with_newer_configuration(revision, now).empty();
+    m_checks_behind = behind && !source ? m_checks_behind + 1 : 0;
+    return source;
+}
+
 std::vector<serving::node_entry> peer_object_sync::find_up_to_date_peers(node_state::tables& tables,
                                                                          std::int64_t& since,
                                                                          base::time_point now)
 {
-    auto const configuration = tables.configuration_revision();
-    since = serving::pull_start_revision(tables.objects.revision(), configuration);
-    // Every node watches the configuration itself, so a peer with a newer one means that the store
-    // does not respond to this node's watch.
-    auto up_to_date_peers = tables.nodes.peers_with_newer_configuration(configuration, now);
-    if (!up_to_date_peers.empty())
-        return up_to_date_peers;
-    if (!tables.configuration || tables.dispatcher.directory().store_lost())
+    since =
+        serving::pull_start_revision(tables.objects.revision(), tables.configuration_revision());
+    if (auto const source = find_configuration_source(tables, now))
+        return {*source};
+    bool const check_objects = m_check_count++ % checks_per_object_check == 0;
+    if (!check_objects)
+        return {};
+    if (!tables.configuration || tables.store_call_failed)
     {
         since = tables.configuration ? tables.objects.revision() : 0;
         return tables.nodes.peers_reaching_store(now);
     }
-    up_to_date_peers = tables.nodes.peers_with_newer_objects(tables.objects.revision(), now);
-    bool const receives_changes_from_peers =
-        tables.nodes.is_large_fleet() &&
-        !tables.nodes.follows_store(platform::server_kind, true, now);
+    auto up_to_date_peers = tables.nodes.peers_with_newer_objects(tables.objects.revision(), now);
+    bool const receives_changes_from_peers = tables.nodes.is_large_fleet() && !tables.follows_store;
     if (up_to_date_peers.empty() && receives_changes_from_peers)
         if (auto const different_peer = tables.nodes.follower_with_different_servers(
                 platform::server_kind, tables.objects.digest(platform::server_kind), now))
--- a/services/node/peer_object_sync.hpp
+++ b/services/node/peer_object_sync.hpp
@@ -21,6 +21,9 @@
 
 private:
     void pull_if_needed();
+    /// Returns the peer to pull a newer configuration from, if there is one.
+    std::optional<serving::node_entry> find_configuration_source(node_state::tables& tables,
+                                                                 base::time_point now);
     /// Returns peers that have objects that this node has missed. Sets `since` to the revision
     /// after which this node needs changes.
     std::vector<serving::node_entry>
@@ -29,6 +32,9 @@
     node_state& m_state;
     std::unique_ptr<inner_protocol::rpc_server> m_server;
     bool m_was_behind = false;
+    int m_check_count = 0;
+    /// Consecutive checks in which a peer had a newer configuration, but not this node's parent.
+    int m_checks_behind = 0;
     base::periodic_thread m_pull_thread;
 };
 
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -19,12 +19,21 @@
 // Fraction of the latency objective for which a request waits for a free slot. After that, the
 // caller is better off with a retry of its own.
 constexpr double queue_wait_fraction = 0.5;
+// The same for a request that waits for its service's servers to be listed again. Their entries are
+// back about two seconds after the store, so a retry shortly after a rejection would fail, too.
+constexpr double unlisted_wait_fraction = 0.8;
+// A starting node reads the configuration within about a second of its start. A request waits for
+// it for this fraction of the caller's timeout, but not longer than the maximum.
+constexpr double configuration_wait_fraction = 0.25;
+constexpr base::milliseconds maximum_configuration_wait{1500};
 // Slots that peers' requests release become free without a wakeup, so waiting requests poll.
 constexpr base::milliseconds queue_poll_interval{50};
 // Retry-After of rejected requests. A full service has a free slot again after about one generation
 // of a short response.
 constexpr base::milliseconds overload_retry_delay{400};
-constexpr base::milliseconds startup_retry_delay{500};
+// A starting node, or one without listed servers, needs the store and the servers' entries. Callers
+// with short timeouts wait for at most a third of their time.
+constexpr base::milliseconds startup_retry_delay{2000};
 // Expected length of an output without an estimate, as a fraction of its stated maximum.
 constexpr double expected_output_fraction = 0.5;
 // Urgency of requests without a priority; the middle of the range from 0 to 9.
@@ -35,9 +44,9 @@
     switch (kind)
     {
     case error_kind::overloaded:
-    case error_kind::no_server:
     case error_kind::server_unreachable:
         return overload_retry_delay;
+    case error_kind::no_server:
     case error_kind::not_ready:
         return startup_retry_delay;
     default:
@@ -131,44 +140,81 @@
     return attempt;
 }
 
+template <class Condition>
+bool request_context::wait_until(base::time_point wait_deadline, Condition&& done)
+{
+    http::wait_set poll_set;
+    while (true)
+    {
+        auto const now = base::steady_clock_source{}.now();
+        if (now >= wait_deadline)
+            return false;
+        poll_set.clear();
+        poll_set.add(caller.descriptor(), POLLRDHUP);
+        poll_set.add(wake.descriptor(), POLLIN);
+        poll_set.wait(std::min<base::time_point>(wait_deadline, now + queue_poll_interval));
+        wake.clear();
+        if (poll_set.ready(0) != 0)
+            return false;
+        if (done())
+            return true;
+    }
+}
+
+bool request_context::wait_for_configuration()
+{
+    configuration = state.configuration();
+    if (configuration)
+        return true;
+    auto const timeout = metadata.timeout.value_or(base::milliseconds(0));
+    auto const wait = std::min(
+        std::chrono::duration_cast<base::milliseconds>(configuration_wait_fraction * timeout),
+        maximum_configuration_wait);
+    state.with([&](node_state::tables& tables) { tables.waiting_requests.insert(&wake); });
+    wait_until(arrival + wait,
+               [&]
+               {
+                   configuration = state.configuration();
+                   return configuration != nullptr;
+               });
+    state.with([&](node_state::tables& tables) { tables.waiting_requests.erase(&wake); });
+    return configuration != nullptr;
+}
+
 base::result<server_attempt> request_context::acquire_server()
 {
     serving::server_selection selection;
     if (auto attempt = try_acquire_server(selection))
         return std::move(*attempt);
     auto const wait_start = base::steady_clock_source{}.now();
-    auto const maximum_wait = std::chrono::duration_cast<base::milliseconds>(
-        queue_wait_fraction * route->latency_objective);
+    auto const wait_fraction = selection.reason == serving::exclusion_reason::unlisted
+                                   ? unlisted_wait_fraction
+                                   : queue_wait_fraction;
+    auto const maximum_wait =
+        std::chrono::duration_cast<base::milliseconds>(wait_fraction * route->latency_objective);
     auto const queue_deadline = std::min(wait_start + maximum_wait, deadline);
-    state.with(
-        [&](node_state::tables& tables)
-        {
-            tables.waiting_requests.insert(&wake);
-            tables.dispatcher.add_waiting(service->name, demand.priority);
-        });
     std::optional<server_attempt> attempt;
-    bool caller_left = false;
-    http::wait_set poll_set;
-    while (!attempt && selection.worth_waiting() && !caller_left)
+    if (selection.worth_waiting())
     {
-        auto const now = base::steady_clock_source{}.now();
-        if (now >= queue_deadline)
-            break;
-        poll_set.clear();
-        poll_set.add(caller.descriptor(), POLLRDHUP);
-        poll_set.add(wake.descriptor(), POLLIN);
-        poll_set.wait(std::min<base::time_point>(queue_deadline, now + queue_poll_interval));
-        wake.clear();
-        caller_left = poll_set.ready(0) != 0;
-        if (!caller_left)
-            attempt = try_acquire_server(selection);
+        state.with(
+            [&](node_state::tables& tables)
+            {
+                tables.waiting_requests.insert(&wake);
+                tables.dispatcher.add_waiting(service->name, demand.priority);
+            });
+        wait_until(queue_deadline,
+                   [&]
+                   {
+                       attempt = try_acquire_server(selection);
+                       return attempt || !selection.worth_waiting();
+                   });
+        state.with(
+            [&](node_state::tables& tables)
+            {
+                tables.waiting_requests.erase(&wake);
+                tables.dispatcher.remove_waiting(service->name, demand.priority);
+            });
     }
-    state.with(
-        [&](node_state::tables& tables)
-        {
-            tables.waiting_requests.erase(&wake);
-            tables.dispatcher.remove_waiting(service->name, demand.priority);
-        });
     if (attempt)
         return std::move(*attempt);
     auto const wait_time = std::chrono::duration_cast<base::milliseconds>(
@@ -177,10 +223,11 @@
         .field("request_id", metadata.request_id)
         .field("service", service->name)
         .field("obstacle", serving::to_string(selection.reason))
-        .field("caller_left", caller_left ? 1 : 0)
         .field("waited_ms", wait_time.count());
-    auto const kind = selection.worth_waiting() ? error_kind::overloaded : error_kind::no_server;
-    return base::fail(kind, "no server has a free slot for the request");
+    bool const rejected_for_load =
+        selection.worth_waiting() && selection.reason != serving::exclusion_reason::unlisted;
+    return base::fail(rejected_for_load ? error_kind::overloaded : error_kind::no_server,
+                      "no server has a free slot for the request");
 }
 
 std::optional<server_attempt>
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -73,6 +73,9 @@
     int handovers = 0;
 
     base::milliseconds time_left() const;
+    /// Waits for the first configuration, for a part of the caller's timeout. Returns false if none
+    /// has arrived.
+    bool wait_for_configuration();
     /// Selects a server and begins an attempt there. While all servers are full or cold, waits in
     /// the queue up to a fraction of the latency objective. Fails with `overloaded` if they remain
     /// so, and with `no_server` if waiting would not help.
@@ -96,6 +99,10 @@
     void log_completion() const;
 
 private:
+    /// Waits until `done()` returns true. Returns false when `wait_deadline` has passed or the
+    /// caller has disconnected.
+    template <class Condition>
+    bool wait_until(base::time_point wait_deadline, Condition&& done);
     std::optional<server_attempt> try_acquire_server(serving::server_selection& selection);
     void log_selected_server(serving::selected_server const& server,
                              std::string_view purpose) const;
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -23,7 +23,7 @@
 constexpr base::milliseconds initial_backoff{100};
 constexpr base::milliseconds maximum_backoff{800};
 // Time within which a node takes over the watch of a failed node.
-constexpr base::milliseconds follower_check_interval{200};
+constexpr base::milliseconds follower_check_interval{500};
 
 } // namespace
 
@@ -47,9 +47,6 @@
 
 bool store_watcher::wait_until_follower(std::string const& kind)
 {
-    // Configurations and evacuations change rarely, so every node watches them itself.
-    if (kind != platform::server_kind && kind != platform::node_kind)
-        return false;
     bool waited = false;
     while (true)
     {
@@ -57,8 +54,13 @@
         bool const is_follower = m_state.with(
             [&](node_state::tables& tables)
             {
-                bool const store_reached = !tables.dispatcher.directory().store_lost();
-                return tables.nodes.follows_store(kind, store_reached, now);
+                // The same nodes follow all kinds, so their reports tell the others whether the
+                // store can be reached.
+                tables.follows_store = tables.nodes.follows_store(platform::server_kind,
+                                                                  !tables.store_call_failed, now);
+                // A node that lost the store keeps trying to reach it, with the smallest list.
+                bool const retries = tables.store_call_failed && kind == platform::evacuation_kind;
+                return tables.follows_store || retries;
             });
         if (is_follower)
             return waited;
@@ -74,6 +76,7 @@
     m_state.with(
         [&](node_state::tables& tables)
         {
+            tables.store_call_failed = !store_reached;
             auto& directory = tables.dispatcher.directory();
             if (store_reached)
                 directory.handle_store_reached(now);
@@ -149,9 +152,10 @@
         else
         {
             apply_changes(m_state, kind, *page);
-            bool const relays_changes = m_state.with([](node_state::tables& tables)
+            bool const is_large_fleet = m_state.with([](node_state::tables& tables)
                                                      { return tables.nodes.is_large_fleet(); });
-            if (relays_changes && kind == platform::server_kind)
+            // Configurations exceed a datagram; the other nodes pull them from their peers.
+            if (is_large_fleet && kind != platform::configuration_kind)
                 m_publish_to_peers(page->objects);
         }
         version = page->version;
@@ -205,8 +209,7 @@
         [&](node_state::tables& tables)
         {
             // A single node removes stale entries, so that the others do not repeat its calls.
-            bool const store_reached = !tables.dispatcher.directory().store_lost();
-            return tables.nodes.follows_store(platform::node_kind, store_reached, now)
+            return tables.nodes.follows_store(platform::server_kind, !tables.store_call_failed, now)
                        ? tables.nodes.nodes_past_removal_timeout(now)
                        : std::vector<std::string>{};
         });
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -158,6 +158,35 @@
     EXPECT_FALSE(selection.worth_waiting());
 }
 
+// Guards against rejecting requests after a restart of the whole fleet during an outage of the
+// store, when the servers' entries have expired: callers spend their only retry on a second
+// rejection.
+TEST_F(dispatcher_test, waits_for_servers_while_their_list_may_be_incomplete)
+{
+    auto node = make_dispatcher("n0", "shop", 0);
+    EXPECT_EQ(select(node, shop_query()).reason, exclusion_reason::unlisted);
+    EXPECT_TRUE(select(node, shop_query()).worth_waiting());
+    node.directory().record_list(start);
+    auto const later = start + server_directory::startup_period;
+    EXPECT_TRUE(select(node, shop_query(), later - milliseconds(1)).worth_waiting());
+    EXPECT_FALSE(select(node, shop_query(), later).worth_waiting());
+    node.directory().handle_store_lost(later);
+    EXPECT_TRUE(select(node, shop_query(), later + seconds(9)).worth_waiting());
+    auto const store_returned = later + seconds(10);
+    node.directory().handle_store_reached(store_returned);
+    auto const servers_returned = store_returned + server_directory::expired_entry_grace_period;
+    EXPECT_TRUE(select(node, shop_query(), servers_returned - milliseconds(1)).worth_waiting());
+    EXPECT_FALSE(select(node, shop_query(), servers_returned).worth_waiting());
+}
+
+// Guards against waiting for servers that an operator has taken out of service.
+TEST_F(dispatcher_test, does_not_wait_for_servers_of_evacuated_zones)
+{
+    auto node = make_dispatcher("n0", "shop", 1);
+    node.set_evacuated_zones({"a"});
+    EXPECT_FALSE(select(node, shop_query()).worth_waiting());
+}
+
 // Guards against missing the handover of generations whose server starts to drain.
 TEST_F(dispatcher_test, notifies_attempts_when_their_server_leaves)
 {
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace jasminepier::serving
@@ -131,6 +132,109 @@
               static_cast<int>(node_directory::store_followers));
 }
 
+node_entry make_zone_node(int zone, int number)
+{
+    auto const name = "z" + std::to_string(zone) + "-" + std::to_string(number);
+    return {name, "z" + std::to_string(zone), name + ":8740", name, 7200};
+}
+
+/// Returns the directories of the nodes of zone 0 in a fleet of five zones with 59 nodes each.
+std::vector<node_directory> make_zone_of_large_fleet(std::int64_t configuration_revision)
+{
+    constexpr int nodes_per_zone = 59;
+    std::vector<node_entry> listed;
+    for (int zone = 0; zone < 5; ++zone)
+        for (int i = 0; i < nodes_per_zone; ++i)
+            listed.push_back(make_zone_node(zone, i));
+    std::vector<node_directory> zone_nodes;
+    for (int self = 0; self < nodes_per_zone; ++self)
+    {
+        auto& directory = zone_nodes.emplace_back(make_zone_node(0, self));
+        directory.set_phase(node_phase::ready);
+        directory.apply_listed(listed, start);
+        for (int i = 0; i < nodes_per_zone; ++i)
+        {
+            node_state_report report{make_zone_node(0, i), 1, 1, node_phase::ready, true};
+            report.configuration_revision = configuration_revision;
+            directory.apply_report(report, start);
+        }
+    }
+    return zone_nodes;
+}
+
+// Guards against store requests that grow with the nodes, and against a zone that depends on
+// another zone for its changes.
+TEST(store_followers, one_node_of_each_of_many_zones_follows)
+{
+    EXPECT_EQ(count_store_followers(make_zone_of_large_fleet(1), start), 1);
+}
+
+// Guards against a new configuration that all nodes pull from one small VM at once.
+TEST(store_followers, configuration_spreads_through_a_tree)
+{
+    base::random_source random(20261204);
+    auto zone_nodes = make_zone_of_large_fleet(1);
+    std::map<std::string, std::int64_t> revisions;
+    for (auto const& node : zone_nodes)
+        revisions[node.self().name] = node.follows_store("servers", true, start) ? 2 : 1;
+    int rounds = 0;
+    std::size_t updated = 1;
+    while (updated < zone_nodes.size() && rounds < 10)
+    {
+        ++rounds;
+        std::map<std::string, int> pulls;
+        auto const known_revisions = revisions;
+        for (auto& node : zone_nodes)
+        {
+            for (auto const& [name, revision] : known_revisions)
+            {
+                auto const number = std::stoi(name.substr(name.find('-') + 1));
+                node_state_report report{make_zone_node(0, number), 1, 1 + rounds,
+                                         node_phase::ready, true};
+                report.configuration_revision = revision;
+                node.apply_report(report, start);
+            }
+            auto& revision = revisions[node.self().name];
+            auto const source =
+                node.configuration_source("servers", revision, false, start, random);
+            if (!source)
+                continue;
+            EXPECT_LE(++pulls[source->name], 4);
+            revision = 2;
+            ++updated;
+        }
+    }
+    EXPECT_EQ(updated, zone_nodes.size());
+    EXPECT_LE(rounds, 4);
+}
+
+// Guards against waiting for a parent that does not get the configuration.
+TEST(store_followers, configuration_comes_from_any_peer_if_the_parent_lacks_it)
+{
+    base::random_source random(20261204);
+    for (auto const& node : make_zone_of_large_fleet(2))
+        EXPECT_TRUE(node.configuration_source("servers", 1, true, start, random));
+}
+
+// Guards against nodes that take expired server entries for removed ones, because they do not call
+// the store and miss its outage.
+TEST(store_followers, other_nodes_learn_of_an_outage_from_the_followers)
+{
+    auto zone_nodes = make_zone_of_large_fleet(1);
+    auto& node = zone_nodes.front();
+    EXPECT_FALSE(node.followers_reach_store(start));
+    node_state_report report{make_zone_node(0, 7), 1, 2, node_phase::ready, false};
+    report.follows_store = true;
+    node.apply_report(report, start);
+    EXPECT_EQ(node.followers_reach_store(start), std::optional(false));
+    // Another follower takes over: only the first one is cut off.
+    report.entry = make_zone_node(0, 8);
+    report.store_reached = true;
+    node.apply_report(report, start);
+    EXPECT_EQ(node.followers_reach_store(start), std::optional(true));
+    EXPECT_FALSE(node.followers_reach_store(start + node_directory::report_timeout));
+}
+
 // Guards against server changes that no node watches because the followers died or lost the store.
 TEST(store_followers, replace_nodes_that_are_silent_or_lost_the_store)
 {
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -192,6 +192,38 @@
     EXPECT_EQ(run_count(), 2);
 }
 
+// Guards against rejecting the requests that arrive while a restarted node reads its configuration
+// and while the servers write their entries again.
+TEST_F(node_process_test, requests_wait_for_the_configuration_and_for_listed_servers)
+{
+    m_store.remove("servers", m_engine_1.id());
+    ASSERT_TRUE(wait_until(
+        [&]
+        {
+            try
+            {
+                return call("GET", "/check/ok").status == 503;
+            }
+            catch (std::exception const&)
+            {
+                // The node does not listen yet.
+                return false;
+            }
+        },
+        seconds(10)));
+    auto request = make_request("POST", "/plan/stream-2", "r-early");
+    request.headers.set("Deadline-Ms", "20000");
+    auto early_response =
+        std::async(std::launch::async, [&] { return call_node(m_node.ports().callers, request); });
+    std::this_thread::sleep_for(milliseconds(100));
+    configure();
+    std::this_thread::sleep_for(milliseconds(100));
+    m_store.put("servers", m_engine_1.id(), make_server_entry("engines", m_engine_1.address()));
+    auto const response = early_response.get();
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, make_events(1, 2));
+}
+
 // Guards against streams that look complete although their server failed.
 TEST_F(node_process_test, interrupted_stream_is_not_terminated_as_complete)
 {
--- a/tests/zone_summary_test.cpp
+++ b/tests/zone_summary_test.cpp
@@ -281,12 +281,12 @@
     std::set<std::string> zones;
     std::set<std::string> names;
     for (int i = 0; i < 50; ++i)
-        for (auto const& recipient : m_directory.pick_summary_recipients(m_random))
+        for (auto const& recipient : m_directory.pick_relays(m_random))
         {
             zones.insert(recipient.zone);
             names.insert(recipient.name);
         }
-    EXPECT_EQ(m_directory.pick_summary_recipients(m_random).size(), 4U);
+    EXPECT_EQ(m_directory.pick_relays(m_random).size(), 4U);
     EXPECT_EQ(zones, (std::set<std::string>{"zb", "zc", "zd", "ze"}));
     // A dead recipient delays a zone's summary by one interval only.
     EXPECT_GT(names.size(), 100U);
