Node directory: Count the nodes of each zone as they come and go

Adding a node counted all nodes again, so a list of 295 nodes took 87,000 comparisons at each start, and each listed node wrote a log line. Counts are kept per zone now; lists of more than 16 nodes are logged by their size only (objects_listed).

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -3,7 +3,6 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace jasminepier::serving
 {
@@ -45,15 +44,12 @@
 {
     if (entry.name == m_self.name)
         return;
-    auto const [position, added] = m_nodes.try_emplace(entry.name);
-    auto& node = position->second;
-    bool const moved = node.state.entry.zone != entry.zone;
+    auto& node = m_nodes[entry.name];
+    count_zone_change(node.state.entry.zone, entry.zone);
     node.state.entry = entry;
     node.listed = true;
     if (node.listed_since == base::time_point{})
         node.listed_since = now;
-    if (added || moved)
-        count_zones();
 }
 
 void node_directory::remove_listed(std::string const& name)
@@ -66,19 +62,16 @@
 {
     if (report.entry.name == m_self.name)
         return false;
-    auto const [position, added] = m_nodes.try_emplace(report.entry.name);
-    auto& node = position->second;
+    auto& node = m_nodes[report.entry.name];
     // Late datagrams of an earlier process only arrive while the node still counts as alive. After
     // that, a lower start time means that the VM's wall clock was set back.
     if ((report.started < node.state.started && is_alive(node, now)) ||
         (report.started == node.state.started && report.sequence <= node.state.sequence))
         return false;
-    bool const moved = node.state.entry.zone != report.entry.zone;
+    count_zone_change(node.state.entry.zone, report.entry.zone);
     node.state = report;
     node.last_report = now;
     node.has_reported = true;
-    if (added || moved)
-        count_zones();
     return true;
 }
 
@@ -89,16 +82,29 @@
         m_zones[zone] = {std::move(summary), now};
 }
 
-void node_directory::count_zones()
+void node_directory::count_zone_change(std::string const& previous_zone, std::string const& zone)
 {
-    std::set<std::string_view> zones{m_self.zone};
-    m_zone_peers = 0;
-    for (auto const& [name, node] : m_nodes)
-    {
-        zones.insert(node.state.entry.zone);
-        m_zone_peers += node.state.entry.zone == m_self.zone ? 1 : 0;
-    }
-    m_zone_count = zones.size();
+    if (previous_zone == zone)
+        return;
+    if (auto const previous = m_zone_sizes.find(previous_zone);
+        previous != m_zone_sizes.end() && --previous->second == 0)
+        m_zone_sizes.erase(previous);
+    if (!zone.empty())
+        ++m_zone_sizes[zone];
+}
+
+std::size_t node_directory::followers_per_zone() const noexcept
+{
+    auto const zones = m_zone_sizes.size() + (m_zone_sizes.contains(m_self.zone) ? 0 : 1);
+    return (store_followers + zones - 1) / zones;
+}
+
+std::size_t node_directory::count_report_recipients() const noexcept
+{
+    if (!is_large_fleet())
+        return m_nodes.size();
+    auto const own_zone = m_zone_sizes.find(m_self.zone);
+    return own_zone == m_zone_sizes.end() ? 0 : own_zone->second;
 }
 
 std::vector<node_entry> node_directory::peers() const
@@ -373,9 +379,10 @@
         bool const removable = !it->second.listed && !is_alive(it->second, now);
         if (!is_alive(it->second, now))
             silent_nodes.push_back(it->second.state.entry);
+        if (removable)
+            count_zone_change(it->second.state.entry.zone, "");
         it = removable ? m_nodes.erase(it) : std::next(it);
     }
-    count_zones();
     return silent_nodes;
 }
 
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -198,21 +198,16 @@
     {
         return !is_large_fleet() || node.state.entry.zone == m_self.zone;
     }
-    std::size_t count_report_recipients() const noexcept
-    {
-        return is_large_fleet() ? m_zone_peers : m_nodes.size();
-    }
+    std::size_t count_report_recipients() const noexcept;
     /// Number of live, ready nodes that report to this node, satisfy the predicate and come before
     /// it in the rendezvous order of `key`.
     template <class Predicate>
     std::size_t count_nodes_ahead(std::string_view key, base::time_point now,
                                   Predicate&& accept) const;
-    /// Updates the counts of zones and of nodes in this node's zone.
-    void count_zones();
-    std::size_t followers_per_zone() const noexcept
-    {
-        return (store_followers + m_zone_count - 1) / m_zone_count;
-    }
+    /// Counts a node that appears in `zone`, moves there from `previous_zone` or disappears; an
+    /// empty name stands for no zone.
+    void count_zone_change(std::string const& previous_zone, std::string const& zone);
+    std::size_t followers_per_zone() const noexcept;
     template <class Predicate>
     std::vector<node_entry> find_live_nodes(base::time_point now, Predicate&& accept) const;
 
@@ -220,10 +215,8 @@
     node_phase m_phase = node_phase::starting;
     std::map<std::string, node_record> m_nodes;
     std::map<std::string, zone_record> m_zones;
-    /// Number of known nodes of this node's zone, without this node.
-    std::size_t m_zone_peers = 0;
-    /// Number of zones with known nodes, including this node's.
-    std::size_t m_zone_count = 1;
+    /// Known nodes in each zone that has any, without this node.
+    std::map<std::string, std::size_t> m_zone_sizes;
 };
 
 } // namespace jasminepier::serving
--- a/services/node/object_updates.cpp
+++ b/services/node/object_updates.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+// Changes of nodes in one response that are logged one by one.
+constexpr std::size_t maximum_logged_nodes = 16;
+
 template <class T, class Parse>
 std::optional<T> parse_or_log(store::object const& object, Parse&& parse)
 {
@@ -137,9 +140,11 @@
                 else
                     tables.nodes.remove_listed(object.name);
             });
-        base::log_line(base::log_level::info, "node_changed")
-            .field("node", object.name)
-            .field("listed", entry ? 1 : 0);
+        // A list of a large fleet would fill the log; objects_listed gives its size.
+        if (page.objects.size() <= maximum_logged_nodes)
+            base::log_line(base::log_level::info, "node_changed")
+                .field("node", object.name)
+                .field("listed", entry ? 1 : 0);
     }
 }
 
