Node: Wait at a planned stop for requests that are still arriving

Cause: a stop waited for requests that had been read completely. A request whose body was still arriving did not count, so a node without other requests ended after 3.5 s and cut it; a request read within the last 50 ms was cut, too.

Ruled out: reading on after the signal to close idle connections, which leaves a moment in which a new request is read and then cut.

Change: a request counts from its first byte. After the signal no connection reads a new request, and the process ends once those that were read have been answered, or at the end of its grace period.

Before: node_process_test.shutdown_waits_for_a_request_that_is_being_received fails, no byte of an answer. After: it passes.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -33,7 +33,8 @@
 }
 
 read_outcome caller_connection::read_request(request& result, read_timeouts timeouts,
-                                             wakeup& interruption)
+                                             wakeup& interruption,
+                                             std::function<void()> const& on_started)
 {
     base::steady_clock_source const clock;
     auto deadline = clock.now() + timeouts.idle;
@@ -44,6 +45,12 @@
     while (true)
     {
         auto const state = m_reader.current_state();
+        if (state != request_reader::state::idle && !head_started)
+        {
+            head_started = true;
+            deadline = clock.now() + timeouts.header;
+            on_started();
+        }
         if (state == request_reader::state::complete)
         {
             result = m_reader.take_request();
@@ -55,11 +62,6 @@
             return read_outcome::head_too_large;
         if (state == request_reader::state::body_too_large)
             return read_outcome::body_too_large;
-        if (state != request_reader::state::idle && !head_started)
-        {
-            head_started = true;
-            deadline = clock.now() + timeouts.header;
-        }
         if (state == request_reader::state::reading_body && !body_started)
         {
             body_started = true;
@@ -71,6 +73,8 @@
         poll_set.add(descriptor(), POLLIN);
         poll_set.add(interruption.descriptor(), head_started ? 0 : POLLIN);
         poll_set.wait(deadline);
+        if (!head_started && poll_set.ready(1) != 0)
+            return read_outcome::interrupted;
         if (poll_set.ready(0) != 0)
         {
             auto const byte_count = ::recv(descriptor(), bytes.data(), bytes.size(), 0);
@@ -80,8 +84,6 @@
                 return read_outcome::closed;
             continue;
         }
-        if (!head_started && poll_set.ready(1) != 0)
-            return read_outcome::interrupted;
         if (clock.now() >= deadline)
             return head_started ? read_outcome::read_timeout : read_outcome::idle_timeout;
     }
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -43,9 +43,12 @@
 public:
     caller_connection(Poco::Net::StreamSocket const& socket, request_size_limits limits);
 
-    /// Waits for the next complete request and stores it in `result`. Signalling `interruption`
-    /// ends the wait unless a request has started to arrive.
-    read_outcome read_request(request& result, read_timeouts timeouts, wakeup& interruption);
+    /// Waits for the next complete request and stores it in `result`. Calls `on_started` once its
+    /// first byte has arrived. Signalling `interruption` ends the wait unless a request has
+    /// started; bytes that arrive later stay unread, so the caller knows that the request has not
+    /// run.
+    read_outcome read_request(request& result, read_timeouts timeouts, wakeup& interruption,
+                              std::function<void()> const& on_started);
 
     /// Sends all bytes. Returns false if the connection fails or the caller has not accepted all
     /// bytes by `deadline`.
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -18,6 +18,30 @@
 // outlast the shutdown, so that callers start them at another node.
 constexpr base::milliseconds expected_time_per_token{10};
 
+/// Counts a request as active from its first byte until it has been answered, so that a shutdown
+/// waits for it.
+class active_request_count
+{
+public:
+    explicit active_request_count(node_state& state) : m_state(state) {}
+    active_request_count(active_request_count const&) = delete;
+    active_request_count& operator=(active_request_count const&) = delete;
+    ~active_request_count()
+    {
+        if (m_counted)
+            m_state.add_active_requests(-1);
+    }
+    void add()
+    {
+        m_counted = true;
+        m_state.add_active_requests(1);
+    }
+
+private:
+    node_state& m_state;
+    bool m_counted = false;
+};
+
 std::optional<error_kind> error_for(http::read_outcome outcome)
 {
     switch (outcome)
@@ -73,17 +97,16 @@
         auto const configuration = m_state.configuration();
         auto const limits = configuration ? configuration->limits : serving::caller_limits{};
         http::request request;
+        active_request_count active(m_state);
         auto const outcome =
             caller.read_request(request, {limits.header_timeout, limits.idle_timeout},
-                                m_state.idle_connection_shutdown());
+                                m_state.idle_connection_shutdown(), [&] { active.add(); });
         if (outcome != http::read_outcome::request)
             return send_read_error(caller, outcome);
-        m_state.add_active_requests(1);
         request_context context(m_state, caller, wake, std::move(request),
                                 base::steady_clock_source{}.now());
         serve_request(context);
         context.log_completion();
-        m_state.add_active_requests(-1);
         wake.clear();
         if (!context.keep_connection)
             return caller.close_gracefully();
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -48,8 +48,12 @@
     while (clock.now() < deadline &&
            (clock.now() < begin + minimum_shutdown_duration || state.active_requests() > 0))
         std::this_thread::sleep_for(shutdown_poll_interval);
+    // From here on no connection reads a new request. One that was read just before is still
+    // served.
     state.idle_connection_shutdown().signal();
-    std::this_thread::sleep_for(shutdown_poll_interval);
+    do
+        std::this_thread::sleep_for(shutdown_poll_interval);
+    while (clock.now() < deadline && state.active_requests() > 0);
     base::log_line(base::log_level::info, "stopped").field("running", state.active_requests());
 }
 
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -387,6 +387,29 @@
     EXPECT_NE(m_node.program().output().find("settings_reloaded"), std::string::npos);
 }
 
+// Guards against a planned stop that cuts a request whose body is still arriving. A node without
+// other requests stops after 3.5 s, long before the end of its grace period of 8 s.
+TEST_F(node_process_test, shutdown_waits_for_a_request_that_is_being_received)
+{
+    start_until_ready();
+    auto request = make_request("POST", "/order/ok", "r-slow-body");
+    request.body = "order";
+    auto const text = http::write_request(request);
+    Poco::Net::StreamSocket caller(Poco::Net::SocketAddress(loopback_host, m_node.ports().callers));
+    send_all(caller, text.substr(0, text.size() - 2));
+    std::this_thread::sleep_for(milliseconds(200));
+    m_node.program().send_signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(4500));
+    send_all(caller, text.substr(text.size() - 2));
+    caller.setReceiveTimeout(Poco::Timespan(5, 0));
+    std::string received(4096, '\0');
+    auto const length = caller.receiveBytes(received.data(), static_cast<int>(received.size()));
+    received.resize(static_cast<std::size_t>(std::max(length, 0)));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received;
+    EXPECT_NE(received.find("response to r-slow-body"), std::string::npos);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against missed configurations when the store loses its history or is unavailable.
 TEST_F(node_process_test, applies_configurations_after_lost_history_and_outages)
 {
