--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -264,11 +264,18 @@
     // A node that watches the store itself knows better.
     if (tables.follows_store || tables.store_call_failed)
         return;
+    auto& directory = tables.dispatcher.directory();
     auto const reached = tables.nodes.followers_reach_store(now);
-    if (reached && *reached)
-        tables.dispatcher.directory().handle_store_reached(now);
-    if (reached && !*reached)
-        tables.dispatcher.directory().handle_store_lost(now);
+    if (!reached || *reached == !directory.store_lost())
+        return;
+    if (*reached)
+        directory.handle_store_reached(now);
+    else
+        directory.handle_store_lost(now);
+    observe_event("store", *reached ? "regained" : "lost");
+    base::log_line(*reached ? base::log_level::info : base::log_level::warning,
+                   *reached ? "store_regained" : "store_lost")
+        .field("reason", "followers");
 }
 
 void peer_link::apply_report(inner_protocol::node_report const& report)
