--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t maximum_head_bytes = 64 * 1024;
 // Bytes that Beast leaves in the buffer until they form a complete line: a chunk header with its
 // extension, or a trailer.
-constexpr std::size_t maximum_unparsed_bytes = 128 * 1024;
+constexpr std::size_t maximum_unparsed_bytes = std::size_t{128} * 1024;
 
 } // namespace
 
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -31,7 +31,7 @@
 
     /// Body bytes that may wait for `take_body`, which bounds the memory that a server can occupy
     /// with a body without end.
-    static constexpr std::size_t maximum_untaken_body_bytes = 1024 * 1024;
+    static constexpr std::size_t maximum_untaken_body_bytes = std::size_t{1024} * 1024;
     static constexpr int maximum_informational_responses = 16;
 
     /// `expect_body` is false for the response to a HEAD request.
--- a/libraries/serving/event_stream_splitter.hpp
+++ b/libraries/serving/event_stream_splitter.hpp
@@ -24,7 +24,7 @@
 {
 public:
     /// Bounds the memory that a server can occupy with an event without end.
-    static constexpr std::size_t maximum_event_bytes = 256 * 1024;
+    static constexpr std::size_t maximum_event_bytes = std::size_t{256} * 1024;
 
     /// Adds received bytes and returns the events that they complete.
     std::vector<server_sent_event> feed(std::string_view bytes);
--- a/libraries/serving/peer_load_table.cpp
+++ b/libraries/serving/peer_load_table.cpp
@@ -40,7 +40,7 @@
     return oldest;
 }
 
-void peer_load_table::add_to_totals(source_report const& added, int sign)
+void peer_load_table::add_to_totals(source_report const& added, std::int64_t sign)
 {
     for (auto const& load : added.loads)
     {
@@ -50,8 +50,8 @@
         sum.unread_prompt_tokens += sign * load.unread_prompt_tokens;
         sum.recent_attempts += sign * load.recent_attempts;
         sum.recent_failures += sign * load.recent_failures;
-        sum.unreachable_reports += sign * (load.unreachable ? 1 : 0);
-        sum.reports += sign;
+        sum.unreachable_reports += static_cast<int>(sign) * (load.unreachable ? 1 : 0);
+        sum.reports += static_cast<int>(sign);
         if (sum.reports == 0)
             m_totals.erase(load.server);
     }
--- a/libraries/serving/peer_load_table.hpp
+++ b/libraries/serving/peer_load_table.hpp
@@ -81,7 +81,7 @@
     std::map<load_source, source_report> const& reports() const noexcept { return m_reports; }
 
 private:
-    void add_to_totals(source_report const& added, int sign);
+    void add_to_totals(source_report const& added, std::int64_t sign);
 
     std::map<load_source, source_report> m_reports;
     std::unordered_map<server_hash, totals> m_totals;
--- a/services/node/generation_handover.cpp
+++ b/services/node/generation_handover.cpp
@@ -26,7 +26,7 @@
 // Releasing an unused copy only helps the engine, so it must not block the worker for long.
 constexpr base::milliseconds release_timeout{200};
 // A response holds a handle and a few numbers.
-constexpr std::size_t maximum_response_bytes = 64 * 1024;
+constexpr std::size_t maximum_response_bytes = std::size_t{64} * 1024;
 constexpr int not_running_status = 404;
 constexpr int copy_in_progress_status = 409;
 
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -56,8 +56,8 @@
 {
     auto const revision = tables.configuration_revision();
     bool const any_peer = m_checks_behind >= checks_per_parent_wait;
-    auto const source = tables.nodes.configuration_source(platform::server_kind, revision, any_peer,
-                                                          now, tables.random);
+    auto source = tables.nodes.configuration_source(platform::server_kind, revision, any_peer, now,
+                                                    tables.random);
     bool const behind = !tables.nodes.peers_with_newer_configuration(revision, now).empty();
     m_checks_behind = behind && !source ? m_checks_behind + 1 : 0;
     return source;
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -155,7 +155,7 @@
 // node's memory.
 TEST(response_reader, ends_responses_without_end)
 {
-    constexpr std::size_t enough = 8 * 1024 * 1024;
+    constexpr std::size_t enough = std::size_t{8} * 1024 * 1024;
     auto const ends = [&](std::string_view prefix, std::string_view repeated)
     {
         auto const state = feed_without_end(prefix, repeated, enough);
@@ -184,7 +184,7 @@
 {
     response_reader reader;
     reader.feed(std::string_view("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
-    std::string const block(64 * 1024, 'b');
+    std::string const block(std::size_t{64} * 1024, 'b');
     std::size_t taken = 0;
     for (int i = 0; i < 64; ++i)
     {
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -291,6 +291,7 @@
 {
     start_until_ready();
     std::vector<std::future<int>> endless_calls;
+    endless_calls.reserve(20);
     for (int i = 0; i < 20; ++i)
         endless_calls.push_back(std::async(
             std::launch::async,
--- a/tests/zone_summary_test.cpp
+++ b/tests/zone_summary_test.cpp
@@ -57,6 +57,7 @@
         for (auto const& zone : m_zones)
         {
             std::vector<std::string> names;
+            names.reserve(10);
             for (int i = 0; i < 10; ++i)
                 names.push_back(zone + std::to_string(i));
             for (auto const& name : names)
