Node: Pull a configuration from any peer after a pull from the parent failed

Cause: a node whose parent in the tree reports a newer configuration, but does not answer pulls (a slow VM, a full link), asked it again every 0.2 s and never anybody else.

Change: a failed pull, like a parent that lacks the configuration for three checks, leads to any peer that has it. The rule is a class of its own, with store_followers.configuration_pulls_pass_over_a_parent_that_fails.

--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -15,8 +15,6 @@
 constexpr std::chrono::milliseconds configuration_check_interval{200};
 // Servers announce their removal 1.5 to 2 s ahead, so changes are still useful half a second late.
 constexpr int checks_per_object_check = 2;
-// Time after which a node pulls a configuration from any peer instead of its parent.
-constexpr int checks_per_parent_wait = 3;
 constexpr std::chrono::milliseconds pull_timeout{800};
 
 class node_peer_handler : public inner_protocol::node_peerIf
@@ -55,11 +53,10 @@
 peer_object_sync::find_configuration_source(node_state::tables& tables, base::time_point now)
 {
     auto const revision = tables.configuration_revision();
-    bool const any_peer = m_checks_behind >= checks_per_parent_wait;
-    auto source = tables.nodes.configuration_source(platform::server_kind, revision, any_peer, now,
-                                                    tables.random);
+    auto source = tables.nodes.configuration_source(
+        platform::server_kind, revision, m_configuration_pulls.use_any_peer(), now, tables.random);
     bool const behind = !tables.nodes.peers_with_newer_configuration(revision, now).empty();
-    m_checks_behind = behind && !source ? m_checks_behind + 1 : 0;
+    m_configuration_pulls.record_check(behind, source.has_value());
     return source;
 }
 
@@ -120,6 +117,7 @@
         });
     if (!pulled)
     {
+        m_configuration_pulls.record_failed_pull();
         observe_event("peer_pull", "failed");
         base::log_line(base::log_level::info, "peer_pull_failed").field("peer", source->name);
         return;
--- a/services/node/peer_object_sync.hpp
+++ b/services/node/peer_object_sync.hpp
@@ -5,6 +5,7 @@
 #include "inner_protocol/rpc.hpp"
 #include "node_peer.h"
 #include "services/node/node_state.hpp"
+#include "serving/configuration_pull_policy.hpp"
 
 #include <memory>
 
@@ -33,8 +34,7 @@
     std::unique_ptr<inner_protocol::rpc_server> m_server;
     bool m_was_behind = false;
     int m_check_count = 0;
-    /// Consecutive checks in which a peer had a newer configuration, but not this node's parent.
-    int m_checks_behind = 0;
+    serving::configuration_pull_policy m_configuration_pulls;
     base::periodic_thread m_pull_thread;
 };
 
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -1,5 +1,6 @@
 /// Liveness of entry nodes, selection of the nodes that follow the store, and report intervals. No
 /// network.
+#include "serving/configuration_pull_policy.hpp"
 #include "serving/node_directory.hpp"
 
 #include <gtest/gtest.h>
@@ -216,6 +217,28 @@
         EXPECT_TRUE(node.configuration_source("servers", 1, true, start, random));
 }
 
+// Guards against a node that asks its parent forever although the pulls fail, and against asking
+// any peer while the parent may still get the configuration.
+TEST(store_followers, configuration_pulls_pass_over_a_parent_that_fails)
+{
+    configuration_pull_policy policy;
+    EXPECT_FALSE(policy.use_any_peer());
+    policy.record_check(true, true);
+    EXPECT_FALSE(policy.use_any_peer());
+    policy.record_failed_pull();
+    EXPECT_TRUE(policy.use_any_peer());
+    policy.record_check(true, true);
+    EXPECT_TRUE(policy.use_any_peer());
+    policy.record_check(false, false);
+    EXPECT_FALSE(policy.use_any_peer());
+    for (int i = 0; i < configuration_pull_policy::checks_per_parent_wait; ++i)
+    {
+        EXPECT_FALSE(policy.use_any_peer());
+        policy.record_check(true, false);
+    }
+    EXPECT_TRUE(policy.use_any_peer());
+}
+
 // Guards against nodes that take expired server entries for removed ones, because they do not call
 // the store and miss its outage.
 TEST(store_followers, other_nodes_learn_of_an_outage_from_the_followers)
