Node directory: Replace a follower that is not heard within two seconds

Cause: a node left the store to nodes ahead of it in the order until they had been silent for 3.5 s.

Change: followers report every 0.3 s; if none is heard for 1 s, only nodes heard within 1.3 s count.

Before and after: store_followers.nodes_cut_off_together_replace_their_follower_within_two_seconds fails with the earlier period of 3.5 s and passes with 1.3 s.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -132,7 +132,7 @@
     std::size_t nodes_ahead = 0;
     for (auto const& [name, node] : m_nodes)
         nodes_ahead += reports_to_this_node(node) && is_alive(node, now) &&
-                       node.state.phase == node_phase::ready && accept(node.state) &&
+                       node.state.phase == node_phase::ready && accept(node) &&
                        base::rendezvous_weight(key, name) > local_weight;
     return nodes_ahead;
 }
@@ -140,7 +140,7 @@
 bool node_directory::reports_zone(base::time_point now) const
 {
     return is_large_fleet() && m_phase == node_phase::ready &&
-           count_nodes_ahead("zone-summary", now, [](node_state_report const&) { return true; }) <
+           count_nodes_ahead("zone-summary", now, [](node_record const&) { return true; }) <
                zone_reporters;
 }
 
@@ -338,16 +338,32 @@
     return follower->state.entry;
 }
 
+bool node_directory::hears_follower(base::time_point now) const
+{
+    return std::any_of(m_nodes.begin(), m_nodes.end(),
+                       [&](auto const& item)
+                       {
+                           auto const& node = item.second;
+                           return reports_to_this_node(node) && node.has_reported &&
+                                  node.state.follows_store && node.state.store_reached &&
+                                  now < node.last_report + follower_timeout;
+                       });
+}
+
 bool node_directory::follows_store(std::string_view kind, bool store_reached,
                                    base::time_point now) const
 {
     if (!is_large_fleet())
         return true;
+    bool const follower_heard = hears_follower(now);
     // Peers don't count a node that cannot reach the store, so another node follows instead of it.
-    return store_reached && count_nodes_ahead(kind, now,
-                                              [](node_state_report const& state) {
-                                                  return state.store_reached;
-                                              }) < followers_per_zone();
+    return store_reached &&
+           count_nodes_ahead(kind, now,
+                             [&](node_record const& node)
+                             {
+                                 bool const recent = now < node.last_report + recent_report_period;
+                                 return node.state.store_reached && (follower_heard || recent);
+                             }) < followers_per_zone();
 }
 
 std::optional<bool> node_directory::followers_reach_store(base::time_point now) const
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -85,6 +85,14 @@
     /// Nodes that watch the store in large fleets, spread over the zones; at least one in each
     /// zone. Two can fail at once, since changes are relayed between zones.
     static constexpr std::size_t store_followers = 3;
+    /// Time between two periodic reports of a follower.
+    static constexpr base::milliseconds follower_report_interval{300};
+    /// Time without a report of any follower after which the nodes of a zone replace it.
+    static constexpr base::milliseconds follower_timeout{1000};
+    /// Reports within this time show which nodes can replace a follower: a node that is cut off
+    /// together with others must not leave the store to nodes that it can no longer hear. Every
+    /// node reports at least once a second.
+    static constexpr base::milliseconds recent_report_period{1300};
     /// Nodes of a zone that send its summary to the other zones. One can fail.
     static constexpr std::size_t zone_reporters = 2;
     /// Reporters send a summary once per interval each.
@@ -158,7 +166,8 @@
                                                    base::random_source& random) const;
     /// True if this node watches `kind` in the store. In small fleets every node does. In large
     /// fleets the first live, ready nodes of each zone in rendezvous order that reach the store do,
-    /// and relay the changes to the other nodes.
+    /// and relay the changes to the other nodes. If none of them is heard, only nodes that were
+    /// heard recently count.
     bool follows_store(std::string_view kind, bool store_reached, base::time_point now) const;
     /// True if nodes report within their zone and only a few nodes watch the store.
     bool is_large_fleet() const noexcept { return m_nodes.size() >= large_fleet_threshold; }
@@ -193,6 +202,8 @@
     };
 
     bool is_alive(node_record const& node, base::time_point now) const noexcept;
+    /// True if a follower of this node's zone that reaches the store has reported recently.
+    bool hears_follower(base::time_point now) const;
     /// True if the node's reports come directly, not as a part of its zone's summary.
     bool reports_to_this_node(node_record const& node) const noexcept
     {
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -226,7 +226,9 @@
                 if (tables.dispatcher.expire(now))
                     tables.dispatcher.notify_leaving();
                 minimum_gap = tables.nodes.minimum_report_gap();
-                return tables.nodes.report_interval();
+                bool const often = tables.nodes.is_large_fleet() && tables.follows_store;
+                return often ? serving::node_directory::follower_report_interval
+                             : tables.nodes.report_interval();
             });
         std::this_thread::sleep_for(minimum_gap);
         poll_set.clear();
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -23,7 +23,7 @@
 constexpr base::milliseconds initial_backoff{100};
 constexpr base::milliseconds maximum_backoff{800};
 // Time within which a node takes over the watch of a failed node.
-constexpr base::milliseconds follower_check_interval{500};
+constexpr base::milliseconds follower_check_interval{250};
 
 } // namespace
 
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -258,6 +258,50 @@
     EXPECT_FALSE(node.followers_reach_store(start + node_directory::report_timeout));
 }
 
+// Guards against nodes that are cut off together, without the follower of their zone, and get a new
+// configuration too late: the nodes ahead of them count as alive for 3.5 s.
+TEST(store_followers, nodes_cut_off_together_replace_their_follower_within_two_seconds)
+{
+    auto zone_nodes = make_zone_of_large_fleet(1);
+    std::vector<std::size_t> cut_off;
+    for (std::size_t i = 0; i < zone_nodes.size(); ++i)
+        if (!zone_nodes[i].follows_store("servers", true, start) && i % 3 == 0)
+            cut_off.push_back(i);
+    std::int64_t sequence = 1;
+    for (auto now = start + milliseconds(200); now < start + seconds(2); now += milliseconds(200))
+    {
+        ++sequence;
+        for (auto const to : cut_off)
+            for (auto const from : cut_off)
+                zone_nodes[to].apply_report({make_zone_node(0, static_cast<int>(from)), 1, sequence,
+                                             node_phase::ready, true},
+                                            now);
+    }
+    auto const followers = std::count_if(
+        cut_off.begin(), cut_off.end(),
+        [&](std::size_t i)
+        { return zone_nodes[i].follows_store("servers", true, start + milliseconds(1900)); });
+    EXPECT_EQ(followers, 1);
+}
+
+// Guards against replacing a follower whose reports arrive because other nodes are silent.
+TEST(store_followers, silent_nodes_do_not_replace_a_follower_that_reports)
+{
+    auto zone_nodes = make_zone_of_large_fleet(1);
+    auto const later = start + milliseconds(2500);
+    std::optional<std::size_t> follower;
+    for (std::size_t i = 0; i < zone_nodes.size(); ++i)
+        if (zone_nodes[i].follows_store("servers", true, start))
+            follower = i;
+    ASSERT_TRUE(follower);
+    node_state_report report{make_zone_node(0, static_cast<int>(*follower)), 1, 2,
+                             node_phase::ready, true};
+    report.follows_store = true;
+    for (auto& node : zone_nodes)
+        node.apply_report(report, later);
+    EXPECT_EQ(count_store_followers(zone_nodes, later), 1);
+}
+
 // Guards against server changes that no node watches because the followers died or lost the store.
 TEST(store_followers, replace_nodes_that_are_silent_or_lost_the_store)
 {
