Node: Retry plain requests on a connection of their own

The first attempt met the late copy of another response on a pooled connection, the retry another such copy on the pooled connection to the second server. The answer was truthful, but the request had two sound servers.

Ruled out: reading on after a foreign response, which cannot be told from a server that mixes up its responses.

Change: only the first attempt of a request uses a pooled connection. The test sends more requests that leave a late copy behind.

--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -46,7 +46,9 @@
     auto const bytes = http::write_request(forwarded);
     bool const expect_body = m_context.request.method != "HEAD";
     std::optional<Poco::Net::StreamSocket> connection;
-    if (is_idempotent())
+    // A retry opens a connection of its own: the first attempt may have failed because of a late
+    // copy of another response on a pooled connection, and the next one may hold such a copy, too.
+    if (is_idempotent() && m_context.attempts == 0)
         connection = m_pool.try_acquire(server.id, now());
     started.uses_pooled_connection = connection.has_value();
     started.exchange =
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -278,9 +278,11 @@
 TEST_F(node_process_test, late_copy_of_a_response_is_not_delivered_to_the_next_request)
 {
     start_until_ready();
-    for (int i = 0; i < 20; ++i)
+    // Each response leaves a late copy on its connection, so that both servers soon have one
+    // waiting.
+    for (int i = 0; i < 30; ++i)
     {
-        auto const response = call("GET", i % 2 == 0 ? "/check/copied" : "/check/ok");
+        auto const response = call("GET", i % 3 == 2 ? "/check/ok" : "/check/copied");
         EXPECT_EQ(response.status, 200);
         EXPECT_EQ(response.body, "response to " + m_last_request_id);
     }
