Node: Answer running requests before a shutdown ends

What callers saw: a request that still waited for its server when the grace period was over lost its connection without a response.

Cause: relays computed the end of a wait before the signal came, so a silent stream or a slow plain call slept past the end of the shutdown; the process then exited, and plain calls knew no end but their own deadline. Also, nothing waited for responses that were sent at the end itself.

Change: relays also wait for the shutdown to begin and then use the earlier of the two deadlines. The last responses are sent 400 ms before the end of the grace period; the process exits when all have been sent, at the latest 150 ms before it.

--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -26,8 +26,10 @@
 
 using namespace jasminepier;
 
-// Time to close connections before the platform kills the process.
+// Time to send the last responses before the platform kills the process.
 constexpr base::milliseconds shutdown_margin{400};
+// Time to exit before the platform kills the process.
+constexpr base::milliseconds exit_margin{150};
 // A node without requests keeps serving until callers have had time to learn of its shutdown.
 constexpr base::milliseconds minimum_shutdown_duration{3500};
 constexpr base::milliseconds shutdown_poll_interval{50};
@@ -35,26 +37,28 @@
 // The settings file may change without a SIGHUP, so the node also checks it regularly.
 constexpr base::milliseconds settings_check_interval{1000};
 
-/// Keeps serving until the active requests have ended or the grace period is over. Meanwhile, peers
-/// no longer return this node's address to callers.
+/// Serves the active requests, and new ones that end in time, until all have ended or the grace
+/// period is over. Meanwhile, peers no longer return this node's address to callers.
 void shut_down_gracefully(node::node_state& state, node::peer_link& peers)
 {
     base::steady_clock_source const clock;
     auto const begin = clock.now();
-    auto const deadline = begin + state.settings()->shutdown_grace_period - shutdown_margin;
-    state.begin_shutdown(begin, deadline);
+    auto const grace_end = begin + state.settings()->shutdown_grace_period;
+    auto const response_end = grace_end - shutdown_margin;
+    state.begin_shutdown(begin, response_end);
     peers.send_report({});
     base::log_line(base::log_level::info, "stopping").field("running", state.active_requests());
-    while (clock.now() < deadline &&
-           (clock.now() < begin + minimum_shutdown_duration || state.active_requests() > 0))
+    while (clock.now() < begin + minimum_shutdown_duration && clock.now() < response_end)
         std::this_thread::sleep_for(shutdown_poll_interval);
     // From here on no connection reads a new request. One that was read just before is still
     // served.
     state.idle_connection_shutdown().signal();
-    do
+    // Requests that are still running at `response_end` are answered with an error.
+    while (clock.now() < grace_end - exit_margin && state.active_requests() > 0)
         std::this_thread::sleep_for(shutdown_poll_interval);
-    while (clock.now() < deadline && state.active_requests() > 0);
-    base::log_line(base::log_level::info, "stopped").field("running", state.active_requests());
+    base::log_line(base::log_level::info, "stopped")
+        .field("running", state.active_requests())
+        .field("elapsed_ms", state.shutdown().elapsed(clock.now()).count());
 }
 
 /// Reads the settings file. Prints the error and returns nothing if the file is invalid.
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -74,6 +74,9 @@
     void begin_shutdown(base::time_point now, base::time_point end);
     bool shutting_down() const noexcept { return m_shutdown.begun(); }
     decision::shutdown_admission const& shutdown() const noexcept { return m_shutdown; }
+    /// Signalled when the shutdown begins and never cleared. Wakes requests, whose deadlines
+    /// change.
+    http::wakeup& shutdown_begun() noexcept { return m_shutdown_begun; }
     /// Signalled at the end of the shutdown to close connections that wait for their next request.
     http::wakeup& idle_connection_shutdown() noexcept { return m_idle_connection_shutdown; }
 
@@ -90,6 +93,7 @@
     std::shared_ptr<node_settings const> m_settings;
     tables m_tables;
     decision::poison_request_detector m_poison_requests;
+    http::wakeup m_shutdown_begun;
     http::wakeup m_idle_connection_shutdown;
     http::wakeup m_report_due;
     decision::shutdown_admission m_shutdown;
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -73,6 +73,12 @@
     int handovers = 0;
 
     base::milliseconds time_left() const;
+    /// Returns the time at which this process must have answered: `deadline`, or the end of its
+    /// shutdown.
+    base::time_point response_deadline() const
+    {
+        return state.shutdown().response_deadline(deadline);
+    }
     /// Waits for the first configuration, for a part of the caller's timeout. Returns false if none
     /// has arrived.
     bool wait_for_configuration();
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -72,8 +72,7 @@
 std::optional<stream_relay::stream_outcome>
 stream_relay::check_timeouts(base::time_point current_time)
 {
-    if (current_time >= m_context.deadline ||
-        current_time >= m_context.state.shutdown().response_deadline(m_context.deadline))
+    if (current_time >= m_context.response_deadline())
         return stream_outcome::deadline_exceeded;
     if (!m_exchange->connected() && current_time >= m_exchange->start_time() + connect_timeout)
         m_exchange->fail_as_not_connected();
@@ -206,8 +205,8 @@
         if (server_leaving && !m_handover)
             m_handover = std::make_unique<generation_handover>(m_context, *m_attempt);
 
-        auto wait_deadline = m_context.deadline;
-        wait_deadline = m_context.state.shutdown().response_deadline(wait_deadline);
+        bool const shutting_down = m_context.state.shutting_down();
+        auto wait_deadline = m_context.response_deadline();
         if (!m_exchange->connected())
             wait_deadline = std::min(wait_deadline, m_exchange->start_time() + connect_timeout);
         if (m_context.route->idempotency == serving::request_idempotency::resumable ||
@@ -225,6 +224,7 @@
         poll_set.add(m_exchange->descriptor(), m_exchange->poll_events());
         poll_set.add(m_handover ? m_handover->descriptor() : -1,
                      m_handover ? m_handover->poll_events() : short{0});
+        poll_set.add(shutting_down ? -1 : m_context.state.shutdown_begun().descriptor(), POLLIN);
         poll_set.wait(wait_deadline);
         if (poll_set.ready(0) != 0)
             return stream_outcome::caller_left;
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -142,5 +142,53 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+// Guards against connections that the end of the process closes without a response to a request
+// that still waits for its server.
+TEST_F(node_shutdown_test, requests_that_run_until_the_end_are_answered)
+{
+    start_until_ready();
+    auto silent_stream = send(make_request("POST", "/plan/hang", "r-silent"));
+    auto slow_call = send(make_request("GET", "/open/hang", "r-slow"));
+    std::this_thread::sleep_for(milliseconds(300));
+    shut_down();
+    for (auto* pending : {&silent_stream, &slow_call})
+    {
+        auto const response = pending->get();
+        EXPECT_EQ(response.status, 504);
+        EXPECT_TRUE(response.is_complete);
+    }
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
+// Guards against requests that are read just before the process ends and get no response.
+TEST_F(node_shutdown_test, requests_sent_until_the_process_has_gone_are_answered_or_not_run)
+{
+    start_until_ready();
+    auto long_request = send(make_request("POST", "/plan/hang", "r-silent"));
+    shut_down();
+    int answered = 0;
+    for (int i = 0; m_node.program().running(); ++i)
+    {
+        auto request = make_request("POST", "/order/work-30", "r-order-" + std::to_string(i));
+        request.headers.set("Deadline-Ms", "600");
+        try
+        {
+            auto const response = call_node(m_node.ports().callers, request);
+            auto const runs = m_shop_1.execution_count("r-order-" + std::to_string(i)) +
+                              m_shop_2.execution_count("r-order-" + std::to_string(i));
+            EXPECT_TRUE(response.is_complete || runs == 0) << i;
+            EXPECT_TRUE(response.status != 503 || runs == 0) << i;
+            answered += response.is_complete ? 1 : 0;
+        }
+        catch (Poco::Exception const&)
+        {
+            // The process has closed its port.
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+    EXPECT_GT(answered, 20);
+    long_request.wait();
+}
+
 } // namespace
 } // namespace jasminepier::tests
