HTTP, Node: Close idle connections when a shutdown begins

What callers saw: a caller that kept a connection to a stopping node sent its next request there, which was rejected or broken off, instead of opening a connection to another node. A second request that had arrived together with the first one was read and dropped with the connection.

Cause: idle connections were closed only when nothing ran any more. The response to the first of several pipelined requests ended the connection although the next one had been read.

Change: idle connections close when the shutdown begins. A new connection may still send its first request within 500 ms, and the process waits for it. Pipelined requests are answered before the connection ends. Bytes that are readable when the shutdown begins are read and answered.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/client_exchange.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <sys/socket.h>
@@ -40,6 +41,7 @@
     auto deadline = clock.now() + timeouts.idle;
     bool head_started = false;
     bool body_started = false;
+    bool interrupted = false;
     wait_set poll_set;
     std::array<char, 16384> bytes;
     while (true)
@@ -71,10 +73,14 @@
         }
         poll_set.clear();
         poll_set.add(descriptor(), POLLIN);
-        poll_set.add(interruption.descriptor(), head_started ? 0 : POLLIN);
+        poll_set.add(head_started || interrupted ? -1 : interruption.descriptor(), POLLIN);
         poll_set.wait(deadline);
-        if (!head_started && poll_set.ready(1) != 0)
-            return read_outcome::interrupted;
+        if (poll_set.ready(1) != 0)
+        {
+            interrupted = true;
+            deadline =
+                std::min<base::time_point>(deadline, clock.now() + timeouts.after_interruption);
+        }
         if (poll_set.ready(0) != 0)
         {
             auto const byte_count = ::recv(descriptor(), bytes.data(), bytes.size(), 0);
@@ -85,7 +91,9 @@
             continue;
         }
         if (clock.now() >= deadline)
-            return head_started ? read_outcome::read_timeout : read_outcome::idle_timeout;
+            return head_started  ? read_outcome::read_timeout
+                   : interrupted ? read_outcome::interrupted
+                                 : read_outcome::idle_timeout;
     }
 }
 
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -20,6 +20,8 @@
     std::chrono::milliseconds header{3000};
     /// Maximum time that a connection may stay open without a request.
     std::chrono::milliseconds idle{15000};
+    /// Maximum time that a connection without a request stays open after the interruption.
+    std::chrono::milliseconds after_interruption{0};
 };
 
 enum class read_outcome
@@ -44,9 +46,9 @@
     caller_connection(Poco::Net::StreamSocket const& socket, request_size_limits limits);
 
     /// Waits for the next complete request and stores it in `result`. Calls `on_started` once its
-    /// first byte has arrived. Signalling `interruption` ends the wait unless a request has
-    /// started; bytes that arrive later stay unread, so the caller knows that the request has not
-    /// run.
+    /// first byte has arrived. Signalling `interruption` ends the wait, possibly after a delay,
+    /// unless a request has started; bytes that arrive later stay unread, so the caller knows that
+    /// the request has not run.
     read_outcome read_request(request& result, read_timeouts timeouts, wakeup& interruption,
                               std::function<void()> const& on_started);
 
@@ -56,6 +58,11 @@
 
     /// Returns true if the caller closed its side of the connection or reset it.
     bool is_disconnected() const;
+    /// Returns true if bytes of another request arrived together with the last one.
+    bool has_pipelined_request() const noexcept
+    {
+        return m_reader.current_state() != request_reader::state::idle;
+    }
     int descriptor() const noexcept;
     /// Shuts down the sending side and briefly discards received bytes before closing. Closing a
     /// socket with unread bytes resets the connection, and the caller could lose the response.
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -14,8 +14,11 @@
 
 using base::error_kind;
 
+// Callers send the first request as soon as they have connected. A shutdown waits this long for it.
+constexpr base::milliseconds first_request_timeout{500};
+
 /// Counts a request as active from its first byte until it has been answered, so that a shutdown
-/// waits for it.
+/// waits for it. A new connection counts as active until it is clear whether a request follows.
 class active_request_count
 {
 public:
@@ -29,6 +32,8 @@
     }
     void add()
     {
+        if (m_counted)
+            return;
         m_counted = true;
         m_state.add_active_requests(1);
     }
@@ -88,15 +93,19 @@
 
 void caller_session::serve_requests(http::caller_connection& caller, http::wakeup& wake)
 {
-    while (true)
+    for (bool is_first = true;; is_first = false)
     {
         auto const configuration = m_state.configuration();
         auto const limits = configuration ? configuration->limits : serving::caller_limits{};
+        http::read_timeouts const timeouts{limits.header_timeout, limits.idle_timeout,
+                                           is_first ? first_request_timeout
+                                                    : base::milliseconds(0)};
         http::request request;
         active_request_count active(m_state);
+        if (is_first)
+            active.add();
         auto const outcome =
-            caller.read_request(request, {limits.header_timeout, limits.idle_timeout},
-                                m_state.idle_connection_shutdown(), [&] { active.add(); });
+            caller.read_request(request, timeouts, m_state.shutdown_begun(), [&] { active.add(); });
         if (outcome != http::read_outcome::request)
             return send_read_error(caller, outcome);
         request_context context(m_state, caller, wake, std::move(request),
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -50,9 +50,6 @@
     base::log_line(base::log_level::info, "stopping").field("running", state.active_requests());
     while (clock.now() < begin + minimum_shutdown_duration && clock.now() < response_end)
         std::this_thread::sleep_for(shutdown_poll_interval);
-    // From here on no connection reads a new request. One that was read just before is still
-    // served.
-    state.idle_connection_shutdown().signal();
     // Requests that are still running at `response_end` are answered with an error.
     while (clock.now() < grace_end - exit_margin && state.active_requests() > 0)
         std::this_thread::sleep_for(shutdown_poll_interval);
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -75,10 +75,8 @@
     bool shutting_down() const noexcept { return m_shutdown.begun(); }
     decision::shutdown_admission const& shutdown() const noexcept { return m_shutdown; }
     /// Signalled when the shutdown begins and never cleared. Wakes requests, whose deadlines
-    /// change.
+    /// change, and closes connections that wait for their next request.
     http::wakeup& shutdown_begun() noexcept { return m_shutdown_begun; }
-    /// Signalled at the end of the shutdown to close connections that wait for their next request.
-    http::wakeup& idle_connection_shutdown() noexcept { return m_idle_connection_shutdown; }
 
     /// Signalled to send a report to the peers before the regular interval has passed.
     http::wakeup& report_due() noexcept { return m_report_due; }
@@ -94,7 +92,6 @@
     tables m_tables;
     decision::poison_request_detector m_poison_requests;
     http::wakeup m_shutdown_begun;
-    http::wakeup m_idle_connection_shutdown;
     http::wakeup m_report_due;
     decision::shutdown_admission m_shutdown;
     std::atomic<int> m_active_requests{0};
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -325,8 +325,7 @@
     fields.add("Content-Length", std::to_string(body.size()));
     if (error_response.http_status == 429 || error_response.http_status == 503)
         fields.add("Retry-After", format_seconds(retry_after(failure.kind)));
-    if (state.shutting_down())
-        keep_connection = false;
+    close_connection_during_shutdown();
     if (!keep_connection)
         fields.add("Connection", "close");
     auto text = http::write_response_head(error_response.http_status, "", fields);
@@ -348,8 +347,7 @@
     }
     else if (!status_has_no_body)
         fields.add("Content-Length", std::to_string(response.body.size()));
-    if (state.shutting_down())
-        keep_connection = false;
+    close_connection_during_shutdown();
     if (!keep_connection)
         fields.add("Connection", "close");
     auto text = http::write_response_head(response.status, response.reason, fields);
@@ -363,6 +361,12 @@
     }
 }
 
+void request_context::close_connection_during_shutdown()
+{
+    if (state.shutting_down() && !caller.has_pipelined_request())
+        keep_connection = false;
+}
+
 void request_context::log_completion() const
 {
     auto const now = base::steady_clock_source{}.now();
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -109,8 +109,7 @@
     m_context.status = m_response_head->status;
     auto fields = platform::end_to_end_fields(*m_response_head);
     fields.add("Transfer-Encoding", "chunked");
-    if (m_context.state.shutting_down())
-        m_context.keep_connection = false;
+    m_context.close_connection_during_shutdown();
     if (!m_context.keep_connection)
         fields.add("Connection", "close");
     return m_context.caller.send(
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -160,6 +160,42 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+// Guards against callers that keep an idle connection to a stopping node and send the next request
+// there.
+TEST_F(node_shutdown_test, idle_connections_close_when_the_shutdown_begins)
+{
+    start_until_ready();
+    Poco::Net::StreamSocket idle(Poco::Net::SocketAddress(loopback_host, m_node.ports().callers));
+    idle.setReceiveTimeout(Poco::Timespan(10, 0));
+    send_all(idle, http::write_request(make_request("GET", "/check/ok", "r-first")));
+    std::this_thread::sleep_for(milliseconds(300));
+    auto const begin = std::chrono::steady_clock::now();
+    shut_down();
+    EXPECT_NE(receive_all(idle).find("response to r-first"), std::string::npos);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, seconds(2));
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
+// Guards against pipelined requests that a stopping node has read and then drops with the
+// connection.
+TEST_F(node_shutdown_test, pipelined_requests_are_answered_before_the_connection_closes)
+{
+    start_until_ready();
+    Poco::Net::StreamSocket caller(Poco::Net::SocketAddress(loopback_host, m_node.ports().callers));
+    caller.setReceiveTimeout(Poco::Timespan(10, 0));
+    auto request = make_request("GET", "/check/work-600", "r-first");
+    auto second_request = make_request("GET", "/check/ok", "r-second");
+    for (auto* pipelined : {&request, &second_request})
+        pipelined->headers.set("Deadline-Ms", "3000");
+    send_all(caller, http::write_request(request) + http::write_request(second_request));
+    std::this_thread::sleep_for(milliseconds(200));
+    shut_down();
+    auto const received = receive_all(caller);
+    EXPECT_NE(received.find("response to r-first"), std::string::npos);
+    EXPECT_NE(received.find("response to r-second"), std::string::npos);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against requests that are read just before the process ends and get no response.
 TEST_F(node_shutdown_test, requests_sent_until_the_process_has_gone_are_answered_or_not_run)
 {
