Entry: Start only requests that end before the drain limit

What callers saw: with `--drain-limit`, a completion that was started while the process was leaving got no response when the limit ended the process. Without the option (the default) nothing was cut.

Change: `shutdown_admission` decides here as well, by the caller's timeout; a request without one may take any time. A completion that is not streamed fails with generation_lost before the process exits. A stream is still broken off, since its caller resumes it at another node with the last event id.

--- a/libraries/decision/generation_delivery.hpp
+++ b/libraries/decision/generation_delivery.hpp
@@ -6,6 +6,7 @@
 #include "base/error.hpp"
 #include "base/hash.hpp"
 #include "decision/retry_policy.hpp"
+#include "decision/shutdown_admission.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -129,6 +130,9 @@
     bool may_switch_to_streaming = true;
     /// The delivery fails when this time has passed.
     std::optional<base::time_point> deadline;
+    /// The delivery also fails at the end of this shutdown; null if there is none. Outlives the
+    /// delivery.
+    shutdown_admission const* shutdown = nullptr;
 };
 
 /// The position in a response that an earlier delivery reached.
@@ -206,9 +210,17 @@
         return m_result;
     }
 
+    bool deadline_passed() const
+    {
+        auto const deadline = m_settings.deadline.value_or(base::time_point::max());
+        return m_clock.now() > (m_settings.shutdown != nullptr
+                                    ? m_settings.shutdown->response_deadline(deadline)
+                                    : deadline);
+    }
+
     void handle_event(attempt_event event)
     {
-        if (m_settings.deadline && m_clock.now() > *m_settings.deadline)
+        if (deadline_passed())
             return fail(base::error_kind::generation_lost, "the deadline has passed");
         if (event.kind == event_type::failure)
             return recover_from({event.failure, {}, std::move(event.reason)});
@@ -363,8 +375,7 @@
     {
         bool const reached_engine = failed.failure != attempt_failure::not_connected;
         if (m_result.attempts >= m_settings.maximum_attempts ||
-            m_start_attempts >= m_settings.maximum_start_attempts ||
-            (m_settings.deadline && m_clock.now() > *m_settings.deadline) ||
+            m_start_attempts >= m_settings.maximum_start_attempts || deadline_passed() ||
             (reached_engine && !m_transport.try_spend_retry()))
         {
             fail(loss_error_kind(), failed.reason);
--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -247,6 +247,12 @@
 {
     auto const snapshot = state.snapshot();
     BOOST_LEAF_AUTO(completion, read_completion_request(*snapshot, customer, request));
+    if (!serving.shutdown().admits(completion.job.deadline))
+        return base::fail(base::error_kind::node_stopping,
+                          "this node may stop before the response has ended");
+    // A stream that the end of the process breaks off can be resumed at another node.
+    if (completion.chat.mode == response_mode::complete)
+        completion.settings.shutdown = &serving.shutdown();
     completion.context.request_id = response.get("X-Request-Id", "");
     completion.job.requirements.request_id = completion.context.request_id;
     observe_request(completion.context.request_id, customer.name, completion.kind,
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -27,6 +27,13 @@
     constexpr std::chrono::minutes maximum_outcome_wait{10};
     auto const address_wait =
         std::chrono::seconds(serving.settings().address_time_to_live_seconds) + address_margin;
+    auto const begin = base::steady_clock_source{}.now();
+    // Time to send the last responses before the process exits.
+    constexpr std::chrono::milliseconds response_margin{500};
+    serving.shutdown().begin(begin, drain_limit.count() == 0 ? std::nullopt
+                                                             : std::optional<base::time_point>(
+                                                                   begin + address_wait +
+                                                                   drain_limit - response_margin));
     serving.set_phase(entry::shutdown_phase::leaving);
     base::log_line(base::log_level::info, "stopping")
         .field("phase", "leaving")
@@ -112,7 +119,7 @@
     entry::control_link link(state, serving, host, control_port);
     base::periodic_thread const control_exchange_thread(std::chrono::milliseconds(200),
                                                         [&] { link.exchange(); });
-    entry::plain_calls plain(state, node_id, platform_settings);
+    entry::plain_calls plain(state, serving.shutdown(), node_id, platform_settings);
     inner_protocol::rpc_server const peers(std::make_shared<inner_protocol::entry_nodeProcessor>(
                                                std::make_shared<entry::entry_peer_handler>(plain)),
                                            host, entry_peer_port);
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -53,6 +53,9 @@
                                       http_request& request, http_response& response)
 {
     BOOST_LEAF_AUTO(call, parse_plain_call(*m_state.snapshot(), customer, request));
+    if (!m_shutdown.admits(call.deadline))
+        return base::fail(base::error_kind::node_stopping,
+                          "this node may stop before the call has ended");
     response.set("X-Request-Id", call.request_id);
     observe_request(call.request_id, customer.name,
                     call.semantics == call_semantics::idempotent ? configuration::work_kind::lookup
--- a/tests/serving_limits_test.cpp
+++ b/tests/serving_limits_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <future>
 #include <optional>
+#include <thread>
 
 namespace jasminepier::tests
 {
@@ -138,6 +140,38 @@
     EXPECT_FALSE(completion.done);
 }
 
+// Guards against completions that are started during a shutdown with a limit and end without a
+// response when the process exits.
+TEST(graceful_shutdown, with_a_drain_limit_starts_only_requests_that_end_in_time)
+{
+    setenv("JASMINEPIER_ADDRESS_TIME_TO_LIVE", "0", 1);
+    setenv("JASMINEPIER_DRAIN_LIMIT", "2", 1);
+    deployment test_deployment("127.0.12.27");
+    start(test_deployment, 1);
+    unsetenv("JASMINEPIER_DRAIN_LIMIT");
+    auto running = std::async(
+        std::launch::async,
+        [&] { return send_completion(test_deployment, stream_body(20000, "Design.", false)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    auto& entry = test_deployment.program("entry-1");
+    entry.send_signal(SIGTERM);
+    auto const short_body = stream_body(5, "Which screws?", false);
+    EXPECT_TRUE(wait_until(
+        [&]
+        {
+            return send_completion(test_deployment, short_body)
+                       .body.find("\"execution\":\"not_run\"") != std::string::npos;
+        },
+        std::chrono::seconds(3)));
+    EXPECT_EQ(send_completion(test_deployment, short_body,
+                              {{"Jasminepier-Timeout-Milliseconds", "2000"}})
+                  .status,
+              200);
+    auto const response = running.get();
+    EXPECT_NE(response.body.find("generation_lost"), std::string::npos) << response.status;
+    EXPECT_EQ(entry.wait_for_exit(30), 0);
+}
+
 // Guards against event ids that resume the completion of another customer or request, or that a
 // caller forged.
 TEST(event_ids, are_rejected_when_forged_or_for_another_request)
