Node: Treat a stream that ends inside an event as broken off

Callers saw: a stream that its server broke off inside an event ended as if it were complete. The terminating chunk followed the last whole event, whenever the response itself was complete: closed in order without a length, chunked, or of the stated length.

Cause: the relay judged the end of a stream by the framing of the response and ignored the partial event in the splitter. The splitter also didn't know CR as the end of a line, so it never ended an event of such a stream.

Ruled out: plain responses.

Change: a response that ends inside an event is broken: it is resumed at another server after the last whole event if the route allows it, and aborted or answered 502 otherwise, and counts as a failure of the server. Lines end with LF, CRLF or CR. Blank lines and comments without a field are not an event, so they don't break a stream; they are forwarded. A stream without any event is complete, as before. The fake server gets responses and streams without a length, whole, partial or reset.

--- a/libraries/serving/event_stream_splitter.cpp
+++ b/libraries/serving/event_stream_splitter.cpp
@@ -7,24 +7,28 @@
 namespace
 {
 
+/// Removes the first line and its end, which is LF, CRLF or CR, from `text`. Returns the line
+/// without its end, or nullopt if no line is complete.
+std::optional<std::string_view> take_line(std::string_view& text)
+{
+    auto const end = text.find_first_of("\r\n");
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    auto const line = text.substr(0, end);
+    text.remove_prefix(text.substr(end).starts_with("\r\n") ? end + 2 : end + 1);
+    return line;
+}
+
 std::string parse_event_id(std::string_view event)
 {
-    while (!event.empty())
+    while (auto line = take_line(event))
     {
-        auto const end = event.find('\n');
-        auto line = event.substr(0, end);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        if (line.starts_with("id:"))
-        {
-            line.remove_prefix(3);
-            if (!line.empty() && line.front() == ' ')
-                line.remove_prefix(1);
-            return std::string(line);
-        }
-        if (end == std::string_view::npos)
-            break;
-        event.remove_prefix(end + 1);
+        if (!line->starts_with("id:"))
+            continue;
+        line->remove_prefix(3);
+        if (line->starts_with(' '))
+            line->remove_prefix(1);
+        return std::string(*line);
     }
     return {};
 }
@@ -32,17 +36,18 @@
 /// Returns the position after the first blank line, or npos.
 std::size_t find_event_end(std::string_view text)
 {
-    for (auto newline = text.find('\n'); newline != std::string_view::npos;
-         newline = text.find('\n', newline + 1))
-    {
-        if (text.substr(newline + 1).starts_with('\n'))
-            return newline + 2;
-        if (text.substr(newline + 1).starts_with("\r\n"))
-            return newline + 3;
-    }
+    auto rest = text;
+    while (auto const line = take_line(rest))
+        if (line->empty())
+            return text.size() - rest.size();
     return std::string_view::npos;
 }
 
+bool is_field(std::string_view line)
+{
+    return !line.empty() && line.front() != ':';
+}
+
 } // namespace
 
 std::vector<server_sent_event> event_stream_splitter::feed(std::string_view bytes)
@@ -65,6 +70,15 @@
     return events;
 }
 
+bool event_stream_splitter::has_partial_event() const
+{
+    std::string_view rest = m_pending;
+    while (auto const line = take_line(rest))
+        if (is_field(*line))
+            return true;
+    return is_field(rest);
+}
+
 std::optional<std::int64_t> parse_event_number(std::string_view id)
 {
     std::int64_t value = 0;
--- a/libraries/serving/event_stream_splitter.hpp
+++ b/libraries/serving/event_stream_splitter.hpp
@@ -10,7 +10,8 @@
 namespace jasminepier::serving
 {
 
-/// A complete event with its bytes as received, including the blank line that ends it.
+/// A complete event, or comments between events, with the bytes as received, including the blank
+/// line that ends it.
 struct server_sent_event
 {
     std::string bytes;
@@ -30,7 +31,11 @@
     std::vector<server_sent_event> feed(std::string_view bytes);
     /// True if an event exceeds `maximum_event_bytes`. The splitter then returns no further events.
     bool oversized() const noexcept { return m_pending.size() > maximum_event_bytes; }
-    bool has_partial_event() const noexcept { return !m_pending.empty(); }
+    /// True if the received bytes end inside an event. Comment lines are not part of an event
+    /// unless fields follow them.
+    bool has_partial_event() const;
+    /// Returns the received bytes that belong to no complete event.
+    std::string_view remainder() const noexcept { return m_pending; }
 
 private:
     std::string m_pending;
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -121,7 +121,9 @@
 
 bool stream_relay::send_last_chunk()
 {
-    return m_context.caller.send("0\r\n\r\n", now() + caller_send_timeout);
+    auto const comments = m_event_splitter.remainder();
+    return m_context.caller.send((comments.empty() ? "" : encode_chunk(comments)) + "0\r\n\r\n",
+                                 now() + caller_send_timeout);
 }
 
 bool stream_relay::forward_events(std::string_view bytes)
@@ -180,7 +182,8 @@
         return stream_outcome::not_run;
     if (m_exchange->complete() && m_exchange->head().status / 100 != 2)
         return stream_outcome::error_response;
-    return m_exchange->complete() ? stream_outcome::complete : stream_outcome::broken;
+    bool const broken_off = !m_exchange->complete() || m_event_splitter.has_partial_event();
+    return broken_off ? stream_outcome::broken : stream_outcome::complete;
 }
 
 stream_relay::stream_outcome stream_relay::pump()
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -32,7 +32,8 @@
         complete,
         /// The server certainly did not run the request.
         not_run,
-        /// The connection failed, or the response belongs to another request or is not genuine.
+        /// The connection failed, the stream ended inside an event, or the response belongs to
+        /// another request or is not genuine.
         broken,
         /// The server responded with an error.
         error_response,
@@ -49,6 +50,7 @@
     std::optional<stream_outcome> validate_head();
     bool forward_events(std::string_view bytes);
     bool send_head();
+    /// Sends comments that follow the last event, and the end of the response.
     bool send_last_chunk();
     /// Returns true if the generation may be handed over to another engine.
     bool can_hand_over() const;
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -217,5 +217,52 @@
     EXPECT_TRUE(splitter.has_partial_event());
 }
 
+/// Feeds `stream` in blocks of `block_size` bytes. Returns the bytes of the events, joined.
+std::string split_events(serving::event_stream_splitter& splitter, std::string_view stream,
+                         std::size_t block_size)
+{
+    std::string events;
+    for (; !stream.empty(); stream.remove_prefix(std::min(block_size, stream.size())))
+        for (auto const& event : splitter.feed(stream.substr(0, block_size)))
+            events += event.bytes;
+    return events;
+}
+
+// Guards against streams that never end an event because the server ends lines with CR or CRLF, and
+// against taking half of a line end for a partial event.
+TEST(event_stream_splitter, line_ends_are_lf_crlf_or_cr)
+{
+    for (std::string const end : {"\n", "\r\n", "\r"})
+        for (std::size_t const block_size : {1U, 2U, 3U, 1000U})
+        {
+            serving::event_stream_splitter splitter;
+            std::string stream("id: 1");
+            stream.append(end).append("data: a").append(end).append(end);
+            stream.append("id: 2").append(end).append(end).append(end);
+            EXPECT_EQ(split_events(splitter, stream, block_size), stream);
+            EXPECT_FALSE(splitter.has_partial_event());
+            auto const events = splitter.feed(std::string("id: 3").append(end).append(end));
+            ASSERT_EQ(events.size(), 1U);
+            EXPECT_EQ(events[0].id, "3");
+        }
+}
+
+// Guards against taking a stream that was broken off for a complete one, and the reverse.
+TEST(event_stream_splitter, partial_event_differs_from_trailing_comments)
+{
+    for (auto const* rest : {"d", "data: b", "data: b\n", "data: b\r", "id: 2\n", ": c\ndata: b\n"})
+    {
+        serving::event_stream_splitter splitter;
+        EXPECT_EQ(split_events(splitter, std::string("data: a\n\n") + rest, 1000), "data: a\n\n");
+        EXPECT_TRUE(splitter.has_partial_event()) << rest;
+    }
+    for (auto const* rest : {"", ":", ": keepalive", ": keepalive\n", ": a\r\n: b\r\n"})
+    {
+        serving::event_stream_splitter splitter;
+        EXPECT_EQ(split_events(splitter, std::string("data: a\n\n") + rest, 1000), "data: a\n\n");
+        EXPECT_FALSE(splitter.has_partial_event()) << rest;
+    }
+}
+
 } // namespace
 } // namespace jasminepier::http
--- /dev/null
+++ b/tests/node_stream_test.cpp
@@ -0,0 +1,91 @@
+/// Streams and plain responses that end in unusual ways, relayed by jasminepier-node.
+#include "tests/support/node_fixture.hpp"
+
+namespace jasminepier::tests
+{
+namespace
+{
+
+/// Uses its own range of ports.
+class node_stream_test : public node_fixture
+{
+protected:
+    node_stream_test() : node_fixture(24500) {}
+};
+
+// Guards against rejecting or changing a plain response without a length, and against delivering
+// one that was reset.
+TEST_F(node_stream_test, plain_response_without_length_ends_with_an_orderly_close_only)
+{
+    start_until_ready();
+    for (std::string const path : {"/check/closed", "/order/closed"})
+    {
+        auto const response = call(path.starts_with("/order") ? "POST" : "GET", path);
+        EXPECT_EQ(response.status, 200);
+        EXPECT_TRUE(response.is_complete);
+        EXPECT_EQ(response.body, "response to " + m_last_request_id);
+        EXPECT_EQ(run_count(), 1);
+    }
+    auto const head = call("HEAD", "/check/closed");
+    EXPECT_EQ(head.status, 200);
+    EXPECT_EQ(head.body, "");
+    EXPECT_EQ(call("GET", "/check/reset").status, 502);
+    EXPECT_EQ(run_count(), 2);
+    EXPECT_EQ(call("POST", "/order/reset").status, 502);
+    EXPECT_EQ(run_count(), 1);
+    EXPECT_EQ(call("GET", "/check/ok").status, 200);
+}
+
+TEST_F(node_stream_test, stream_may_end_with_its_connection_after_an_event)
+{
+    start_until_ready();
+    for (std::string const route : {"/plan/", "/question/"})
+    {
+        auto const response = call("POST", route + "closed-4");
+        EXPECT_TRUE(response.is_complete);
+        EXPECT_EQ(response.body, make_events(1, 4));
+        auto const empty = call("POST", route + "closed-0");
+        EXPECT_EQ(empty.status, 200);
+        EXPECT_TRUE(empty.is_complete);
+        EXPECT_EQ(empty.body, "");
+        auto const commented = call("POST", route + "comment-2");
+        EXPECT_TRUE(commented.is_complete);
+        EXPECT_EQ(commented.body, make_events(1, 2) + ": end\n");
+        EXPECT_EQ(run_count(), 1);
+    }
+}
+
+// Guards against terminating a stream as complete whose server broke it off inside an event.
+TEST_F(node_stream_test, stream_that_ends_inside_an_event_is_aborted)
+{
+    start_until_ready();
+    for (std::string const framing : {"closed", "chunked", "sized", "reset"})
+    {
+        SCOPED_TRACE(framing);
+        auto const response = call("POST", "/plan/partial-" + framing + "-3");
+        EXPECT_FALSE(response.is_complete);
+        EXPECT_EQ(response.body, make_events(1, 3));
+        EXPECT_EQ(call("POST", "/plan/partial-" + framing + "-0").status, 502);
+        EXPECT_EQ(run_count(), 1);
+    }
+}
+
+// Guards against ending a resumable stream that another server could continue after its last whole
+// event.
+TEST_F(node_stream_test, resumable_stream_that_ends_inside_an_event_is_resumed)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    for (std::string const framing : {"closed", "chunked", "sized", "reset"})
+    {
+        SCOPED_TRACE(framing);
+        auto const response = call("POST", "/question/partial-" + framing + "-3");
+        EXPECT_TRUE(response.is_complete);
+        EXPECT_EQ(response.body, make_events(1, 5));
+        EXPECT_EQ(m_engine_1.execution_count(m_last_request_id), 1);
+        EXPECT_EQ(m_engine_2.execution_count(m_last_request_id), 1);
+    }
+}
+
+} // namespace
+} // namespace jasminepier::tests
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -7,6 +7,24 @@
 
 namespace jasminepier::tests
 {
+namespace
+{
+
+std::string encode_chunk(std::string const& bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+/// Makes the end of the connection a reset. The peer first reads what has been sent.
+void reset(Poco::Net::StreamSocket& socket)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    socket.setLinger(true, 0);
+}
+
+} // namespace
 
 fake_server::fake_server(std::uint16_t port, std::string id)
     : m_id(std::move(id)),
@@ -158,6 +176,25 @@
         return stream(socket, request, std::stoi(action.substr(7)), true), true;
     if (action == "endless")
         return send_without_end(socket, request), false;
+    if (action == "closed" || action == "reset")
+    {
+        auto const body = request.method == "HEAD" ? "" : "response to " + id;
+        send_all(socket, http::write_response_head(200, "", fields) +
+                             (action == "closed" ? body : body.substr(0, body.size() / 2)));
+        if (action == "reset")
+            reset(socket);
+        return false;
+    }
+    if (action.starts_with("closed-"))
+        return stream(socket, request, std::stoi(action.substr(7)), true,
+                      framing::end_of_connection),
+               false;
+    if (action.starts_with("comment-"))
+        return send_partial_stream(socket, request, std::stoi(action.substr(8)), ": end\n",
+                                   framing::end_of_connection),
+               false;
+    if (action.starts_with("partial-"))
+        return serve_partial_stream(socket, request, action), false;
     bool const resumed = request.headers.find("Last-Event-Id").has_value();
     if (action.starts_with("stalled-") && resumed)
         return stream(socket, request, std::stoi(action.substr(8)), true), true;
@@ -168,23 +205,61 @@
     return false;
 }
 
+void fake_server::serve_partial_stream(Poco::Net::StreamSocket& socket,
+                                       http::request const& request, std::string const& action)
+{
+    auto const number_start = action.rfind('-') + 1;
+    auto const events = std::stoi(action.substr(number_start));
+    if (request.headers.find("Last-Event-Id"))
+        return stream(socket, request, events + 2, true);
+    auto const body_framing = action.starts_with("partial-chunked-") ? framing::chunked
+                              : action.starts_with("partial-sized-") ? framing::sized
+                              : action.starts_with("partial-reset-") ? framing::reset_connection
+                                                                     : framing::end_of_connection;
+    send_partial_stream(socket, request, events,
+                        "id: " + std::to_string(events + 1) + "\ndata: pie", body_framing);
+}
+
+void fake_server::send_partial_stream(Poco::Net::StreamSocket& socket, http::request const& request,
+                                      int events, std::string const& rest, framing body_framing)
+{
+    std::string body;
+    for (int number = 1; number <= events; ++number)
+        body += "id: " + std::to_string(number) + "\ndata: piece\n\n";
+    body += rest;
+    http::header_list fields;
+    fields.add("Attempt-Id", std::string(request.headers.find("Attempt-Id").value_or("")));
+    fields.add("Server-Signature", "signed-by-" + m_id);
+    fields.add("Content-Type", "text/event-stream");
+    if (body_framing == framing::sized)
+        fields.add("Content-Length", std::to_string(body.size()));
+    if (body_framing == framing::chunked)
+    {
+        fields.add("Transfer-Encoding", "chunked");
+        body = encode_chunk(body) + "0\r\n\r\n";
+    }
+    send_all(socket, http::write_response_head(200, "", fields) + body);
+    if (body_framing == framing::reset_connection)
+        reset(socket);
+}
+
 void fake_server::stream(Poco::Net::StreamSocket& socket, http::request const& request, int events,
-                         bool complete)
+                         bool complete, framing body_framing)
 {
+    bool const chunked = body_framing == framing::chunked;
     auto const id = std::string(request.headers.find("Attempt-Id").value_or(""));
     auto const last = std::string(request.headers.find("Last-Event-Id").value_or(""));
     http::header_list fields;
     fields.add("Attempt-Id", id);
     fields.add("Server-Signature", "signed-by-" + m_id);
     fields.add("Content-Type", "text/event-stream");
-    fields.add("Transfer-Encoding", "chunked");
+    if (chunked)
+        fields.add("Transfer-Encoding", "chunked");
     send_all(socket, http::write_response_head(200, "", fields));
     for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= events; ++number)
     {
         auto const event = "id: " + std::to_string(number) + "\ndata: piece\n\n";
-        char size[16];
-        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-        send_all(socket, size + event + "\r\n");
+        send_all(socket, chunked ? encode_chunk(event) : event);
         std::this_thread::sleep_for(m_event_interval.load());
         if (peer_has_closed(socket))
         {
@@ -195,7 +270,7 @@
         if (m_handed_over_ids.contains(id))
             throw std::runtime_error("the generation was handed over");
     }
-    if (complete)
+    if (complete && chunked)
         send_all(socket, "0\r\n\r\n");
 }
 
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -15,9 +15,14 @@
 /// `error`, `cut` (closes the connection without a response), `shed` (rejects the request with
 /// 503), `foreign` (sends the response to another request), `hang`, `work-N` (responds after N ms),
 /// `stream-N` (streams N events), `broken-N` (closes the connection after N events without the
-/// terminating chunk), `stalled-N` (stops after one event and sends a comment byte now and then; a
-/// resumed stream continues to N events), `endless` (sends a body without end), `copied` (sends its
-/// response a second time when the next request arrives on the connection).
+/// terminating chunk), `closed-N` (streams N events without a length and ends with the connection),
+/// `closed`, `reset` (a plain response without a length, whole or reset in the middle),
+/// `partial-FRAMING-N` (N events and a part of the next one; FRAMING is `closed`, `chunked`,
+/// `sized` or `reset`; a resumed stream is complete with two more events), `comment-N` (like
+/// `closed-N`, followed by a comment line without a blank line), `stalled-N` (stops after one event
+/// and sends a comment byte now and then; a resumed stream continues to N events), `endless` (sends
+/// a body without end), `copied` (sends its response a second time when the next request arrives on
+/// the connection).
 class fake_server
 {
 public:
@@ -50,6 +55,16 @@
     void start_draining() { m_draining = true; }
 
 private:
+    /// How a response's body is delimited.
+    enum class framing
+    {
+        chunked,
+        sized,
+        end_of_connection,
+        /// Like `end_of_connection`, but the connection is reset.
+        reset_connection,
+    };
+
     void serve(Poco::Net::StreamSocket& socket);
     /// Handles one request. Returns true if the connection can be reused.
     bool respond(Poco::Net::StreamSocket& socket, http::request const& request);
@@ -63,7 +78,13 @@
     /// Sends a chunked body of `block` repeated until the peer closes the connection.
     void send_without_end(Poco::Net::StreamSocket& socket, http::request const& request);
     void stream(Poco::Net::StreamSocket& socket, http::request const& request, int events,
-                bool complete);
+                bool complete, framing body_framing = framing::chunked);
+    /// Serves an action `partial-FRAMING-N`.
+    void serve_partial_stream(Poco::Net::StreamSocket& socket, http::request const& request,
+                              std::string const& action);
+    /// Sends a stream that ends with `rest`, which is not a complete event.
+    void send_partial_stream(Poco::Net::StreamSocket& socket, http::request const& request,
+                             int events, std::string const& rest, framing body_framing);
     void copy_generation(Poco::Net::StreamSocket& socket, http::request const& request);
     bool send(Poco::Net::StreamSocket& socket, int status, http::header_list fields,
               std::string const& body);
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -69,7 +69,7 @@
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(host, port));
     socket.setReceiveTimeout(Poco::Timespan(20, 0));
     send_all(socket, http::write_request(request));
-    http::response_reader reader;
+    http::response_reader reader(request.method != "HEAD");
     caller_response response;
     std::array<char, 8192> bytes{};
     while (reader.current_state() == http::response_reader::state::reading_head ||
