HTTP: Treat a reset that a send reports as a lost connection

Cause: the kernel reports a reset once. If the server responds without a length before it has read the request, and then resets, the send of the request takes the report, and the next receive returns 0 like an orderly close. The exchange then took the truncated response for complete.

Ruled out: a reset after the request has been sent; the receive gets the report, and the response is incomplete (reset_response_without_length_is_incomplete passed before). Truncated lengths and chunks were incomplete before, too.

Change: after a failed send, the end of the connection completes no response.

Before: server_exchange.response_reset_while_the_request_is_sent_is_incomplete failed. After: it and the other four pass.

--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -120,6 +120,7 @@
         }
         if (errno == EAGAIN || errno == EWOULDBLOCK)
             return;
+        m_send_failed = true;
         // The server may have responded before reading the complete request, so read its response
         // before reporting the send error.
         receive_available();
@@ -152,7 +153,9 @@
 
 void client_exchange::handle_connection_end(bool orderly)
 {
-    if (orderly)
+    // The kernel reports a reset only once. After a failed send has reported it, the connection
+    // seems to end in order.
+    if (orderly && !m_send_failed)
         m_reader.feed_eof();
     if (!complete())
         m_failure = exchange_failure::connection_lost;
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -86,6 +86,7 @@
     std::string m_request;
     std::size_t m_bytes_sent = 0;
     bool m_connected = false;
+    bool m_send_failed = false;
     bool m_connection_released = false;
     exchange_failure m_failure = exchange_failure::none;
     response_reader m_reader;
