Node: Hand over generations whose streams have no length

Callers would see: a stream that ends as if it were complete in the middle of a generation. A generation that is handed over is stopped at its engine, which then closes the stream without its end. A stream without a length has no other end than that.

Cause: the relay took the end of such a stream for the end of the generation if it came before the response to the request to stop.

Ruled out: a stream that ends by itself while the engine is asked to stop it. The engine then replies that no such generation runs, and the stream is complete.

Change: while a request to stop is not confirmed, the end of the connection completes no stream without a length. The relay waits for the response, as it does for streams that are cut off. If the response is lost, the stream is aborted.

Before: node_stream_test.stream_without_length_is_continued_after_a_handover failed: the stream ended after 11 of 100 events as complete. After: it and the other four pass. Not tested: the reply that no such generation runs, and a lost response.

--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -63,6 +63,8 @@
     }
     exchange_failure failure() const noexcept { return m_failure; }
     bool ended() const noexcept { return complete() || m_failure != exchange_failure::none; }
+    /// Returns true if the response is complete only because the server closed the connection.
+    bool ended_with_connection() const noexcept { return m_reader.ended_with_connection(); }
     response const& head() const noexcept { return m_reader.head(); }
     std::string take_body() { return m_reader.take_body(); }
     base::time_point start_time() const noexcept { return m_start_time; }
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -49,6 +49,12 @@
     response const& head() const noexcept { return m_head; }
     /// Returns the decoded body bytes that arrived since the last call.
     std::string take_body();
+    /// Returns true if the response is complete and has neither a content length nor chunks, so
+    /// that only the end of the connection ended it.
+    bool ended_with_connection() const noexcept
+    {
+        return m_state == state::complete && m_parser->need_eof();
+    }
     /// Returns true if the response is complete, nothing follows it and the server keeps the
     /// connection open.
     bool connection_reusable() const noexcept;
--- a/services/node/generation_handover.cpp
+++ b/services/node/generation_handover.cpp
@@ -124,6 +124,7 @@
             m_handle = copy.handle;
         log_step("copied", status);
         m_step = step::stopping;
+        ++m_unconfirmed_stops;
         request_copy(true, now);
         return;
     }
@@ -154,6 +155,8 @@
         m_step = step::ready;
         return;
     }
+    if (status == not_running_status)
+        --m_unconfirmed_stops;
     // It is unknown whether the generation has stopped. If it has, its stream ends.
     schedule_retry("stop_failed", now);
 }
--- a/services/node/generation_handover.hpp
+++ b/services/node/generation_handover.hpp
@@ -51,6 +51,8 @@
     ~generation_handover();
 
     step current_step() const noexcept { return m_step; }
+    /// Returns true if the engine may have stopped the generation because it was asked to.
+    bool may_have_stopped_generation() const noexcept { return m_unconfirmed_stops > 0; }
     int descriptor() const noexcept { return m_exchange ? m_exchange->descriptor() : -1; }
     short poll_events() const noexcept { return m_exchange ? m_exchange->poll_events() : 0; }
     /// Continues the request in progress, or starts a copy that is due.
@@ -78,6 +80,8 @@
     std::vector<std::string> m_excluded_targets;
     std::string m_handle;
     bool m_continue_at_source = false;
+    /// Requests to stop the generation to which the engine has not replied that it wasn't running.
+    int m_unconfirmed_stops = 0;
     int m_failures = 0;
     base::time_point m_next_action = base::time_point::max();
     base::time_point m_started{};
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -182,7 +182,11 @@
         return stream_outcome::not_run;
     if (m_exchange->complete() && m_exchange->head().status / 100 != 2)
         return stream_outcome::error_response;
-    bool const broken_off = !m_exchange->complete() || m_event_splitter.has_partial_event();
+    // The stream of a stopped generation ends like a complete one if it has no length.
+    bool const stopped = m_exchange->ended_with_connection() && m_handover &&
+                         m_handover->may_have_stopped_generation();
+    bool const broken_off =
+        !m_exchange->complete() || m_event_splitter.has_partial_event() || stopped;
     return broken_off ? stream_outcome::broken : stream_outcome::complete;
 }
 
--- a/tests/node_stream_test.cpp
+++ b/tests/node_stream_test.cpp
@@ -1,11 +1,17 @@
 /// Streams and plain responses that end in unusual ways, relayed by jasminepier-node.
 #include "tests/support/node_fixture.hpp"
 
+#include <future>
+#include <thread>
+
 namespace jasminepier::tests
 {
 namespace
 {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 /// Uses its own range of ports.
 class node_stream_test : public node_fixture
 {
@@ -87,5 +93,30 @@
     }
 }
 
+// Guards against taking the end of a stopped generation's stream, which has no length, for the end
+// of the generation.
+TEST_F(node_stream_test, stream_without_length_is_continued_after_a_handover)
+{
+    start_until_ready();
+    m_engine_1.set_stop_delay(milliseconds(200));
+    auto response =
+        std::async(std::launch::async, [&] { return call("POST", "/plan/closed-100"); });
+    ASSERT_TRUE(wait_until(
+        [&]
+        {
+            auto const requests = m_engine_1.requests();
+            return !requests.empty() && requests.back().path == "/plan/closed-100";
+        },
+        seconds(5)));
+    std::this_thread::sleep_for(milliseconds(200));
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    m_store.put("servers", m_engine_1.id(),
+                make_server_entry("engines", m_engine_1.address(), "draining"));
+    auto const received = response.get();
+    EXPECT_TRUE(received.is_complete);
+    EXPECT_EQ(received.body, make_events(1, 100));
+    EXPECT_EQ(m_engine_2.execution_count(m_last_request_id), 1);
+}
+
 } // namespace
 } // namespace jasminepier::tests
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -307,8 +307,11 @@
     auto const id = request.body.substr(id_start, request.body.find('"', id_start) - id_start);
     if (request.body.find("\"last\":true") != std::string::npos)
     {
-        std::lock_guard lock(m_mutex);
-        m_handed_over_ids.insert(id);
+        {
+            std::lock_guard lock(m_mutex);
+            m_handed_over_ids.insert(id);
+        }
+        std::this_thread::sleep_for(m_stop_delay.load());
     }
     send(socket, 200, {}, R"({"kv_handle":"h-)" + id + R"(","created":1})");
 }
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -51,6 +51,8 @@
     /// Returns the number of requests to copy a generation.
     int copy_count() const noexcept { return m_copy_count; }
     void set_event_interval(std::chrono::milliseconds interval) { m_event_interval = interval; }
+    /// Delays the response to a request that stops and copies a generation.
+    void set_stop_delay(std::chrono::milliseconds delay) { m_stop_delay = delay; }
     /// Makes /report return the state `draining`.
     void start_draining() { m_draining = true; }
 
@@ -98,6 +100,7 @@
     std::atomic<bool> m_draining{false};
     std::atomic<int> m_disconnect_count{0};
     std::atomic<int> m_copy_count{0};
+    std::atomic<std::chrono::milliseconds> m_stop_delay{std::chrono::milliseconds(0)};
     std::atomic<std::chrono::milliseconds> m_event_interval{std::chrono::milliseconds(20)};
     connection_server m_server;
 };
