Backend: Share the response parser with the node

Callers of jasminepier-entry would see: a truncated answer of a service as a success. An answer that ended before its stated length, or in the middle of its chunks, counted as whole.

Cause: POCO's streams of a length and of chunks report an early end of the connection like the end of the body, so read_body could not tell them apart.

Ruled out: an answer without a length that is reset (a failure before, too), one that is closed in order (whole before), HEAD, 204 and 304, and event streams, which must end with [DONE].

Change: http_exchange runs on http::client_exchange and its parser, so both paths read answers with the same code and limits. Its interface stays the same. A response that is aborted, or whose end is missing, fails. The stream of a body ends when the response does; a stall within an event is seen by the same check of silence as one between events, so the POCO exception for it is gone.

Not moved: backend/event_stream_reader and serving/event_stream_splitter stay two parsers of one format. The first yields fields and treats only [DONE] as an end, so neither broken streams nor CR are a fault there; the second keeps bytes. Sharing them needs a common home for both libraries.

--- a/libraries/backend/http_exchange.cpp
+++ b/libraries/backend/http_exchange.cpp
@@ -1,8 +1,11 @@
 #include "backend/http_exchange.hpp"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
+#include "http/wait_set.hpp"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <sys/socket.h>
+#include <utility>
 
 namespace jasminepier::backend
 {
@@ -11,9 +14,19 @@
 
 using base::error_kind;
 
-Poco::Timespan to_timespan(std::chrono::milliseconds duration)
+base::time_point now()
+{
+    return base::steady_clock_source{}.now();
+}
+
+http::request make_request(backend_request const& request, std::string const& address)
 {
-    return Poco::Timespan(duration.count() * 1000);
+    http::request message{request.method, request.path, {}, request.body};
+    for (auto const& [name, value] : request.headers)
+        message.headers.set(name, value);
+    message.headers.set("Host", address);
+    message.headers.set("Connection", "close");
+    return message;
 }
 
 } // namespace
@@ -25,108 +38,117 @@
 
 base::result<void> http_exchange::send(backend_request const& request)
 {
-    Poco::Net::StreamSocket socket;
     try
     {
-        socket.connect(Poco::Net::SocketAddress(m_target.host, m_target.port),
-                       to_timespan(m_timeouts.connect));
-        socket.setNoDelay(true);
-    }
-    catch (Poco::Net::ConnectionRefusedException const&)
-    {
-        m_connection_refused = true;
-        return base::fail(error_kind::server_unreachable, "cannot connect: connection refused");
+        auto const address = Poco::Net::SocketAddress(m_target.host, m_target.port).toString();
+        auto const message = make_request(request, address);
+        m_exchange = std::make_unique<http::client_exchange>(address, http::write_request(message),
+                                                             request.method != "HEAD", now());
     }
     catch (std::exception const& failure)
     {
         return base::fail(error_kind::server_unreachable,
                           std::string("cannot connect: ") + failure.what());
     }
-    try
+    m_descriptor = m_exchange->descriptor();
+    run_until([&] { return m_exchange->connected(); }, m_timeouts.connect);
+    if (!m_exchange->connected())
     {
-        m_session = std::make_unique<buffered_client_session>(socket);
-        m_session->setTimeout(to_timespan(m_timeouts.receive));
-        m_session->setKeepAlive(false);
-        Poco::Net::HTTPRequest header(request.method, request.path,
-                                      Poco::Net::HTTPMessage::HTTP_1_1);
-        for (auto const& [name, value] : request.headers)
-            header.set(name, value);
-        header.setContentLength(static_cast<std::streamsize>(request.body.size()));
-        header.setHost(m_target.host, m_target.port);
-        auto& out = m_session->sendRequest(header);
-        out << request.body;
-        out.flush();
-        return {};
+        m_exchange->fail_as_not_connected();
+        return base::fail(error_kind::server_unreachable, m_exchange->connection_refused()
+                                                              ? "cannot connect: connection refused"
+                                                              : "cannot connect");
     }
-    catch (std::exception const& failure)
+    // The server may respond before it has read the request.
+    run_until([&] { return m_exchange->request_sent() || m_exchange->head_received(); },
+              m_timeouts.receive);
+    if (m_exchange->request_sent() || m_exchange->head_received())
+        return {};
+    return base::fail(error_kind::server_failed, "connection lost while sending");
+}
+
+bool http_exchange::run_until(std::function<bool()> const& condition,
+                              std::chrono::milliseconds timeout)
+{
+    http::wait_set poll_set;
+    auto const deadline = now() + timeout;
+    while (!condition() && !ended())
     {
-        return base::fail(error_kind::server_failed,
-                          std::string("connection lost while sending: ") + failure.what());
+        if (now() >= deadline)
+            return false;
+        poll_set.clear();
+        poll_set.add(m_exchange->descriptor(), m_exchange->poll_events());
+        poll_set.wait(deadline);
+        m_exchange->advance(poll_set.ready(0));
     }
+    return true;
+}
+
+bool http_exchange::collect_body()
+{
+    if (m_exchange->head_received())
+        m_received_body += m_exchange->take_body();
+    return !m_received_body.empty();
 }
 
 bool http_exchange::wait_readable(std::chrono::milliseconds timeout)
 {
-    // Poco reads the two bytes that terminate a chunk only when it reads the next chunk.
-    constexpr int chunk_terminator_bytes = 2;
-    if (m_body != nullptr && m_body->rdbuf()->in_avail() > 0)
-        return true;
-    if (m_session->unread_bytes() > chunk_terminator_bytes)
-        return true;
-    return m_session->socket().poll(to_timespan(timeout), Poco::Net::Socket::SELECT_READ |
-                                                              Poco::Net::Socket::SELECT_ERROR);
+    return run_until(
+        [&] { return m_status_received ? collect_body() : m_exchange->head_received(); }, timeout);
 }
 
 base::result<int> http_exchange::receive_status()
 {
-    try
-    {
-        Poco::Net::HTTPResponse response;
-        m_body = &m_session->receiveResponse(response);
-        m_content_type = response.getContentType();
-        return static_cast<int>(response.getStatus());
-    }
-    catch (std::exception const& failure)
-    {
-        return base::fail(error_kind::server_failed, std::string("no response: ") + failure.what());
-    }
+    run_until([&] { return m_exchange->head_received(); }, m_timeouts.receive);
+    if (!m_exchange->head_received())
+        return base::fail(error_kind::server_failed, "no response: " + describe_failure());
+    m_status_received = true;
+    m_content_type = m_exchange->head().headers.find("Content-Type").value_or("");
+    return m_exchange->head().status;
+}
+
+std::string http_exchange::receive_body()
+{
+    run_until([&] { return collect_body(); }, m_timeouts.receive);
+    collect_body();
+    return std::exchange(m_received_body, {});
 }
 
 base::result<std::string> http_exchange::read_body(std::size_t maximum_bytes)
 {
     std::string text;
-    try
+    for (auto bytes = receive_body(); !bytes.empty(); bytes = receive_body())
     {
-        char buffer[4096];
-        while (m_body->read(buffer, sizeof buffer), m_body->gcount() > 0)
-        {
-            text.append(buffer, static_cast<std::size_t>(m_body->gcount()));
-            if (text.size() > maximum_bytes)
-                return base::fail(error_kind::server_failed, "response exceeds the size limit");
-        }
-        if (m_session->networkException() != nullptr)
-            return base::fail(error_kind::server_failed, "connection lost while reading");
-        return text;
-    }
-    catch (std::exception const& failure)
-    {
-        return base::fail(error_kind::server_failed,
-                          std::string("connection lost while reading: ") + failure.what());
+        text += bytes;
+        if (text.size() > maximum_bytes)
+            return base::fail(error_kind::server_failed, "response exceeds the size limit");
     }
+    if (!complete())
+        return base::fail(error_kind::server_failed, "incomplete response: " + describe_failure());
+    return text;
+}
+
+std::string http_exchange::describe_failure() const
+{
+    if (m_aborted)
+        return "aborted";
+    if (!m_exchange->ended())
+        return "timeout";
+    return std::string(http::to_string(m_exchange->failure()));
+}
+
+http_exchange::body_buffer::int_type http_exchange::body_buffer::underflow()
+{
+    m_bytes = m_exchange.receive_body();
+    setg(m_bytes.data(), m_bytes.data(), m_bytes.data() + m_bytes.size());
+    return m_bytes.empty() ? traits_type::eof() : traits_type::to_int_type(m_bytes.front());
 }
 
 void http_exchange::abort() noexcept
 {
-    try
-    {
-        if (m_session)
-            m_session->abort();
-    }
-    catch (...)
-    {
-        // The connection is already closed.
-        return;
-    }
+    m_aborted = true;
+    if (m_descriptor >= 0)
+        ::shutdown(m_descriptor, SHUT_RDWR);
 }
 
 base::result<backend_response> call_backend(endpoint const& target, backend_request const& request,
--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -58,8 +58,9 @@
         m_socket.setBlocking(false);
         set_connection_options(m_socket);
     }
-    catch (Poco::Exception const&)
+    catch (Poco::Exception const& failure)
     {
+        m_connection_refused = failure.code() == ECONNREFUSED;
         // The owner sees the failure through failure() and logs it with the server's name.
         m_failure = exchange_failure::not_connected;
     }
@@ -96,6 +97,7 @@
         ::getsockopt(m_socket.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &socket_error, &length);
         if (socket_error != 0 || (ready_events & (POLLERR | POLLHUP)) != 0)
         {
+            m_connection_refused = socket_error == ECONNREFUSED;
             m_failure = exchange_failure::not_connected;
             return;
         }
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -49,6 +49,9 @@
     void advance(short ready_events);
 
     bool connected() const noexcept { return m_connected; }
+    /// Returns true if nothing listens on the server's port.
+    bool connection_refused() const noexcept { return m_connection_refused; }
+    bool request_sent() const noexcept { return m_bytes_sent == m_request.size(); }
     /// Returns true once any byte of the request may have reached the server.
     bool any_bytes_sent() const noexcept { return m_bytes_sent > 0; }
     bool head_received() const noexcept
@@ -88,6 +91,7 @@
     std::string m_request;
     std::size_t m_bytes_sent = 0;
     bool m_connected = false;
+    bool m_connection_refused = false;
     bool m_send_failed = false;
     bool m_connection_released = false;
     exchange_failure m_failure = exchange_failure::none;
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -4,8 +4,6 @@
 #include "base/log.hpp"
 #include "services/entry/entry_metrics.hpp"
 
-#include <Poco/Exception.h>
-
 #include <thread>
 
 namespace jasminepier::entry
@@ -147,10 +145,6 @@
             return check_silence();
         return receive_response_head();
     }
-    catch (Poco::TimeoutException const&)
-    {
-        return make_failure(attempt_failure::silent, "the engine stalled within an event");
-    }
     catch (std::exception const& failure)
     {
         m_connection_was_lost = true;
--- a/tests/server_exchange_test.cpp
+++ b/tests/server_exchange_test.cpp
@@ -1,4 +1,5 @@
-/// The client for servers' responses against a server that sends raw bytes.
+/// Both clients for servers' responses, against a server that sends raw bytes.
+#include "backend/http_exchange.hpp"
 #include "http/client_exchange.hpp"
 #include "http/wait_set.hpp"
 #include "tests/support/connection_server.hpp"
@@ -81,6 +82,23 @@
     }
 };
 
+/// The client of jasminepier-entry, which never reuses a connection.
+struct blocking_client
+{
+    static received_response call(std::string const& method, std::string const& body)
+    {
+        return base::handle(
+            [&]() -> base::result<received_response>
+            {
+                BOOST_LEAF_AUTO(response, backend::call_backend(
+                                              {loopback_host, server_port}, {method, "/", {}, body},
+                                              {.receive = std::chrono::seconds(5)}));
+                return received_response{true, response.status, response.body, false};
+            },
+            [](base::error const&) { return received_response{}; });
+    }
+};
+
 template <class Client>
 class server_exchange : public testing::Test
 {
@@ -94,7 +112,7 @@
     }
 };
 
-using clients = testing::Types<event_driven_client>;
+using clients = testing::Types<event_driven_client, blocking_client>;
 TYPED_TEST_SUITE(server_exchange, clients);
 
 std::string const unframed_head = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n\r\n";
