--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -58,8 +58,9 @@
         m_socket.setBlocking(false);
         set_connection_options(m_socket);
     }
-    catch (Poco::Exception const&)
+    catch (Poco::Exception const& failure)
     {
+        m_connection_refused = failure.code() == ECONNREFUSED;
         // The owner sees the failure through failure() and logs it with the server's name.
         m_failure = exchange_failure::not_connected;
     }
@@ -96,6 +97,7 @@
         ::getsockopt(m_socket.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &socket_error, &length);
         if (socket_error != 0 || (ready_events & (POLLERR | POLLHUP)) != 0)
         {
+            m_connection_refused = socket_error == ECONNREFUSED;
             m_failure = exchange_failure::not_connected;
             return;
         }
@@ -120,6 +122,7 @@
         }
         if (errno == EAGAIN || errno == EWOULDBLOCK)
             return;
+        m_send_failed = true;
         // The server may have responded before reading the complete request, so read its response
         // before reporting the send error.
         receive_available();
@@ -152,7 +155,9 @@
 
 void client_exchange::handle_connection_end(bool orderly)
 {
-    if (orderly)
+    // The kernel reports a reset only once. After a failed send has reported it, the connection
+    // seems to end in order.
+    if (orderly && !m_send_failed)
         m_reader.feed_eof();
     if (!complete())
         m_failure = exchange_failure::connection_lost;
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -49,6 +49,9 @@
     void advance(short ready_events);
 
     bool connected() const noexcept { return m_connected; }
+    /// Returns true if nothing listens on the server's port.
+    bool connection_refused() const noexcept { return m_connection_refused; }
+    bool request_sent() const noexcept { return m_bytes_sent == m_request.size(); }
     /// Returns true once any byte of the request may have reached the server.
     bool any_bytes_sent() const noexcept { return m_bytes_sent > 0; }
     bool head_received() const noexcept
@@ -63,6 +66,8 @@
     }
     exchange_failure failure() const noexcept { return m_failure; }
     bool ended() const noexcept { return complete() || m_failure != exchange_failure::none; }
+    /// Returns true if the response is complete only because the server closed the connection.
+    bool ended_with_connection() const noexcept { return m_reader.ended_with_connection(); }
     response const& head() const noexcept { return m_reader.head(); }
     std::string take_body() { return m_reader.take_body(); }
     base::time_point start_time() const noexcept { return m_start_time; }
@@ -86,6 +91,8 @@
     std::string m_request;
     std::size_t m_bytes_sent = 0;
     bool m_connected = false;
+    bool m_connection_refused = false;
+    bool m_send_failed = false;
     bool m_connection_released = false;
     exchange_failure m_failure = exchange_failure::none;
     response_reader m_reader;
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -119,7 +119,9 @@
 
 bool stream_relay::send_last_chunk()
 {
-    return m_context.caller.send("0\r\n\r\n", now() + caller_send_timeout);
+    auto const comments = m_event_splitter.remainder();
+    return m_context.caller.send((comments.empty() ? "" : encode_chunk(comments)) + "0\r\n\r\n",
+                                 now() + caller_send_timeout);
 }
 
 bool stream_relay::forward_events(std::string_view bytes)
@@ -178,7 +180,12 @@
         return stream_outcome::not_run;
     if (m_exchange->complete() && m_exchange->head().status / 100 != 2)
         return stream_outcome::error_response;
-    return m_exchange->complete() ? stream_outcome::complete : stream_outcome::broken;
+    // The stream of a stopped generation ends like a complete one if it has no length.
+    bool const stopped = m_exchange->ended_with_connection() && m_handover &&
+                         m_handover->may_have_stopped_generation();
+    bool const broken_off =
+        !m_exchange->complete() || m_event_splitter.has_partial_event() || stopped;
+    return broken_off ? stream_outcome::broken : stream_outcome::complete;
 }
 
 stream_relay::stream_outcome stream_relay::pump()
