Node: Go on asking for a configuration until it is held

Cause: a node compared one revision with its peers, the larger of those of the configuration and of the evacuations. Evacuations arrive as datagrams within milliseconds, configurations by pulls within some tenths of a second.

Ruled out: the parent in the tree was cut off (no peer_pull_failed on any node at that time); news that was told once and lost (the nodes that stay behind are those that received the evacuation before they pulled).

Change: reports carry the revisions of configurations and evacuations apart, and a digest of the evacuations, since one evacuation can hide another in the same way. object_catch_up decides whom a node asks: it remembers the newest revision heard of though its holder may be dead, asks peers that did not respond last, and after 1.2 s reads the store itself, whether it follows the store or not, until it holds the revision or the store shows that there is none. A node without the store compares its servers with those of a follower as other nodes do; the newest revision of any object hid missing ones there, too. A kind that is not watched is no longer listed again and again while the store refuses the node; one kind retries, as before for watches. objects_behind and objects_caught_up name the kind, the revisions, the time and the peers asked.

--- a/libraries/configuration/versioned_store.cpp
+++ b/libraries/configuration/versioned_store.cpp
@@ -31,6 +31,18 @@
     return newest;
 }
 
+void versioned_store::record_complete(std::string const& kind, std::int64_t revision)
+{
+    auto& recorded = m_complete_revisions[kind];
+    recorded = std::max(recorded, revision);
+}
+
+std::int64_t versioned_store::complete_revision(std::string const& kind) const
+{
+    auto const found = m_complete_revisions.find(kind);
+    return found == m_complete_revisions.end() ? 0 : found->second;
+}
+
 std::vector<store::object> versioned_store::objects_newer_than(std::int64_t revision) const
 {
     std::vector<store::object> newer;
--- a/libraries/configuration/versioned_store.hpp
+++ b/libraries/configuration/versioned_store.hpp
@@ -27,6 +27,13 @@
     /// The highest version of the objects of `kind`, tombstones included; 0 if there are none.
     std::int64_t kind_revision(std::string const& kind) const;
 
+    /// Records that the store holds every object of `kind` as of `revision`, as after a list.
+    void record_complete(std::string const& kind, std::int64_t revision);
+
+    /// The revision up to which no change of `kind` is missing; 0 if it was never listed. Objects
+    /// that peers send may be newer.
+    std::int64_t complete_revision(std::string const& kind) const;
+
     /// Returns all objects with a version above `revision`, tombstones included.
     std::vector<store::object> objects_newer_than(std::int64_t revision) const;
 
@@ -56,6 +63,7 @@
 
 private:
     std::map<std::pair<std::string, std::string>, store::object> m_objects;
+    std::map<std::string, std::int64_t> m_complete_revisions;
     std::int64_t m_revision = 0;
 };
 
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -160,7 +160,10 @@
   7: bool ready,
   8: bool stopping,
   9: i64 store_revision,          // newest of the node's copies of the store's objects
-  15: i64 configuration_revision, // newest of its copies of the configuration and of evacuations
+  // 15 was the newest of its copies of the configuration and of evacuations.
+  22: i64 newest_configuration,   // revision of its copy of the configuration
+  23: i64 newest_evacuation,      // newest of its copies of evacuations
+  24: i64 evacuation_digest,      // equal on nodes with the same evacuations
   10: bool store_reached,         // the node's own copies of the store's objects are current
   13: i64 server_digest,          // equal on nodes with the same entries of servers
   14: list<configuration_object> news,  // objects that the node has just read from the store
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -72,6 +72,10 @@
     node.state = report;
     node.last_report = now;
     node.has_reported = true;
+    m_newest_reported.configuration =
+        std::max(m_newest_reported.configuration, report.configuration_revision);
+    m_newest_reported.evacuations =
+        std::max(m_newest_reported.evacuations, report.evacuation_revision);
     return true;
 }
 
@@ -272,17 +276,40 @@
                            { return state.configuration_revision > revision; });
 }
 
-std::optional<node_entry> node_directory::configuration_source(std::string_view kind,
-                                                               std::int64_t revision, bool any_peer,
-                                                               base::time_point now,
-                                                               base::random_source& random) const
+std::vector<node_entry> node_directory::peers_with_other_evacuations(std::int64_t revision,
+                                                                     std::uint64_t digest,
+                                                                     base::time_point now) const
 {
-    auto const newer_peers = peers_with_newer_configuration(revision, now);
+    return find_live_nodes(now,
+                           [&](node_state_report const& state)
+                           {
+                               return state.evacuation_revision > revision ||
+                                      (state.evacuation_revision == revision &&
+                                       state.evacuation_digest != digest);
+                           });
+}
+
+std::optional<node_entry>
+node_directory::configuration_source(std::string_view kind, std::int64_t revision, bool any_peer,
+                                     base::time_point now, base::random_source& random,
+                                     std::set<std::string, std::less<>> const& avoided) const
+{
+    auto newer_peers = peers_with_newer_configuration(revision, now);
     if (newer_peers.empty())
         return std::nullopt;
-    std::uniform_int_distribution<std::size_t> index(0, newer_peers.size() - 1);
     if (any_peer || !is_large_fleet())
-        return newer_peers[index(random)];
+    {
+        auto const preferred_end = std::partition(
+            newer_peers.begin(), newer_peers.end(),
+            [&](node_entry const& peer)
+            {
+                return !avoided.contains(peer.name) &&
+                       now < m_nodes.at(peer.name).last_report + recent_report_period;
+            });
+        auto const preferred = preferred_end - newer_peers.begin();
+        auto const count = preferred > 0 ? static_cast<std::size_t>(preferred) : newer_peers.size();
+        return newer_peers[std::uniform_int_distribution<std::size_t>(0, count - 1)(random)];
+    }
     // The rendezvous order of the followers, which therefore come first.
     std::vector<std::pair<std::uint64_t, std::string_view>> zone_nodes;
     for (auto const& [name, node] : m_nodes)
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,12 +37,23 @@
     bool store_reached = false;
     /// Newest revision among the node's copies of all objects.
     std::int64_t store_revision = 0;
-    /// Newest revision among the node's copies of the configuration and the evacuations.
+    /// Revision of the node's copy of the configuration.
     std::int64_t configuration_revision = 0;
     /// Equal on nodes that have the same server entries.
     std::uint64_t server_digest = 0;
     /// The node watches the store, so `store_reached` is up to date.
     bool follows_store = false;
+    /// Newest revision among the node's copies of the evacuations.
+    std::int64_t evacuation_revision = 0;
+    /// Equal on nodes that have the same evacuations.
+    std::uint64_t evacuation_digest = 0;
+};
+
+/// Newest revisions of objects that any report has named, whether or not its sender is alive.
+struct reported_revisions
+{
+    std::int64_t configuration = 0;
+    std::int64_t evacuations = 0;
 };
 
 /// What another zone reports about its nodes.
@@ -145,10 +157,16 @@
     /// Live peers that have an object newer than `revision`.
     std::vector<node_entry> peers_with_newer_objects(std::int64_t revision,
                                                      base::time_point now) const;
-    /// Live peers whose configuration or evacuations are newer than `revision`. The newest revision
-    /// of all objects doesn't show this, since server entries are also relayed between nodes.
+    /// Live peers whose configuration is newer than `revision`. The newest revision of all objects
+    /// doesn't show this, since other objects reach the nodes earlier than configurations.
     std::vector<node_entry> peers_with_newer_configuration(std::int64_t revision,
                                                            base::time_point now) const;
+    /// Live peers whose evacuations are newer than `revision`, or as new but different from those
+    /// with `digest`: each of the two nodes may have missed one.
+    std::vector<node_entry> peers_with_other_evacuations(std::int64_t revision,
+                                                         std::uint64_t digest,
+                                                         base::time_point now) const;
+    reported_revisions const& newest_reported() const noexcept { return m_newest_reported; }
     /// Random timeout for a watch of the store. A store that stops responding never answers open
     /// watches, so the timeouts are chosen such that some node's watch ends about twice a second.
     base::milliseconds watch_timeout(base::random_source& random) const;
@@ -160,10 +178,12 @@
     /// Returns the peer from which this node pulls a configuration newer than `revision`, if any
     /// has one. In a large fleet, the nodes of a zone form a tree with the followers of the store
     /// at the top, so that no node serves many pulls at once; `any_peer` selects a random peer
-    /// instead, for a node whose parent does not have the configuration in time.
-    std::optional<node_entry> configuration_source(std::string_view kind, std::int64_t revision,
-                                                   bool any_peer, base::time_point now,
-                                                   base::random_source& random) const;
+    /// instead, for a node whose parent does not have the configuration in time. Peers in `avoided`
+    /// and peers that have not reported within `recent_report_period` are selected last.
+    std::optional<node_entry>
+    configuration_source(std::string_view kind, std::int64_t revision, bool any_peer,
+                         base::time_point now, base::random_source& random,
+                         std::set<std::string, std::less<>> const& avoided = {}) const;
     /// True if this node watches `kind` in the store. In small fleets every node does. In large
     /// fleets the first live, ready nodes of each zone in rendezvous order that reach the store do,
     /// and relay the changes to the other nodes. If none of them is heard, only nodes that were
@@ -226,6 +246,7 @@
     node_phase m_phase = node_phase::starting;
     std::map<std::string, node_record> m_nodes;
     std::map<std::string, zone_record> m_zones;
+    reported_revisions m_newest_reported;
     /// Known nodes in each zone that has any, without this node.
     std::map<std::string, std::size_t> m_zone_sizes;
 };
--- /dev/null
+++ b/libraries/serving/object_catch_up.cpp
@@ -0,0 +1,240 @@
+#include "serving/object_catch_up.hpp"
+
+#include <utility>
+
+namespace jasminepier::serving
+{
+namespace
+{
+
+// Servers announce their removal 1.5 to 2 s ahead, so changes are still useful half a second late.
+constexpr int checks_per_object_check = 2;
+// Published evacuations take a moment to arrive.
+constexpr base::milliseconds evacuation_grace_period{200};
+
+node_entry const& pick_peer(std::vector<node_entry> const& peers, base::random_source& random)
+{
+    std::uniform_int_distribution<std::size_t> index(0, peers.size() - 1);
+    return peers[index(random)];
+}
+
+} // namespace
+
+void describe_objects(object_kinds const& kinds, configuration::versioned_store const& objects,
+                      node_state_report& report)
+{
+    report.store_revision = objects.revision();
+    report.configuration_revision = objects.kind_revision(kinds.configuration);
+    report.evacuation_revision = objects.kind_revision(kinds.evacuations);
+    report.evacuation_digest = objects.digest(kinds.evacuations);
+    report.server_digest = objects.digest(kinds.servers);
+}
+
+void object_catch_up::update(catch_up_view const& view, base::time_point now)
+{
+    auto const& reported = view.nodes.newest_reported();
+    auto const configuration_revision = view.objects.kind_revision(m_kinds.configuration);
+    m_configuration.lag.update(
+        std::max(configuration_revision, view.objects.complete_revision(m_kinds.configuration)),
+        reported.configuration, now);
+    auto const evacuation_revision = view.objects.kind_revision(m_kinds.evacuations);
+    m_evacuations.lag.update(
+        std::max(evacuation_revision, view.objects.complete_revision(m_kinds.evacuations)),
+        reported.evacuations, now);
+    std::erase_if(m_failed_peers,
+                  [&](auto const& peer) { return now >= peer.second + failed_peer_pause; });
+}
+
+std::set<std::string, std::less<>> object_catch_up::peers_to_avoid(base::time_point now) const
+{
+    std::set<std::string, std::less<>> names;
+    for (auto const& [name, failed] : m_failed_peers)
+        if (now < failed + failed_peer_pause)
+            names.insert(name);
+    return names;
+}
+
+std::optional<object_pull> object_catch_up::plan_configuration_pull(catch_up_view const& view,
+                                                                    base::time_point now,
+                                                                    base::random_source& random)
+{
+    auto const revision = view.objects.kind_revision(m_kinds.configuration);
+    auto const source = view.nodes.configuration_source(m_kinds.servers, revision,
+                                                        m_configuration_pulls.use_any_peer(), now,
+                                                        random, peers_to_avoid(now));
+    bool const behind = !view.nodes.peers_with_newer_configuration(revision, now).empty();
+    m_configuration_pulls.record_check(behind, source.has_value());
+    if (!source)
+        return std::nullopt;
+    return object_pull{*source, pull_start_revision(view.objects.revision(), revision),
+                       pull_reason::configuration};
+}
+
+std::optional<object_pull> object_catch_up::plan_evacuation_pull(catch_up_view const& view,
+                                                                 base::time_point now,
+                                                                 base::random_source& random) const
+{
+    auto const revision = view.objects.kind_revision(m_kinds.evacuations);
+    auto const complete = view.objects.complete_revision(m_kinds.evacuations);
+    // A node that has read all evacuations up to a revision has missed none of them.
+    if (complete >= view.nodes.newest_reported().evacuations && complete >= revision)
+        return std::nullopt;
+    auto const behind_since = m_evacuations.lag.behind_since();
+    if (behind_since && now < *behind_since + evacuation_grace_period)
+        return std::nullopt;
+    auto const avoided = peers_to_avoid(now);
+    auto const digest = view.objects.digest(m_kinds.evacuations);
+    auto peers = view.nodes.peers_with_other_evacuations(revision, digest, now);
+    std::erase_if(peers, [&](node_entry const& peer) { return avoided.contains(peer.name); });
+    if (peers.empty())
+        return std::nullopt;
+    // A node with another evacuation of the same age may have missed one long ago.
+    auto const since = behind_since ? pull_start_revision(view.objects.revision(), revision)
+                                    : std::min(complete, revision);
+    return object_pull{pick_peer(peers, random), since, pull_reason::evacuations, digest};
+}
+
+std::optional<object_pull> object_catch_up::plan_other_pull(catch_up_view const& view,
+                                                            base::time_point now,
+                                                            base::random_source& random)
+{
+    auto const revision = view.objects.revision();
+    auto const since =
+        pull_start_revision(revision, view.objects.kind_revision(m_kinds.configuration));
+    bool const is_large_fleet = view.nodes.is_large_fleet();
+    auto const other_servers = is_large_fleet && !view.follows_store
+                                   ? view.nodes.follower_with_different_servers(
+                                         m_kinds.servers, view.objects.digest(m_kinds.servers), now)
+                                   : std::nullopt;
+    bool const needs_peers = !view.has_configuration || view.store_call_failed;
+    auto up_to_date_peers = needs_peers ? std::vector<node_entry>{}
+                                        : view.nodes.peers_with_newer_objects(revision, now);
+    if (up_to_date_peers.empty() && other_servers)
+        up_to_date_peers.push_back(*other_servers);
+    // Published changes take a moment to arrive, so only act if this node is behind twice in a row.
+    bool const persistently_behind = !up_to_date_peers.empty() && m_was_behind;
+    m_was_behind = !up_to_date_peers.empty();
+    if (persistently_behind)
+        return object_pull{pick_peer(up_to_date_peers, random), since, pull_reason::other_objects};
+    if (!needs_peers)
+        return std::nullopt;
+    auto const peers = view.nodes.peers_reaching_store(now);
+    if (peers.empty())
+        return std::nullopt;
+    return object_pull{pick_peer(peers, random), view.has_configuration ? revision : 0,
+                       pull_reason::store_unreachable};
+}
+
+std::optional<object_pull> object_catch_up::plan_pull(catch_up_view const& view,
+                                                      base::time_point now,
+                                                      base::random_source& random)
+{
+    update(view, now);
+    if (auto pull = plan_configuration_pull(view, now, random))
+    {
+        m_configuration.lag.record_asked_peer(pull->peer.name);
+        return pull;
+    }
+    bool const check_objects = m_check_count++ % checks_per_object_check == 0;
+    if (!check_objects)
+        return std::nullopt;
+    if (auto pull = plan_evacuation_pull(view, now, random))
+    {
+        m_evacuations.lag.record_asked_peer(pull->peer.name);
+        return pull;
+    }
+    return plan_other_pull(view, now, random);
+}
+
+void object_catch_up::record_pull(object_pull const& pull, bool succeeded,
+                                  catch_up_view const& view, base::time_point now)
+{
+    update(view, now);
+    if (!succeeded)
+        m_configuration_pulls.record_failed_pull();
+    // If a pull changes nothing, the other node has missed the evacuation, not this one.
+    bool const peer_lacks_objects =
+        pull.reason == pull_reason::evacuations &&
+        view.objects.digest(m_kinds.evacuations) == pull.evacuation_digest;
+    if (!succeeded || peer_lacks_objects)
+        m_failed_peers[pull.peer.name] = now;
+    else
+        m_failed_peers.erase(pull.peer.name);
+}
+
+object_catch_up::kind_state* object_catch_up::find_kind(std::string const& kind)
+{
+    if (kind == m_kinds.configuration)
+        return &m_configuration;
+    return kind == m_kinds.evacuations ? &m_evacuations : nullptr;
+}
+
+object_catch_up::kind_state const* object_catch_up::find_kind(std::string const& kind) const
+{
+    if (kind == m_kinds.configuration)
+        return &m_configuration;
+    return kind == m_kinds.evacuations ? &m_evacuations : nullptr;
+}
+
+bool object_catch_up::should_call_store(std::string const& kind, catch_up_view const& view,
+                                        base::time_point now) const
+{
+    // A node that lost the store keeps trying to reach it, with the smallest list.
+    bool const retries = view.store_call_failed && kind == m_kinds.evacuations;
+    return view.follows_store || retries || store_read_due(kind, now);
+}
+
+bool object_catch_up::store_read_due(std::string const& kind, base::time_point now) const
+{
+    auto const* const state = find_kind(kind);
+    return state != nullptr && state->lag.store_read_due(now);
+}
+
+void object_catch_up::record_store_read_start(std::string const& kind, base::time_point now)
+{
+    if (auto* const state = find_kind(kind))
+        state->lag.record_store_read_start(now);
+}
+
+void object_catch_up::record_store_read_success(std::string const& kind)
+{
+    if (auto* const state = find_kind(kind))
+        state->lag.record_store_read_success();
+}
+
+std::vector<lag_event> object_catch_up::take_lag_events(base::time_point now)
+{
+    std::vector<lag_event> events;
+    for (auto const* const kind : {&m_kinds.configuration, &m_kinds.evacuations})
+    {
+        auto& state = *find_kind(*kind);
+        auto const since = state.lag.behind_since();
+        auto const elapsed = [&](base::time_point start)
+        { return std::chrono::duration_cast<base::milliseconds>(now - start); };
+        if (since && state.logged)
+            state.logged->asked_peers = state.lag.asked_peers();
+        if (since && !state.logged && now >= *since + log_delay)
+        {
+            state.logged = lag_event{*kind,
+                                     true,
+                                     state.lag.held(),
+                                     state.lag.known(),
+                                     elapsed(*since),
+                                     state.lag.asked_peers()};
+            state.logged_since = *since;
+            events.push_back(*state.logged);
+        }
+        else if (!since && state.logged)
+        {
+            auto event = *std::exchange(state.logged, std::nullopt);
+            event.is_behind = false;
+            event.held = state.lag.held();
+            event.known = state.lag.known();
+            event.duration = elapsed(state.logged_since);
+            events.push_back(std::move(event));
+        }
+    }
+    return events;
+}
+
+} // namespace jasminepier::serving
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -2,7 +2,6 @@
 
 #include "platform/objects.hpp"
 
-#include <algorithm>
 #include <chrono>
 
 namespace jasminepier::node
@@ -27,7 +26,9 @@
                base::random_source(std::random_device{}()),
                true,
                false,
-               {}},
+               {},
+               serving::object_catch_up({platform::configuration_kind, platform::evacuation_kind,
+                                         platform::server_kind})},
       m_started_unix_milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(
                                       std::chrono::system_clock::now().time_since_epoch())
                                       .count())
@@ -35,12 +36,6 @@
     m_tables.dispatcher.set_fleet_view({{m_settings->name}, 1, false});
 }
 
-std::int64_t node_state::tables::configuration_revision() const
-{
-    return std::max(objects.kind_revision(platform::configuration_kind),
-                    objects.kind_revision(platform::evacuation_kind));
-}
-
 void node_state::update_settings(node_settings const& changed)
 {
     std::lock_guard lock(m_mutex);
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -9,6 +9,7 @@
 #include "services/node/node_settings.hpp"
 #include "serving/dispatcher.hpp"
 #include "serving/node_directory.hpp"
+#include "serving/object_catch_up.hpp"
 
 #include <atomic>
 #include <memory>
@@ -38,9 +39,13 @@
         bool store_call_failed = false;
         /// Wakeups of the requests that wait for a free slot at a server.
         std::set<http::wakeup*> waiting_requests;
+        /// Decides how this node obtains objects that it has missed.
+        serving::object_catch_up catch_up;
 
-        /// Returns the newest revision among the stored configuration and zone evacuations.
-        std::int64_t configuration_revision() const;
+        serving::catch_up_view catch_up_view() const
+        {
+            return {nodes, objects, configuration != nullptr, follows_store, store_call_failed};
+        }
     };
 
     explicit node_state(node_settings settings);
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -87,9 +87,13 @@
     report.peer_port = self.peer_port;
     report.ready = tables.nodes.phase() == serving::node_phase::ready;
     report.stopping = tables.nodes.phase() == serving::node_phase::shutting_down;
-    report.store_revision = tables.objects.revision();
-    report.configuration_revision = tables.configuration_revision();
-    report.server_digest = static_cast<std::int64_t>(tables.objects.digest(platform::server_kind));
+    serving::node_state_report copies;
+    serving::describe_objects(tables.catch_up.kinds(), tables.objects, copies);
+    report.store_revision = copies.store_revision;
+    report.newest_configuration = copies.configuration_revision;
+    report.newest_evacuation = copies.evacuation_revision;
+    report.evacuation_digest = static_cast<std::int64_t>(copies.evacuation_digest);
+    report.server_digest = static_cast<std::int64_t>(copies.server_digest);
     report.store_reached = tables.configuration && !tables.store_call_failed;
     report.follows_store = tables.follows_store || tables.store_call_failed;
     report.started = m_state.started_unix_milliseconds();
@@ -293,7 +297,9 @@
     peer_state.store_reached = report.store_reached;
     peer_state.follows_store = report.follows_store;
     peer_state.store_revision = report.store_revision;
-    peer_state.configuration_revision = report.configuration_revision;
+    peer_state.configuration_revision = report.newest_configuration;
+    peer_state.evacuation_revision = report.newest_evacuation;
+    peer_state.evacuation_digest = static_cast<std::uint64_t>(report.evacuation_digest);
     peer_state.server_digest = static_cast<std::uint64_t>(report.server_digest);
     peer_state.phase = report.stopping ? serving::node_phase::shutting_down
                        : report.ready  ? serving::node_phase::ready
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -51,18 +51,16 @@
     while (true)
     {
         auto const now = base::steady_clock_source{}.now();
-        bool const is_follower = m_state.with(
+        bool const calls_store = m_state.with(
             [&](node_state::tables& tables)
             {
                 // The same nodes follow all kinds, so their reports tell the others whether the
                 // store can be reached.
                 tables.follows_store = tables.nodes.follows_store(platform::server_kind,
                                                                   !tables.store_call_failed, now);
-                // A node that lost the store keeps trying to reach it, with the smallest list.
-                bool const retries = tables.store_call_failed && kind == platform::evacuation_kind;
-                return tables.follows_store || retries;
+                return tables.catch_up.should_call_store(kind, tables.catch_up_view(), now);
             });
-        if (is_follower)
+        if (calls_store)
             return waited;
         waited = true;
         std::this_thread::sleep_for(follower_check_interval);
@@ -97,26 +95,40 @@
     std::optional<std::int64_t> version;
     auto backoff = initial_backoff;
     base::random_source random(std::random_device{}());
+    bool was_listed = false;
     while (true)
     {
-        if (version && wait_until_follower(kind))
+        if (was_listed && wait_until_follower(kind))
             version.reset();
         bool const needs_list = !version;
         auto const watch_timeout = m_state.with([&](node_state::tables& tables)
                                                 { return tables.nodes.watch_timeout(random); });
         auto const call_start = base::steady_clock_source{}.now();
+        if (needs_list)
+            m_state.with([&](node_state::tables& tables)
+                         { tables.catch_up.record_store_read_start(kind, call_start); });
         auto const store_returned = [&]
         {
             return m_state.with(
                 [&](node_state::tables& tables)
                 { return tables.dispatcher.directory().store_recovered_since(call_start); });
         };
+        auto const read_due = [&]
+        {
+            return m_state.with(
+                [&](node_state::tables& tables)
+                {
+                    auto const now = base::steady_clock_source{}.now();
+                    return tables.catch_up.store_read_due(kind, now);
+                });
+        };
         auto const page = base::handle(
             [&]() -> base::result<std::optional<store::object_page>>
             {
                 auto call = needs_list
                                 ? m_store.list(kind)
-                                : m_store.watch(*version, {kind}, watch_timeout, store_returned);
+                                : m_store.watch(*version, {kind}, watch_timeout,
+                                                [&] { return store_returned() || read_due(); });
                 if (!call)
                     return call.error();
                 return std::optional(std::move(*call));
@@ -134,6 +146,12 @@
                     base::log_line(base::log_level::info, "watch_renewed").field("kind", kind);
                     backoff = base::milliseconds(0);
                 }
+                else if (!needs_list && read_due())
+                {
+                    base::log_line(base::log_level::info, "watch_outdated").field("kind", kind);
+                    version.reset();
+                    backoff = base::milliseconds(0);
+                }
                 else
                     record_call_result(kind, false, failure.message);
                 return std::nullopt;
@@ -159,6 +177,14 @@
                 m_publish_to_peers(page->objects);
         }
         version = page->version;
+        was_listed = true;
+        m_state.with(
+            [&](node_state::tables& tables)
+            {
+                tables.objects.record_complete(kind, page->version);
+                if (needs_list)
+                    tables.catch_up.record_store_read_success(kind);
+            });
     }
 }
 
