Node directory: Leave silent nodes out of the tree of pulls

Cause: a follower that has just died or been cut off stays at the top of its zone's tree for 3.5 s, so the nodes below it wait 0.6 s for it although another node has replaced it.

Change: only nodes heard within 1.3 s count in the tree, as in the order of the followers.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -312,8 +312,10 @@
     }
     // The rendezvous order of the followers, which therefore come first.
     std::vector<std::pair<std::uint64_t, std::string_view>> zone_nodes;
+    // Nodes that have just fallen silent may be followers that are being replaced.
     for (auto const& [name, node] : m_nodes)
-        if (reports_to_this_node(node) && is_alive(node, now) && node.state.store_reached &&
+        if (reports_to_this_node(node) && is_alive(node, now) &&
+            now < node.last_report + recent_report_period && node.state.store_reached &&
             node.state.phase == node_phase::ready)
             zone_nodes.emplace_back(base::rendezvous_weight(kind, name), name);
     zone_nodes.emplace_back(base::rendezvous_weight(kind, m_self.name), m_self.name);
