HTTP, Node: Look at a connection again before a timeout applies

What callers saw: after a pause of the process (a suspended VM, a busy core), a resumable stream was taken for silent although its events had arrived; the request was run again at another server, and in the test below its caller lost the end of the stream. A connection that had been established during the pause counted as failed, and its server as unreachable.

Cause: relays compared times before they looked at the socket. The class is acting on one's own silence as if it were the other side's.

Ruled out: longer timeouts, which would delay the recovery from servers that are really silent.

Change: before an attempt ends for a timeout, its connection is polled once without waiting. Answers that are ready at the deadline are delivered.

--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -1,5 +1,7 @@
 #include "http/client_exchange.hpp"
 
+#include "http/wait_set.hpp"
+
 #include <Poco/Net/NetException.h>
 
 #include <array>
@@ -109,6 +111,14 @@
         receive_available();
 }
 
+void client_exchange::advance_if_ready()
+{
+    wait_set poll_set;
+    poll_set.add(descriptor(), poll_events());
+    poll_set.wait({});
+    advance(poll_set.ready(0));
+}
+
 void client_exchange::send_pending()
 {
     while (m_bytes_sent < m_request.size())
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -47,6 +47,8 @@
     /// Sends and receives as much as possible without blocking. `ready_events` holds the
     /// events that the poll returned.
     void advance(short ready_events);
+    /// Polls the connection without waiting, then advances.
+    void advance_if_ready();
 
     bool connected() const noexcept { return m_connected; }
     /// Returns true if nothing listens on the server's port.
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -161,8 +161,13 @@
         {
             if (current == nullptr)
                 continue;
-            if (!current->exchange->connected() && !current->exchange->ended() &&
-                current_time >= current->exchange->start_time() + connect_timeout)
+            bool const connect_timed_out =
+                current_time >= current->exchange->start_time() + connect_timeout;
+            // The process may have been paused since it last looked at the connection.
+            if (current_time >= m_context.response_deadline() ||
+                (connect_timed_out && !current->exchange->connected()))
+                current->exchange->advance_if_ready();
+            if (connect_timed_out && !current->exchange->connected() && !current->exchange->ended())
                 current->exchange->fail_as_not_connected();
             if (!current->exchange->ended())
                 continue;
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -75,7 +75,7 @@
     if (current_time >= m_context.response_deadline())
         return stream_outcome::deadline_exceeded;
     if (!m_exchange->connected() && current_time >= m_exchange->start_time() + connect_timeout)
-        m_exchange->fail_as_not_connected();
+        return stream_outcome::not_run;
     auto const silence_timeout = std::chrono::duration_cast<base::milliseconds>(
         silence_timeout_factor * m_context.route->latency_objective);
     bool const silent = m_context.route->idempotency == serving::request_idempotency::resumable &&
@@ -191,11 +191,10 @@
 stream_relay::stream_outcome stream_relay::pump()
 {
     http::wait_set poll_set;
+    bool looked_again = false;
     while (true)
     {
         auto const current_time = now();
-        if (auto const outcome = check_timeouts(current_time))
-            return *outcome;
         auto const outcome = process_received();
         // A stopped generation ends its stream without a last event, before or after the response
         // to the stop request.
@@ -207,6 +206,19 @@
             return stream_outcome::handed_over;
         if (outcome && (*outcome != stream_outcome::broken || !stopping))
             return *outcome;
+        auto const timeout = check_timeouts(current_time);
+        // The process may have been paused since it last looked at the connection.
+        if (timeout && !looked_again)
+        {
+            looked_again = true;
+            m_exchange->advance_if_ready();
+            continue;
+        }
+        looked_again = false;
+        if (timeout == stream_outcome::not_run)
+            m_exchange->fail_as_not_connected();
+        if (timeout)
+            return *timeout;
         bool const server_leaving = can_hand_over() && m_attempt->is_server_leaving();
         if (server_leaving && !m_handover)
             m_handover = std::make_unique<generation_handover>(m_context, *m_attempt);
--- a/tests/node_stream_test.cpp
+++ b/tests/node_stream_test.cpp
@@ -1,6 +1,7 @@
 /// Streams and plain responses that end in unusual ways, relayed by jasminepier-node.
 #include "tests/support/node_fixture.hpp"
 
+#include <csignal>
 #include <future>
 #include <thread>
 
@@ -118,5 +119,25 @@
     EXPECT_EQ(m_engine_2.execution_count(m_last_request_id), 1);
 }
 
+// Guards against a node that was paused, takes data that arrived meanwhile for silence, and runs
+// the request again at another server.
+TEST_F(node_stream_test, paused_node_does_not_run_a_stream_again)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    m_engine_1.set_event_interval(milliseconds(50));
+    m_engine_2.set_event_interval(milliseconds(50));
+    auto response =
+        std::async(std::launch::async, [&] { return call("POST", "/question/stream-70"); });
+    std::this_thread::sleep_for(milliseconds(500));
+    m_node.program().send_signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(2600));
+    m_node.program().send_signal(SIGCONT);
+    auto const received = response.get();
+    EXPECT_TRUE(received.is_complete);
+    EXPECT_EQ(received.body, make_events(1, 70));
+    EXPECT_EQ(run_count(), 1);
+}
+
 } // namespace
 } // namespace jasminepier::tests
