HTTP: Do not reuse a connection after an unframed response to HEAD

What callers saw: 502 for a lookup, since one of its two attempts went to a connection that the server had closed after its response to HEAD.

Cause: a response to HEAD has no body, so the parser takes the connection as reusable even if the response says neither a length nor chunks; such a server may end its bodies with the connection.

Evidence: node_stream_test.plain_response_without_length_ends_with_an_orderly_close_only failed in 2 of the first 6 of 40 runs beside builds. The node's output, which the fixture now prints after a failure, shows `attempt_failed reason=connection_lost status=0` for the first attempt, 0.3 ms after the HEAD.

Change: without framing the connection is closed. The new unit test failed before by construction: the first of its three expectations is the case above.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -122,8 +122,11 @@
 
 bool response_reader::connection_reusable() const noexcept
 {
+    // A server that ends its body with the connection may also close it after a response to HEAD.
+    bool const has_framing =
+        m_head.headers.find("Content-Length") || m_head.headers.find("Transfer-Encoding");
     return m_state == state::complete && m_buffer.size() == 0 && m_parser->keep_alive() &&
-           !m_parser->need_eof();
+           !m_parser->need_eof() && (m_expect_body || has_framing);
 }
 
 } // namespace jasminepier::http
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -123,6 +123,20 @@
     EXPECT_FALSE(reader.connection_reusable());
 }
 
+// Guards against the reuse of a connection that the server closes after its response to HEAD.
+TEST(response_reader, response_to_head_without_framing_prevents_connection_reuse)
+{
+    auto const parse_head = [](std::string_view text)
+    {
+        response_reader reader(false);
+        reader.feed({text.data(), text.size()});
+        return reader.connection_reusable();
+    };
+    EXPECT_FALSE(parse_head("HTTP/1.1 200 OK\r\n\r\n"));
+    EXPECT_TRUE(parse_head("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"));
+    EXPECT_TRUE(parse_head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+}
+
 TEST(response_reader, skips_informational_responses_and_rejects_invalid_bytes)
 {
     auto reader = parse_response(
--- a/tests/support/node_fixture.hpp
+++ b/tests/support/node_fixture.hpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <iostream>
 #include <string>
 
 namespace jasminepier::tests
@@ -62,6 +63,12 @@
         m_store.put("servers", m_engine_1.id(), make_server_entry("engines", m_engine_1.address()));
     }
 
+    void TearDown() override
+    {
+        if (HasFailure())
+            std::cerr << "output of the node:\n" << m_node.program().output();
+    }
+
     void configure(int version = 1, std::string const& non_idempotent_service = "shop")
     {
         m_store.put("config", "main", make_configuration(version, non_idempotent_service));
