Node: Never forward a rejection by a server that ran the request

What callers saw: 503, which promises that a request has not run, after a server had run it and failed with 503, if no second server could be tried, as during a shutdown. A sent hedge was forgotten in the same way when the deadline passed. Only requests that may be repeated were concerned.

Cause: three branches decided on their own what follows a failure; one converted the status.

Change: one function responds after a failure.

--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -208,20 +208,26 @@
     }
 }
 
+base::result<void> plain_relay::respond_after_failure()
+{
+    // Forwarding status 503 would promise that the request did not run.
+    if (m_error_response && m_error_response->status == 503)
+        return base::fail(error_kind::server_failed, "the server responded with status 503");
+    if (!m_error_response)
+        return base::fail(error_kind::server_failed, "the server failed to complete the request");
+    m_context.send_response(*m_error_response);
+    return {};
+}
+
 base::result<void> plain_relay::serve()
 {
     while (true)
     {
         auto attempt = m_context.acquire_server();
+        if (!attempt && m_may_have_executed)
+            return respond_after_failure();
         if (!attempt)
-        {
-            if (m_error_response)
-                return m_context.send_response(*m_error_response), base::result<void>{};
-            if (m_may_have_executed)
-                return base::fail(error_kind::server_failed,
-                                  "the server failed to complete the request");
             return attempt.error();
-        }
         auto first = start(std::move(*attempt));
         std::optional<pending_attempt> second;
         auto const result = await_result(first, second);
@@ -234,7 +240,8 @@
             m_context.keep_connection = false;
             return {};
         case attempt_result::deadline_exceeded:
-            m_may_have_executed = m_may_have_executed || first.exchange->any_bytes_sent();
+            m_may_have_executed = m_may_have_executed || first.exchange->any_bytes_sent() ||
+                                  (second && second->exchange->any_bytes_sent());
             first.attempt.end(attempt_outcome::failed);
             if (m_may_have_executed)
                 return base::fail(error_kind::timed_out, "the server did not respond in time");
@@ -242,26 +249,14 @@
         case attempt_result::not_run:
             if (try_spend_attempt())
                 break;
-            if (m_error_response)
-                return m_context.send_response(*m_error_response), base::result<void>{};
             if (m_may_have_executed)
-                return base::fail(error_kind::server_failed,
-                                  "the server failed to complete the request");
+                return respond_after_failure();
             return base::fail(error_kind::server_unreachable, "no server accepted the request");
         case attempt_result::failed:
         case attempt_result::error_response:
             if (is_idempotent() && try_spend_attempt())
                 break;
-            if (m_error_response)
-            {
-                // Forwarding status 503 would promise that the request did not run.
-                if (m_error_response->status == 503)
-                    return base::fail(error_kind::server_failed,
-                                      "the server responded with status 503");
-                return m_context.send_response(*m_error_response), base::result<void>{};
-            }
-            return base::fail(error_kind::server_failed,
-                              "the server failed to complete the request");
+            return respond_after_failure();
         }
     }
 }
--- a/services/node/plain_relay.hpp
+++ b/services/node/plain_relay.hpp
@@ -59,6 +59,9 @@
     /// Evaluates an ended exchange, ends its attempt and forwards a usable response.
     attempt_result finish_attempt(pending_attempt& current);
     bool is_idempotent() const;
+    /// Forwards the error response of a server, if there is one, or fails. Call this if no further
+    /// attempt is made.
+    base::result<void> respond_after_failure();
     /// Returns true and spends a retry if the request's limits and the budget allow another
     /// attempt.
     bool try_spend_attempt();
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -39,8 +39,8 @@
                           [this, request] { return call_node(m_node.ports().callers, request); });
     }
 
-    /// Sends the request until a server runs it: on a busy machine, connecting to the server may
-    /// take longer than the node waits.
+    /// Sends the request until a server runs it: on a busy machine, the node may give up
+    /// connecting.
     std::future<caller_response> send_until_running(http::request const& request,
                                                     std::string const& request_id)
     {
@@ -61,7 +61,11 @@
                 });
             if (running)
                 return response;
+            std::cerr << request_id << " was rejected with status " << response.get().status
+                      << " before the shutdown\n";
         }
+        ADD_FAILURE() << "no server runs " << request_id;
+        return send(request);
     }
 
     void shut_down() { m_node.program().send_signal(SIGTERM); }
@@ -187,6 +191,18 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+// Guards against forwarding a rejection, which promises that a request has not run, of a server
+// that ran it, if no other server can be tried.
+TEST_F(node_shutdown_test, rejection_by_a_server_that_ran_the_request_is_not_forwarded)
+{
+    start_until_ready();
+    auto response =
+        send_until_running(make_request("GET", "/open/unavailable-600", "r-ran"), "r-ran");
+    shut_down();
+    EXPECT_EQ(response.get().status, 502);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against callers that keep an idle connection to a stopping node and send the next request
 // there.
 TEST_F(node_shutdown_test, idle_connections_close_when_the_shutdown_begins)
--- a/tests/serving_limits_test.cpp
+++ b/tests/serving_limits_test.cpp
@@ -163,10 +163,10 @@
                        .body.find("\"execution\":\"not_run\"") != std::string::npos;
         },
         std::chrono::seconds(3)));
-    EXPECT_EQ(send_completion(test_deployment, short_body,
-                              {{"Jasminepier-Timeout-Milliseconds", "2000"}})
-                  .status,
-              200);
+    EXPECT_EQ(
+        send_completion(test_deployment, short_body, {{"Jasminepier-Timeout-Milliseconds", "2000"}})
+            .status,
+        200);
     auto const response = running.get();
     EXPECT_NE(response.body.find("generation_lost"), std::string::npos) << response.status;
     EXPECT_EQ(entry.wait_for_exit(30), 0);
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -172,6 +172,10 @@
         return wait_while_connected(socket,
                                     std::chrono::milliseconds(std::stoi(action.substr(5)))) &&
                send(socket, 200, fields, "response to " + id);
+    if (action.starts_with("unavailable-"))
+        return wait_while_connected(socket,
+                                    std::chrono::milliseconds(std::stoi(action.substr(12)))) &&
+               send(socket, 503, fields, "failed after the request had run");
     if (action.starts_with("stream-"))
         return stream(socket, request, std::stoi(action.substr(7)), true), true;
     if (action == "endless")
