Soak: Count requests that reach no server for the retry budget

Cause: the check of the retry budget allowed retries for the requests that arrived at a server only.

Change: a request that reached a node but no server counts for the service of its kind; requests that are not idempotent are left out, since the configuration moves them between services. The bound stays.

Before: soak_checks.count_requests_that_reach_no_server_for_the_retry_budget fails without the change.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -215,9 +215,21 @@
         for (auto const* const arrival : request_arrivals)
             if (arrival->copy_source.empty() && !first_service.emplace(id, arrival->service).second)
                 retry_times[arrival->service].push_back(arrival->arrived_at);
+    // Requests that reached no server count for the service of their kind. The configuration moves
+    // non-idempotent requests between services, so those are left out.
+    std::map<request_kind, std::string> service_of_kind;
     for (auto const& [id, service] : first_service)
         if (auto const request = requests.find(id); request != requests.end())
+        {
             request_times[service].push_back(request->second->sent_at);
+            if (request->second->kind != request_kind::non_idempotent)
+                service_of_kind[request->second->kind] = service;
+        }
+    for (auto const& request : recorded.requests)
+        if (auto const service = service_of_kind.find(request.kind);
+            service != service_of_kind.end() && !request.connect_failed &&
+            !first_service.contains(request.id))
+            request_times[service->second].push_back(request.sent_at);
     for (auto& [service, times] : retry_times)
     {
         std::sort(times.begin(), times.end());
--- a/tests/soak_checks_test.cpp
+++ b/tests/soak_checks_test.cpp
@@ -149,6 +149,27 @@
                      });
 }
 
+// Guards against a budget that leaves out the requests that reached no server, and against one that
+// counts those that reached no node.
+TEST(soak_checks, count_requests_that_reach_no_server_for_the_retry_budget)
+{
+    for (bool const reached_node : {true, false})
+    {
+        valid_history recorded;
+        for (int i = 0; i < 120; ++i)
+        {
+            auto const id = "c" + std::to_string(i);
+            recorded.add_request(id, request_kind::idempotent, 11000).connect_failed =
+                i >= 80 && !reached_node;
+            if (i >= 80)
+                continue;
+            recorded.add_arrival(id, "s1", 11010 + i);
+            recorded.add_arrival(id, "s2", 11100 + i);
+        }
+        EXPECT_EQ(count_violations("retry_budget", recorded), reached_node ? 0U : 1U);
+    }
+}
+
 TEST(soak_checks, report_requests_that_outlive_their_callers)
 {
     auto const disconnect_caller = [](history& recorded)
