Soak: Play planned stops in series

Cause: the check of stops looks at requests sent until 1 s after SIGTERM only, and the soak's callers closed connections themselves and sent short requests.

Ruled out as gaps of the other checks: false refusals and second runs are covered by refusals and single_runs; late answers by time_limits.

Callers keep connections until their node closes them, and send short and long requests with various deadlines and misleading estimates of the length. The new check, unanswered, holds for every run: a request that a node has read gets a complete answer, unless its server failed, its time was over, an unplanned disruption came between, or it was sent before SIGTERM and outlasts the grace period. A node may be told to reload while it shuts down. The check of stops counts the caller's own deadline, now that it differs from the route's.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -1,10 +1,16 @@
 #!/usr/bin/env bash
 # Runs the fault soak: `meta/soak.sh FIRST LAST [JOBS]` for a range of seeds, `meta/soak.sh fresh
 # COUNT [JOBS]` for random seeds, `meta/soak.sh regression [JOBS]` for all that failed before.
+# `meta/soak.sh planned FIRST LAST [JOBS]` plays planned work only.
 # Keeps the logs of a failed seed in build/soak/SEED.
 set -eu
 cd "$(dirname "$0")/.."
 build=${BUILD_DIRECTORY:-build}
+soak_options=
+if [ "${1:-}" = planned ]; then
+    soak_options=--planned-work
+    shift
+fi
 case ${1:-} in
 regression)
     seeds=$(sed -n 's/^\([0-9]\+\) .*/\1/p' tests/soak/regression_seeds.txt)
@@ -24,7 +30,7 @@
     # Seeds that run at the same time use different ports.
     local seed=$1 position=$2 seed_directory="$build/soak/$1"
     mkdir -p "$seed_directory"
-    if "$build/tests/soak/fault-soak" --seed "$seed" --first-port $((25000 + 700 * (position % 8))) \
+    if "$build/tests/soak/fault-soak" $soak_options --seed "$seed" --first-port $((25000 + 700 * (position % 8))) \
         --keep "$seed_directory" >"$seed_directory/output.txt" 2>&1; then
         echo "seed $seed passed: $(tail -n 1 "$seed_directory/output.txt")"
         rm -r "$seed_directory"
@@ -34,5 +40,5 @@
     fi
 }
 export -f run_seed
-export build
+export build soak_options
 printf '%s\n' "$seeds" | awk '{ print $1, NR }' | xargs -P "$jobs" -L 1 bash -c 'run_seed "$0" "$1"'
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -19,6 +19,13 @@
     return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+/// Returns the time after which the caller or the route gives the request up.
+milliseconds allowed_time(request_record const& request)
+{
+    return std::min(test_settings::route_timeout(request.kind),
+                    request.deadline.value_or(test_settings::request_deadline));
+}
+
 std::map<std::string, request_record const*> requests_by_id(history const& recorded)
 {
     std::map<std::string, request_record const*> requests;
@@ -455,6 +462,20 @@
     return detected_violations;
 }
 
+/// Returns true if one of the servers that received the request failed before the request ended.
+bool server_failed(history const& recorded, request_record const& request,
+                   std::span<arrival_record const* const> arrivals)
+{
+    return std::any_of(arrivals.begin(), arrivals.end(),
+                       [&](auto const* arrival)
+                       {
+                           auto const& server = recorded.servers.at(arrival->server);
+                           return (server.ended_at && *server.ended_at <= request.ended_at) ||
+                                  !recorded.is_undisturbed(arrival->server, request.sent_at,
+                                                           request.ended_at);
+                       });
+}
+
 violations check_shutdowns(history const& recorded)
 {
     violations detected_violations;
@@ -487,26 +508,82 @@
                 (!was_forwarded &&
                  request.ended_at < request.sent_at + limits::connection_loss_window))
                 continue;
-            bool const server_failed =
-                was_forwarded &&
-                std::any_of(request_arrivals->second.begin(), request_arrivals->second.end(),
-                            [&](auto const* arrival)
-                            {
-                                auto const& server = recorded.servers.at(arrival->server);
-                                return (server.ended_at && *server.ended_at <= request.ended_at) ||
-                                       !recorded.is_undisturbed(arrival->server, request.sent_at,
-                                                                request.ended_at);
-                            });
+            bool const server_failure =
+                was_forwarded && server_failed(recorded, request, request_arrivals->second);
             bool const timed_out =
                 request.ended_at > grace_period_end - test_settings::shutdown_grace_period / 6 ||
-                request.ended_at > request.sent_at + test_settings::route_timeout(request.kind);
-            if (!server_failed && !timed_out)
+                request.ended_at > request.sent_at + allowed_time(request);
+            if (!server_failure && !timed_out)
                 detected_violations.push_back(request.id + ": lost during the shutdown of " + name);
         }
     }
     return detected_violations;
 }
 
+/// Returns the last shutdown of the request's node that had begun when the request ended, or null
+/// if the request was sent long after it.
+node_shutdown const* find_shutdown(history const& recorded, request_record const& request)
+{
+    node_shutdown const* last = nullptr;
+    for (auto const& shutdown : recorded.shutdowns)
+        if (shutdown.node == request.node && request.ended_at >= shutdown.signalled_at &&
+            request.sent_at <=
+                shutdown.signalled_at + test_settings::shutdown_grace_period + limits::settle_time)
+            last = &shutdown;
+    return last;
+}
+
+/// Returns true if the request was sent before the shutdown and a server was still at work on it
+/// near the end of the grace period.
+bool outlasts_shutdown(node_shutdown const& shutdown, request_record const& request,
+                       std::span<arrival_record const* const> arrivals)
+{
+    auto const last_sixth = shutdown.signalled_at + test_settings::shutdown_grace_period * 5 / 6;
+    return request.sent_at < shutdown.signalled_at &&
+           std::any_of(arrivals.begin(), arrivals.end(),
+                       [&](auto const* arrival)
+                       { return !arrival->ended_at || *arrival->ended_at > last_sixth; });
+}
+
+violations check_unanswered_requests(history const& recorded)
+{
+    violations detected_violations;
+    auto const arrivals = arrivals_by_id(recorded);
+    for (auto const& request : recorded.requests)
+    {
+        bool const answered = request.status != 0 && request.is_complete;
+        if (answered || request.connect_failed || request.disconnected_at)
+            continue;
+        auto const found = arrivals.find(request.id);
+        auto const request_arrivals = found == arrivals.end()
+                                          ? std::span<arrival_record const* const>{}
+                                          : std::span(found->second);
+        // A request that crosses the end of its connection is not read.
+        bool const was_read = !request_arrivals.empty() ||
+                              request.ended_at >= request.sent_at + limits::connection_loss_window;
+        auto const from = request.sent_at - limits::settle_time;
+        bool const undisturbed = recorded.is_undisturbed_but_for_planned_work(
+                                     node_subject(request.node), from, request.ended_at) &&
+                                 recorded.is_undisturbed(store_subject, from, request.ended_at) &&
+                                 recorded.is_undisturbed(host_subject, from, request.ended_at);
+        auto const* const shutdown = find_shutdown(recorded, request);
+        if (!was_read || !undisturbed ||
+            request.ended_at >= request.sent_at + allowed_time(request) ||
+            server_failed(recorded, request, request_arrivals) ||
+            (shutdown != nullptr && outlasts_shutdown(*shutdown, request, request_arrivals)))
+            continue;
+        auto text = request.id + ": read by " + node_subject(request.node) + " and not answered";
+        if (shutdown != nullptr)
+            text += ", sent " +
+                    std::to_string(std::chrono::duration_cast<milliseconds>(request.sent_at -
+                                                                            shutdown->signalled_at)
+                                       .count()) +
+                    " ms after SIGTERM";
+        detected_violations.push_back(text);
+    }
+    return detected_violations;
+}
+
 violations check_forwarding(history const& recorded)
 {
     violations detected_violations;
@@ -524,7 +601,7 @@
                                           arrival.customer +
                                           (arrival.has_api_key ? "' and the caller's key" : "'"));
         auto const remaining =
-            test_settings::request_deadline -
+            request->second->deadline.value_or(test_settings::request_deadline) -
             std::chrono::duration_cast<milliseconds>(arrival.arrived_at - request->second->sent_at);
         bool const undisturbed =
             is_node_undisturbed(recorded, request->second->node, arrival.arrived_at) &&
@@ -573,7 +650,7 @@
     check{"downgrades", check_downgrades},   check{"cold_servers", check_cold_servers},
     check{"time_limits", check_timeouts},    check{"stops", check_shutdowns},
     check{"forwarding", check_forwarding},   check{"recovery", check_recovery},
-    check{"processes", check_processes},
+    check{"processes", check_processes},     check{"unanswered", check_unanswered_requests},
 };
 
 } // namespace
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -31,6 +31,8 @@
     store_lapsed_entries,
     configuration_change,
     zone_evacuation,
+    /// Additional callers send requests.
+    burst,
 };
 
 struct planned_fault
@@ -48,6 +50,11 @@
 std::vector<planned_fault> make_plan(unsigned seed, std::chrono::milliseconds from,
                                      std::chrono::milliseconds to);
 
+/// Generates planned work only: series of stops of nodes, which overlap with each other, reloads,
+/// changes of the configuration and bursts.
+std::vector<planned_fault> make_planned_work(unsigned seed, std::chrono::milliseconds from,
+                                             std::chrono::milliseconds to);
+
 /// Returns a one-line description.
 std::string describe(planned_fault const& fault);
 
--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -1,6 +1,7 @@
 /// Events of a soak run as observed by the callers, the servers and the operator.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -18,6 +19,8 @@
 {
     time_point from;
     time_point to;
+    /// Part of planned work, such as the stop of a node.
+    bool is_planned = false;
 };
 
 enum class request_kind
@@ -55,6 +58,8 @@
     /// last event of the stream, which is 0 for requests that are not streamed.
     int first_event_number = 1;
     int last_event_number = 0;
+    /// Set if the caller waits for another time than `test_settings::request_deadline`.
+    std::optional<milliseconds> deadline;
     /// Set if the caller closed the connection before the end of the response.
     std::optional<time_point> disconnected_at;
     /// The connection could not be established, so no node received the request.
@@ -141,14 +146,29 @@
 
     /// Returns true if nothing disturbed the subject between `from` and `to`.
     bool is_undisturbed(std::string const& subject, time_point from, time_point to) const
+    {
+        return !is_disturbed_by(subject, from, to, [](time_span const&) { return true; });
+    }
+
+    /// Like `is_undisturbed`, but ignores planned work.
+    bool is_undisturbed_but_for_planned_work(std::string const& subject, time_point from,
+                                             time_point to) const
+    {
+        return !is_disturbed_by(subject, from, to,
+                                [](time_span const& span) { return !span.is_planned; });
+    }
+
+private:
+    template <class Predicate>
+    bool is_disturbed_by(std::string const& subject, time_point from, time_point to,
+                         Predicate&& counts) const
     {
         auto const found = disruptions.find(subject);
         if (found == disruptions.end())
-            return true;
-        for (auto const& span : found->second)
-            if (span.from <= to && span.to >= from)
-                return false;
-        return true;
+            return false;
+        return std::any_of(found->second.begin(), found->second.end(),
+                           [&](time_span const& span)
+                           { return counts(span) && span.from <= to && span.to >= from; });
     }
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -64,6 +64,9 @@
     application.add_option("--nodes", options.nodes, "Number of nodes")->check(CLI::Range(1, 30));
     application.add_option("--callers", options.callers, "Number of callers")
         ->check(CLI::Range(1, 200));
+    bool planned_work_only = false;
+    application.add_flag("--planned-work", planned_work_only,
+                         "Only stop and reload nodes and change the configuration, beside bursts");
     application.add_option("--first-port", options.first_port, "First of 700 consecutive ports");
     application.add_option("--hide", options.hidden_kinds,
                            "Object kinds whose changes the store hides from the nodes");
@@ -73,8 +76,14 @@
     CLI11_PARSE(application, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
 
-    auto const plan =
-        make_plan(options.seed, initial_delay, initial_delay + std::chrono::seconds(seconds));
+    auto const plan_end = initial_delay + std::chrono::seconds(seconds);
+    auto const plan = planned_work_only ? make_planned_work(options.seed, initial_delay, plan_end)
+                                        : make_plan(options.seed, initial_delay, plan_end);
+    if (planned_work_only)
+    {
+        options.has_varied_callers = true;
+        options.burst_callers = options.callers;
+    }
     std::cout << "seed " << options.seed << ", " << plan.size() << " faults\n";
     for (auto const& fault : plan)
         std::cout << describe(fault) << '\n';
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds connect_timeout{1000};
 // Maximum pause between two requests of a caller.
 constexpr unsigned maximum_pause_milliseconds = 80;
+constexpr unsigned maximum_burst_pause_milliseconds = 8;
 // Percentage of requests whose caller disconnects early.
 constexpr unsigned disconnect_percentage = 6;
 constexpr milliseconds maximum_retry_delay{1000};
@@ -27,7 +28,7 @@
 // How often a caller that waits for a response checks whether to disconnect.
 constexpr milliseconds read_timeout{20};
 // Callers wait a little longer than the deadline that they send.
-constexpr milliseconds response_timeout = test_settings::request_deadline + milliseconds(1000);
+constexpr milliseconds response_slack{1000};
 
 Poco::Timespan to_timespan(milliseconds duration)
 {
@@ -36,8 +37,10 @@
 
 } // namespace
 
-soak_caller::soak_caller(int number, unsigned seed, std::vector<node_addresses> nodes)
-    : m_number(number), m_random(seed), m_nodes(std::move(nodes)), m_thread([this] { run(); })
+soak_caller::soak_caller(int number, unsigned seed, std::vector<node_addresses> nodes,
+                         caller_habits habits)
+    : m_number(number), m_random(seed), m_nodes(std::move(nodes)), m_habits(habits),
+      m_thread([this] { run(); })
 {
 }
 
@@ -59,6 +62,11 @@
 {
     while (!m_stop_requested)
     {
+        if (m_habits.burst != nullptr && !*m_habits.burst)
+        {
+            std::this_thread::sleep_for(read_timeout);
+            continue;
+        }
         auto const plan = draw_request();
         int first_event_number = 1;
         for (int attempt = 0; attempt < maximum_caller_attempts && !m_stop_requested; ++attempt)
@@ -83,7 +91,9 @@
             if (plan.event_count > 0 && first_event_number > plan.event_count)
                 break;
         }
-        std::this_thread::sleep_for(milliseconds(m_random() % maximum_pause_milliseconds));
+        auto const maximum_pause = m_habits.burst == nullptr ? maximum_pause_milliseconds
+                                                             : maximum_burst_pause_milliseconds;
+        std::this_thread::sleep_for(milliseconds(m_random() % maximum_pause));
     }
 }
 
@@ -125,16 +135,53 @@
 {
     auto const draw = m_random() % 100;
     auto const work = "work-" + std::to_string(10 + m_random() % 150);
+    planned_request plan;
+    plan.deadline = test_settings::request_deadline;
+    plan.method = "POST";
     if (draw < 35)
-        return {request_kind::non_idempotent, "POST", "/order/" + work};
-    if (draw < 70)
-        return {request_kind::idempotent, "GET", draw < 40 ? "/check/error" : "/check/" + work};
-    int const event_count = 5 + static_cast<int>(m_random() % 60);
-    bool const is_non_resumable = draw < 85;
-    return {is_non_resumable ? request_kind::stream : request_kind::resumable_stream, "POST",
-            (is_non_resumable ? "/plan/stream-" : "/question/stream-") +
-                std::to_string(event_count),
-            event_count};
+    {
+        plan.kind = request_kind::non_idempotent;
+        plan.path = "/order/" + work;
+    }
+    else if (draw < 70)
+    {
+        plan.kind = request_kind::idempotent;
+        plan.method = "GET";
+        plan.path = draw < 40 ? "/check/error" : "/check/" + work;
+    }
+    else
+    {
+        bool const is_resumable = draw >= 85;
+        plan.kind = is_resumable ? request_kind::resumable_stream : request_kind::stream;
+        plan.event_count = 5 + static_cast<int>(m_random() % 60);
+        plan.maximum_tokens = plan.event_count;
+        plan.path = (is_resumable ? "/question/stream-" : "/plan/stream-") +
+                    std::to_string(plan.event_count);
+    }
+    if (m_habits.varies_requests)
+        vary(plan);
+    return plan;
+}
+
+void soak_caller::vary(planned_request& plan)
+{
+    constexpr std::array deadlines{milliseconds(1500), milliseconds(3000), milliseconds(8000)};
+    plan.deadline = deadlines[m_random() % deadlines.size()];
+    if (plan.event_count == 0)
+    {
+        constexpr std::array work_milliseconds{10, 150, 600, 2500};
+        if (!plan.path.ends_with("error"))
+            plan.path = plan.path.substr(0, plan.path.rfind('-') + 1) +
+                        std::to_string(work_milliseconds[m_random() % work_milliseconds.size()]);
+        return;
+    }
+    constexpr std::array event_counts{3, 30, 120, 280};
+    plan.event_count = event_counts[m_random() % event_counts.size()];
+    plan.path = plan.path.substr(0, plan.path.rfind('-') + 1) + std::to_string(plan.event_count);
+    plan.maximum_tokens = plan.event_count * static_cast<int>(1 + m_random() % 6);
+    constexpr std::array estimate_percentages{10, 50, 100, 400};
+    plan.expected_tokens = std::max(
+        1, plan.event_count * estimate_percentages[m_random() % estimate_percentages.size()] / 100);
 }
 
 request_record soak_caller::send_request(planned_request const& plan, int first_event_number)
@@ -144,17 +191,20 @@
     record.kind = plan.kind;
     record.first_event_number = first_event_number;
     record.last_event_number = plan.event_count;
-    if (m_connection && m_random() % 3 == 0)
+    record.deadline = plan.deadline;
+    if (m_connection && !m_habits.keeps_connections && m_random() % 3 == 0)
         m_connection.reset();
     if (!m_connection)
         m_connected_node = select_node();
     record.node = m_connected_node;
     auto request = make_request(plan.method, plan.path, record.id);
-    request.headers.set("Deadline-Ms", std::to_string(test_settings::request_deadline.count()));
+    request.headers.set("Deadline-Ms", std::to_string(plan.deadline.count()));
     if (plan.event_count > 0)
     {
         request.headers.add("Model", "m");
-        request.headers.add("Token-Usage", "200," + std::to_string(plan.event_count));
+        request.headers.add("Token-Usage", "200," + std::to_string(plan.maximum_tokens));
+        if (plan.expected_tokens)
+            request.headers.add("Length-Hint", std::to_string(*plan.expected_tokens));
         request.headers.add("Prefix-Hash", "a:150," + record.id + ":50");
     }
     if (first_event_number > 1)
@@ -204,7 +254,7 @@
     while (reader.current_state() == http::response_reader::state::reading_head ||
            reader.current_state() == http::response_reader::state::reading_body)
     {
-        if (clock::now() > record.sent_at + response_timeout)
+        if (clock::now() > record.sent_at + *record.deadline + response_slack)
             return false;
         if (disconnect_at && clock::now() > *disconnect_at)
         {
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -27,10 +27,22 @@
     std::uint16_t address_list_port = 0;
 };
 
+/// How a caller behaves.
+struct caller_habits
+{
+    /// Uses a connection until the node closes it. Otherwise, closes some of them itself.
+    bool keeps_connections = false;
+    /// Sends short and long requests, with various deadlines and misleading estimates of the
+    /// length.
+    bool varies_requests = false;
+    /// If set, sends only while the value is true, and then with short pauses.
+    std::atomic<bool> const* burst = nullptr;
+};
+
 class soak_caller
 {
 public:
-    soak_caller(int number, unsigned seed, std::vector<node_addresses> nodes);
+    soak_caller(int number, unsigned seed, std::vector<node_addresses> nodes, caller_habits habits);
     /// Waits for the current request.
     ~soak_caller();
     /// Stops after the current request and returns the records.
@@ -39,16 +51,22 @@
 private:
     struct planned_request
     {
-        request_kind kind;
+        request_kind kind = request_kind::idempotent;
         std::string method;
         std::string path;
         int event_count = 0;
+        milliseconds deadline{0};
+        /// Maximum and expected number of output tokens that the request states.
+        int maximum_tokens = 0;
+        std::optional<int> expected_tokens;
     };
 
     void run();
     void refresh_addresses();
     int select_node();
     planned_request draw_request();
+    /// Changes the length, the deadline and the estimates of a request.
+    void vary(planned_request& plan);
     request_record send_request(planned_request const& plan, int first_event_number);
     /// Reads the response into the record. Returns true if the connection can be reused.
     bool read_response(request_record& record, std::optional<time_point> disconnect_at);
@@ -56,6 +74,7 @@
     int m_number;
     std::mt19937 m_random;
     std::vector<node_addresses> m_nodes;
+    caller_habits m_habits;
     std::vector<int> m_listed_nodes;
     time_point m_addresses_refreshed_at;
     std::optional<Poco::Net::StreamSocket> m_connection;
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -146,9 +146,11 @@
     // Nodes read the list of servers separately, so servers may become known after the
     // configuration.
     std::this_thread::sleep_for(milliseconds(500));
-    for (int number = 0; number < m_options.callers; ++number)
+    for (int number = 0; number < m_options.callers + m_options.burst_callers; ++number)
         m_callers.push_back(std::make_unique<soak_caller>(
-            number, m_options.seed * 1000 + static_cast<unsigned>(number), addresses));
+            number, m_options.seed * 1000 + static_cast<unsigned>(number), addresses,
+            caller_habits{m_options.has_varied_callers, m_options.has_varied_callers,
+                          number < m_options.callers ? nullptr : &m_burst}));
     return true;
 }
 
@@ -259,9 +261,10 @@
     m_scheduled_actions.emplace(clock::now() + delay, std::move(action));
 }
 
-void soak_deployment::record_disruption(std::string const& subject, milliseconds duration)
+void soak_deployment::record_disruption(std::string const& subject, milliseconds duration,
+                                        bool is_planned)
 {
-    m_history.disruptions[subject].push_back({clock::now(), clock::now() + duration});
+    m_history.disruptions[subject].push_back({clock::now(), clock::now() + duration, is_planned});
     m_history.last_fault_end = std::max(m_history.last_fault_end, clock::now() + duration);
 }
 
@@ -318,6 +321,8 @@
         return publish_configuration();
     case fault_kind::zone_evacuation:
         return evacuate_zone(fault);
+    case fault_kind::burst:
+        return start_burst(fault);
     }
 }
 
@@ -348,7 +353,10 @@
 void soak_deployment::inject_node_fault(int number, planned_fault const& fault)
 {
     auto& node = m_nodes[static_cast<std::size_t>(number)];
-    if (node.has_active_fault)
+    // A node may be told to reload while it shuts down.
+    bool const is_shutting_down =
+        node.has_active_fault && !node.is_expected_to_run && node.process->program().running();
+    if (node.has_active_fault && !(is_shutting_down && fault.kind == fault_kind::node_reload))
         return;
     if (fault.kind == fault_kind::node_reload)
     {
@@ -393,7 +401,8 @@
     node.is_expected_to_run = false;
     auto const shutdown_index = m_history.shutdowns.size();
     m_history.shutdowns.push_back({number, clock::now(), {}, 0});
-    record_disruption(node_subject(number), test_settings::shutdown_grace_period + restart_delay);
+    record_disruption(node_subject(number), test_settings::shutdown_grace_period + restart_delay,
+                      true);
     auto const disruption_index = m_history.disruptions[node_subject(number)].size() - 1;
     node.process->program().send_signal(SIGTERM);
     // Like the platform, restart() kills a process that is still running after its grace period.
@@ -530,6 +539,13 @@
              });
 }
 
+void soak_deployment::start_burst(planned_fault const& fault)
+{
+    m_burst = true;
+    m_burst_end = std::max(m_burst_end, clock::now() + fault.duration);
+    schedule(fault.duration, [this] { m_burst = clock::now() < m_burst_end; });
+}
+
 void soak_deployment::record_unexpected_exits()
 {
     for (std::size_t number = 0; number < m_nodes.size(); ++number)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -25,6 +25,10 @@
     int nodes = 3;
     int callers = 10;
     unsigned seed = 1;
+    /// Additional callers, which send only during bursts.
+    int burst_callers = 0;
+    /// Callers keep their connections and send short and long requests.
+    bool has_varied_callers = false;
     std::uint16_t first_port = 25000;
     /// Object kinds that the store hides from the nodes, to show that a check detects it.
     std::vector<std::string> hidden_kinds;
@@ -85,8 +89,10 @@
     void inject_server_fault(planned_fault const& fault);
     void inject_store_fault(planned_fault const& fault);
     void evacuate_zone(planned_fault const& fault);
+    void start_burst(planned_fault const& fault);
     void schedule(milliseconds delay, std::function<void()> action);
-    void record_disruption(std::string const& subject, milliseconds duration);
+    void record_disruption(std::string const& subject, milliseconds duration,
+                           bool is_planned = false);
     void record_unexpected_exits();
     void record_host_stalls();
 
@@ -98,6 +104,8 @@
     std::unique_ptr<fake_store> m_store;
     std::vector<std::unique_ptr<running_server>> m_servers;
     std::vector<running_node> m_nodes;
+    std::atomic<bool> m_burst{false};
+    time_point m_burst_end;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::multimap<time_point, std::function<void()>> m_scheduled_actions;
     time_point m_store_fault_end;
--- a/tests/soak_checks_test.cpp
+++ b/tests/soak_checks_test.cpp
@@ -248,6 +248,68 @@
     expect_violation("stops", [](auto& recorded) { recorded.shutdowns = {{0, at(10050), {}, 0}}; });
 }
 
+// Guards against requests that a stopping node reads and gives up, however late after SIGTERM they
+// were sent, and against blaming it for what it could not finish.
+TEST(soak_checks, report_requests_without_an_answer)
+{
+    auto const make_unanswered = [](history& recorded, int ended_at)
+    {
+        recorded.shutdowns = {{0, at(6000), at(11900), 0}};
+        recorded.disruptions[node_subject(0)] = {{at(6000), at(12200), true}};
+        recorded.requests[0].status = 0;
+        recorded.requests[0].is_complete = false;
+        recorded.requests[0].ended_at = at(ended_at);
+        recorded.arrivals[0].ended_at = at(ended_at);
+    };
+    expect_violation("unanswered", [&](auto& recorded) { make_unanswered(recorded, 11900); });
+    expect_violation("unanswered",
+                     [&](auto& recorded)
+                     {
+                         // The node reads the request but does not pass it on.
+                         make_unanswered(recorded, 10300);
+                         recorded.arrivals.clear();
+                     });
+    expect_violation("unanswered",
+                     [&](auto& recorded)
+                     {
+                         make_unanswered(recorded, 10300);
+                         recorded.requests[0].status = 502;
+                     });
+    expect_violation("unanswered",
+                     [&](auto& recorded)
+                     {
+                         make_unanswered(recorded, 10300);
+                         recorded.shutdowns.clear();
+                     });
+    auto const count_excused = [&](int ended_at, auto const& excuse)
+    {
+        valid_history recorded;
+        make_unanswered(recorded, ended_at);
+        excuse(recorded);
+        return count_violations("unanswered", recorded);
+    };
+    EXPECT_EQ(count_excused(13100, [](auto&) {}), 0U);
+    EXPECT_EQ(count_excused(11600, [](auto& recorded)
+                            { recorded.requests[0].deadline = milliseconds(1500); }),
+              0U);
+    EXPECT_EQ(
+        count_excused(11900, [](auto& recorded) { recorded.requests[0].connect_failed = true; }),
+        0U);
+    EXPECT_EQ(count_excused(10100, [](auto& recorded) { recorded.arrivals.clear(); }), 0U);
+    EXPECT_EQ(count_excused(11900, [](auto& recorded) { recorded.disturb("s1", 11000, 11100); }),
+              0U);
+    EXPECT_EQ(
+        count_excused(11900, [](auto& recorded) { recorded.disturb(node_subject(0), 8000, 8100); }),
+        0U);
+    EXPECT_EQ(count_excused(11900,
+                            [](auto& recorded)
+                            {
+                                recorded.requests[0].sent_at = at(5900);
+                                recorded.requests[0].kind = request_kind::stream;
+                            }),
+              0U);
+}
+
 TEST(soak_checks, report_altered_requests)
 {
     expect_violation("forwarding", [](auto& recorded) { recorded.add_arrival("r9", "s1", 11000); });
