Node: Replace followers that the store or their peers have lost within a second

Ruled out: a longer bound; shorter watches of all kinds (they double the calls of followers).

Change: in large fleets a watch of the configuration ends after 0.5 to 1 s; a node reports at once when it loses or regains the store; a follower, which reports every 0.3 s, counts as recently heard for 1 s instead of 1.3 s.

The price of the shorter watch was not measured when this was committed.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -21,6 +21,10 @@
 constexpr base::milliseconds watch_timeout_per_node{500};
 constexpr base::milliseconds minimum_watch_timeout{2000};
 constexpr base::milliseconds maximum_watch_timeout{25000};
+// In a large fleet all followers may wait at a store that has fallen silent for them alone. Their
+// watches end 0.8 s after the timeout, and other nodes then need 1.2 s to follow the store and to
+// distribute a configuration, which must be applied within 3 s.
+constexpr base::milliseconds maximum_follower_configuration_watch{1000};
 
 // Callers that keep an answer while their zone fails still have these nodes.
 constexpr std::size_t addresses_of_other_zones = 4;
@@ -204,6 +208,13 @@
     return node.has_reported && now < node.last_report + timeout;
 }
 
+bool node_directory::has_reported_recently(node_record const& node,
+                                           base::time_point now) const noexcept
+{
+    auto const period = node.state.follows_store ? follower_timeout : recent_report_period;
+    return node.has_reported && now < node.last_report + period;
+}
+
 std::vector<std::string> node_directory::live_node_names(base::time_point now) const
 {
     std::vector<std::string> names{m_self.name};
@@ -314,9 +325,8 @@
     std::vector<std::pair<std::uint64_t, std::string_view>> zone_nodes;
     // Nodes that have just fallen silent may be followers that are being replaced.
     for (auto const& [name, node] : m_nodes)
-        if (reports_to_this_node(node) && is_alive(node, now) &&
-            now < node.last_report + recent_report_period && node.state.store_reached &&
-            node.state.phase == node_phase::ready)
+        if (reports_to_this_node(node) && is_alive(node, now) && has_reported_recently(node, now) &&
+            node.state.store_reached && node.state.phase == node_phase::ready)
             zone_nodes.emplace_back(base::rendezvous_weight(kind, name), name);
     zone_nodes.emplace_back(base::rendezvous_weight(kind, m_self.name), m_self.name);
     std::sort(zone_nodes.rbegin(), zone_nodes.rend());
@@ -345,6 +355,16 @@
     return base::milliseconds(distribution(random));
 }
 
+base::milliseconds node_directory::configuration_watch_timeout(base::random_source& random) const
+{
+    if (!is_large_fleet())
+        return watch_timeout(random);
+    std::uniform_int_distribution<std::int64_t> distribution(
+        maximum_follower_configuration_watch.count() / 2,
+        maximum_follower_configuration_watch.count());
+    return base::milliseconds(distribution(random));
+}
+
 std::optional<node_entry>
 node_directory::follower_with_different_servers(std::string_view kind, std::uint64_t digest,
                                                 base::time_point now) const
@@ -388,10 +408,9 @@
     // Peers don't count a node that cannot reach the store, so another node follows instead of it.
     return store_reached &&
            count_nodes_ahead(kind, now,
-                             [&](node_record const& node)
-                             {
-                                 bool const recent = now < node.last_report + recent_report_period;
-                                 return node.state.store_reached && (follower_heard || recent);
+                             [&](node_record const& node) {
+                                 return node.state.store_reached &&
+                                        (follower_heard || has_reported_recently(node, now));
                              }) < followers_per_zone();
 }
 
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -170,6 +170,9 @@
     /// Random timeout for a watch of the store. A store that stops responding never answers open
     /// watches, so the timeouts are chosen such that some node's watch ends about twice a second.
     base::milliseconds watch_timeout(base::random_source& random) const;
+    /// Random timeout for a watch of the configuration; shorter in large fleets, in which it also
+    /// limits the time until other nodes replace followers that the store no longer answers.
+    base::milliseconds configuration_watch_timeout(base::random_source& random) const;
     /// Returns the first of the peers that follow objects of `kind` if its server digest differs
     /// from `digest`.
     std::optional<node_entry> follower_with_different_servers(std::string_view kind,
@@ -222,6 +225,9 @@
     };
 
     bool is_alive(node_record const& node, base::time_point now) const noexcept;
+    /// True if the node has reported within `follower_timeout` or `recent_report_period`, whichever
+    /// holds for it.
+    bool has_reported_recently(node_record const& node, base::time_point now) const noexcept;
     /// True if a follower of this node's zone that reaches the store has reported recently.
     bool hears_follower(base::time_point now) const;
     /// True if the node's reports come directly, not as a part of its zone's summary.
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -83,6 +83,8 @@
         });
     if (m_store_reached.exchange(store_reached) == store_reached)
         return;
+    // Another node follows the store as soon as it hears that this one has lost it.
+    m_state.report_due().signal();
     observe_event("store", store_reached ? "regained" : "lost");
     base::log_line(store_reached ? base::log_level::info : base::log_level::warning,
                    store_reached ? "store_regained" : "store_lost")
@@ -101,8 +103,13 @@
         if (was_listed && wait_until_follower(kind))
             version.reset();
         bool const needs_list = !version;
-        auto const watch_timeout = m_state.with([&](node_state::tables& tables)
-                                                { return tables.nodes.watch_timeout(random); });
+        auto const watch_timeout = m_state.with(
+            [&](node_state::tables& tables)
+            {
+                return kind == platform::configuration_kind
+                           ? tables.nodes.configuration_watch_timeout(random)
+                           : tables.nodes.watch_timeout(random);
+            });
         auto const call_start = base::steady_clock_source{}.now();
         if (needs_list)
             m_state.with([&](node_state::tables& tables)
--- a/tests/configuration_spread_test.cpp
+++ b/tests/configuration_spread_test.cpp
@@ -80,7 +80,7 @@
 
     std::vector<milliseconds> run()
     {
-        m_fleet.run(seconds(8));
+        m_fleet.run(seconds(5));
         select_nodes();
         bool const cut_before =
             m_settings.fault == disturbance::group_cut_until_after_the_changes ||
@@ -96,7 +96,7 @@
         write_changes();
         m_fleet.run(seconds(2));
         end_disturbance();
-        m_fleet.run(seconds(8));
+        m_fleet.run(seconds(4));
         return m_fleet.configuration_ages();
     }
 
--- a/tests/support/virtual_serving_fleet.cpp
+++ b/tests/support/virtual_serving_fleet.cpp
@@ -326,7 +326,9 @@
         return;
     }
     thread.current = store_thread::activity::watching;
-    auto const timeout = local.directory.watch_timeout(local.random);
+    auto const timeout = thread.kind == kinds.configuration
+                             ? local.directory.configuration_watch_timeout(local.random)
+                             : local.directory.watch_timeout(local.random);
     thread.watch_end = m_now + timeout + watch_margin;
     thread.next = local.access == store_access::reset ? m_now : m_now + timeout;
     thread.next_cancellation_check = m_now + cancellation_check_interval;
@@ -335,6 +337,7 @@
 void virtual_serving_fleet::fail_store_call(int number, store_thread& thread)
 {
     auto& local = m_nodes[index(number)];
+    local.report_due |= !local.store_call_failed;
     local.store_call_failed = true;
     thread.current = store_thread::activity::waiting;
     thread.started = false;
@@ -345,6 +348,7 @@
 void virtual_serving_fleet::finish_store_call(int number, store_thread& thread)
 {
     auto& local = m_nodes[index(number)];
+    local.report_due |= local.store_call_failed;
     local.store_call_failed = false;
     thread.backoff = milliseconds(100);
     bool const listed = !thread.version;
