Poison requests: Count crashes for each shared prompt part

What callers saw: requests with one prompt part, no two alike, crashed server after server.

Cause: the fingerprint covers caller, target and body, so ten different requests were ten suspects with one crash each. Behind it, a report held only the first four crash records in key order, and zone summaries held none, so counts did not add up over nodes either. A resumable stream that crashed its server before the first event was run again by a second server.

Ruled out: repeats as the cause for proposals (each of the ten requests was sent once).

Change: the detector counts crashes for prompt parts as well. Evidence is a server that closes the connection after the response head and before the first event, or that refuses connections afterwards. A first event clears the parts of its request at all nodes. A part with 3 crashes since its last answer (5 if it was answered before; crashes within 400 ms count once) is rejected with 503, also before retries and for queued requests. If two parts were there in the same crashes, a trial of a request with one of them tells which is the cause. Such a stream is not resumed. Reports send a node's own news first, three times, then all records in turn; in a large fleet news is relayed to the other zones. The new Thrift fields are optional.

Records also no longer age by up to a second with each exchange.

--- a/libraries/decision/poison_request_detector.cpp
+++ b/libraries/decision/poison_request_detector.cpp
@@ -1,15 +1,32 @@
 #include "decision/poison_request_detector.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 
 namespace jasminepier::decision
 {
+namespace
+{
+
+// Ages of events are rounded by up to this much on the way. A difference below it is no earlier
+// time; taking it over would make events older with each exchange.
+constexpr std::chrono::seconds age_resolution{1};
+// Distinguishes fingerprints of prompt parts from those of whole requests.
+constexpr std::uint64_t prompt_part_seed = 0x70617274;
+
+} // namespace
+
+std::uint64_t fingerprint_prompt_part(std::string_view part) noexcept
+{
+    return base::stable_hash(part, prompt_part_seed);
+}
 
 bool poison_request_detector::record(crash_event const& event, base::time_point now)
 {
     std::lock_guard lock(m_mutex);
     drop_expired(now);
-    return insert(event, now);
+    return insert(event, now, news_transmissions);
 }
 
 void poison_request_detector::merge(std::span<crash_event const> events, base::time_point now)
@@ -33,18 +50,173 @@
     return count > 0 ? poison_verdict::suspected : poison_verdict::clean;
 }
 
+std::vector<std::uint64_t>
+poison_request_detector::record_unanswered(std::span<std::uint64_t const> parts,
+                                           std::string const& server, std::string const& instance,
+                                           base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    drop_expired(now);
+    bool const is_explained = std::any_of(parts.begin(), parts.end(),
+                                          [&](auto part) { return is_part_rejected(part, now); });
+    std::vector<std::uint64_t> suspects;
+    for (auto const part : parts)
+    {
+        if (is_explained && !is_part_rejected(part, now))
+            continue;
+        if (insert({part, server, instance, 0}, now, news_transmissions))
+            suspects.push_back(part);
+    }
+    return suspects;
+}
+
+std::vector<std::uint64_t>
+poison_request_detector::record_answered(std::span<std::uint64_t const> parts, base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::uint64_t> cleared;
+    for (auto const part : parts)
+    {
+        bool const was_suspected = count_crashes_since_answer(part, now) > 0;
+        auto& answer = m_answers[part];
+        answer.last_answer = std::max(answer.last_answer, now);
+        answer.last_local_answer = now;
+        if (!was_suspected)
+            continue;
+        answer.transmissions = news_transmissions;
+        answer.is_local_news = true;
+        cleared.push_back(part);
+    }
+    drop_old_answers();
+    return cleared;
+}
+
+void poison_request_detector::merge_answered(std::span<answered_part const> parts,
+                                             base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    for (auto const& answered : parts)
+    {
+        auto const age = base::milliseconds(std::max<std::int64_t>(answered.age_milliseconds, 0));
+        if (age >= event_lifetime)
+            continue;
+        bool const was_suspected = count_crashes_since_answer(answered.part, now) > 0;
+        auto& answer = m_answers[answered.part];
+        answer.last_answer = std::max<base::time_point>(answer.last_answer, now - age);
+        if (was_suspected && answer.transmissions == 0 &&
+            count_crashes_since_answer(answered.part, now) == 0)
+        {
+            answer.transmissions = 1;
+            answer.is_local_news = false;
+        }
+    }
+    drop_old_answers();
+}
+
+part_judgement poison_request_detector::judge_parts(std::span<std::uint64_t const> parts,
+                                                    base::time_point now) const
+{
+    std::lock_guard lock(m_mutex);
+    part_judgement judgement;
+    for (auto const part : parts)
+    {
+        auto const verdict = judge_part(part, parts, now);
+        if (verdict > judgement.verdict)
+            judgement = {verdict, part};
+    }
+    return judgement;
+}
+
+bool poison_request_detector::try_begin_trial(std::uint64_t part, base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_trials,
+                  [&](auto const& entry) { return now - entry.second >= trial_interval; });
+    return m_trials.try_emplace(part, now).second;
+}
+
 std::vector<crash_event> poison_request_detector::events(base::time_point now)
 {
     std::lock_guard lock(m_mutex);
     drop_expired(now);
     std::vector<crash_event> current;
     current.reserve(m_events.size());
-    for (auto const& [key, time] : m_events)
+    for (auto const& [key, state] : m_events)
+        current.push_back(make_event(key, state.time, now));
+    return current;
+}
+
+crash_report poison_request_detector::take_report(std::size_t limit, base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    drop_expired(now);
+    crash_report report;
+    std::set<event_key> sent;
+    for (auto& [key, state] : m_events)
     {
-        auto const age = std::chrono::ceil<std::chrono::seconds>(now - time);
-        current.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), age.count()});
+        if (state.transmissions == 0)
+            continue;
+        if (report.crashes.size() >= limit)
+        {
+            report.has_more_news = true;
+            break;
+        }
+        --state.transmissions;
+        report.has_news = true;
+        report.has_more_news = report.has_more_news || state.transmissions > 0;
+        report.crashes.push_back(make_event(key, state.time, now));
+        sent.insert(key);
+    }
+    auto position = m_events.upper_bound(m_last_sent_event);
+    for (std::size_t i = 0; i < m_events.size() && report.crashes.size() < limit; ++i)
+    {
+        if (position == m_events.end())
+            position = m_events.begin();
+        m_last_sent_event = position->first;
+        if (!sent.contains(position->first))
+            report.crashes.push_back(make_event(position->first, position->second.time, now));
+        ++position;
+    }
+    add_answers(report, limit, now);
+    return report;
+}
+
+void poison_request_detector::add_answers(crash_report& report, std::size_t limit,
+                                          base::time_point now)
+{
+    std::set<std::uint64_t> suspected_parts;
+    for (auto const& [key, state] : m_events)
+        suspected_parts.insert(std::get<0>(key));
+    std::vector<std::uint64_t> candidates;
+    for (auto const part : suspected_parts)
+        if (auto const found = m_answers.find(part);
+            found != m_answers.end() &&
+            (found->second.last_local_answer || found->second.transmissions > 0))
+            candidates.push_back(part);
+    auto const next = std::upper_bound(candidates.begin(), candidates.end(), m_last_sent_answer);
+    std::rotate(candidates.begin(), next, candidates.end());
+    std::stable_partition(candidates.begin(), candidates.end(),
+                          [&](auto part) { return m_answers.at(part).transmissions > 0; });
+    if (candidates.size() > limit)
+        candidates.resize(limit);
+    for (auto const part : candidates)
+    {
+        auto& answer = m_answers.at(part);
+        auto time = answer.last_answer;
+        if (answer.transmissions > 0)
+        {
+            --answer.transmissions;
+            report.has_news = report.has_news || answer.is_local_news;
+            report.has_more_news = report.has_more_news || answer.transmissions > 0;
+        }
+        else
+        {
+            m_last_sent_answer = part;
+            time = *answer.last_local_answer;
+        }
+        report.answered_parts.push_back(
+            {part, std::chrono::ceil<base::milliseconds>(now - time).count()});
     }
-    return current;
 }
 
 std::size_t poison_request_detector::size() const
@@ -65,27 +237,129 @@
     m_reserved_servers.erase(server);
 }
 
-bool poison_request_detector::insert(crash_event const& event, base::time_point now)
+bool poison_request_detector::insert(crash_event const& event, base::time_point now,
+                                     int transmissions)
 {
-    auto const age = std::chrono::seconds(std::clamp<std::int64_t>(
-        event.age_seconds, 0, static_cast<std::int64_t>(event_lifetime.count())));
+    auto const age = std::clamp<base::milliseconds>(
+        event.age_milliseconds ? base::milliseconds(*event.age_milliseconds)
+                               : base::milliseconds(std::chrono::seconds(event.age_seconds)),
+        base::milliseconds(0), event_lifetime);
     if (age >= event_lifetime)
         return false;
-    auto const time = now - age;
-    auto const [found, added] =
-        m_events.try_emplace({event.fingerprint, event.server, event.instance}, time);
-    found->second = std::min(found->second, time);
+    base::time_point const time = now - age;
+    auto const [found, added] = m_events.try_emplace(
+        {event.fingerprint, event.server, event.instance}, event_state{time, transmissions});
+    if (time + age_resolution < found->second.time)
+        found->second.time = time;
     if (m_events.size() > maximum_events)
         m_events.erase(std::min_element(m_events.begin(), m_events.end(),
                                         [](auto const& left, auto const& right)
-                                        { return left.second < right.second; }));
+                                        { return left.second.time < right.second.time; }));
     return added;
 }
 
 void poison_request_detector::drop_expired(base::time_point now)
 {
     std::erase_if(m_events,
-                  [&](auto const& entry) { return now - entry.second >= event_lifetime; });
+                  [&](auto const& entry) { return now - entry.second.time >= event_lifetime; });
+}
+
+void poison_request_detector::drop_old_answers()
+{
+    if (m_answers.size() <= maximum_answered_parts)
+        return;
+    std::vector<base::time_point> times;
+    times.reserve(m_answers.size());
+    for (auto const& [part, answer] : m_answers)
+        times.push_back(answer.last_answer);
+    auto const middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    std::erase_if(m_answers,
+                  [&](auto const& entry) { return entry.second.last_answer <= *middle; });
+}
+
+std::size_t poison_request_detector::count_crashes_since_answer(std::uint64_t part,
+                                                                base::time_point now) const
+{
+    auto const answer = m_answers.find(part);
+    std::vector<base::time_point> times;
+    for (auto found = m_events.lower_bound({part, "", ""});
+         found != m_events.end() && std::get<0>(found->first) == part; ++found)
+    {
+        auto const time = found->second.time;
+        bool const answered_since = answer != m_answers.end() && time <= answer->second.last_answer;
+        if (!answered_since && now - time < event_lifetime)
+            times.push_back(time);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    std::optional<base::time_point> last_counted;
+    for (auto const time : times)
+    {
+        if (last_counted && time < *last_counted + minimum_crash_distance)
+            continue;
+        last_counted = time;
+        ++count;
+    }
+    return count;
+}
+
+bool poison_request_detector::is_part_rejected(std::uint64_t part, base::time_point now) const
+{
+    auto const threshold = m_answers.contains(part) ? answered_part_threshold : rejection_threshold;
+    return count_crashes_since_answer(part, now) >= threshold;
+}
+
+std::set<std::pair<std::string, std::string>>
+poison_request_detector::crash_sites(std::uint64_t part, base::time_point now) const
+{
+    auto const answer = m_answers.find(part);
+    std::set<std::pair<std::string, std::string>> sites;
+    for (auto found = m_events.lower_bound({part, "", ""});
+         found != m_events.end() && std::get<0>(found->first) == part; ++found)
+    {
+        auto const time = found->second.time;
+        bool const answered_since = answer != m_answers.end() && time <= answer->second.last_answer;
+        if (!answered_since && now - time < event_lifetime)
+            sites.emplace(std::get<1>(found->first), std::get<2>(found->first));
+    }
+    return sites;
+}
+
+part_verdict poison_request_detector::judge_part(std::uint64_t part,
+                                                 std::span<std::uint64_t const> parts,
+                                                 base::time_point now) const
+{
+    if (!is_part_rejected(part, now))
+        return part_verdict::clean;
+    auto const sites = crash_sites(part, now);
+    std::map<std::uint64_t, std::size_t> common_sites;
+    for (auto const& [key, state] : m_events)
+    {
+        auto const& [other, server, instance] = key;
+        if (std::find(parts.begin(), parts.end(), other) == parts.end() &&
+            sites.contains({server, instance}))
+            ++common_sites[other];
+    }
+    auto verdict = part_verdict::rejected;
+    for (auto const& [other, count] : common_sites)
+    {
+        if (count < sites.size() || !is_part_rejected(other, now))
+            continue;
+        if (crash_sites(other, now).size() > sites.size())
+            return part_verdict::clean;
+        verdict = part_verdict::ambiguous;
+    }
+    return verdict;
+}
+
+crash_event poison_request_detector::make_event(event_key const& key, base::time_point time,
+                                                base::time_point now)
+{
+    auto const age = now - time;
+    return {std::get<0>(key), std::get<1>(key), std::get<2>(key),
+            std::chrono::ceil<std::chrono::seconds>(age).count(),
+            std::chrono::ceil<base::milliseconds>(age).count()};
 }
 
 } // namespace jasminepier::decision
--- a/libraries/decision/poison_request_detector.hpp
+++ b/libraries/decision/poison_request_detector.hpp
@@ -7,17 +7,22 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace jasminepier::decision
 {
 
-/// A crash of a server and the fingerprint of a request that was running on it. `instance`
-/// distinguishes several crashes of one server.
+/// A crash of a server and a trait of a request that was running on it: the fingerprint of the
+/// whole request or of one part of its prompt. `instance` distinguishes several crashes of one
+/// server.
 struct crash_event
 {
     std::uint64_t fingerprint = 0;
@@ -25,6 +30,27 @@
     std::string instance;
     /// Rounded up, so forwarding an event never makes it younger.
     std::int64_t age_seconds = 0;
+    /// The same with a finer resolution, if the sender states it.
+    std::optional<std::int64_t> age_milliseconds = std::nullopt;
+};
+
+/// A server has begun to answer a request with this part.
+struct answered_part
+{
+    std::uint64_t part = 0;
+    /// Rounded up.
+    std::int64_t age_milliseconds = 0;
+};
+
+/// What one message to the other nodes says about crashes.
+struct crash_report
+{
+    std::vector<crash_event> crashes;
+    std::vector<answered_part> answered_parts;
+    /// The report has news of this node that it has sent less than `news_transmissions` times.
+    bool has_news = false;
+    /// The next report has news as well.
+    bool has_more_news = false;
 };
 
 enum class poison_verdict
@@ -35,24 +61,82 @@
     rejected,
 };
 
+enum class part_verdict
+{
+    clean,
+    /// Another part was there in the same crashes, so either may be the cause. A request with only
+    /// one of them tells which.
+    ambiguous,
+    rejected,
+};
+
+/// The verdict about a request's prompt parts and the part that it is based on.
+struct part_judgement
+{
+    part_verdict verdict = part_verdict::clean;
+    std::uint64_t part = 0;
+};
+
+/// Returns the fingerprint of a prompt part, which differs from those of whole requests.
+std::uint64_t fingerprint_prompt_part(std::string_view part) noexcept;
+
 /// A replicated set of crash events. Merging is idempotent and commutative, so duplicate and
 /// reordered messages don't matter. Thread-safe.
+///
+/// Whole requests are counted for every crash during which they ran. Prompt parts are shared by
+/// many requests, so they are judged by what followed: the crashes since a server last began to
+/// answer a request with the part. A part that crashes servers never gets that far, while a part
+/// that only happened to run there soon does.
 class poison_request_detector
 {
 public:
     static constexpr std::chrono::seconds event_lifetime{3600};
-    /// Crashes after which a request is rejected. A harmless request that shares a batch with a
-    /// poison request once or twice stays below the threshold.
+    /// Crashes after which a request or a part is rejected. A harmless request that shares a batch
+    /// with a poison request once or twice stays below the threshold.
     static constexpr std::size_t rejection_threshold = 3;
+    /// The same for a part that servers have answered before.
+    static constexpr std::size_t answered_part_threshold = 5;
+    /// Crashes within this time of each other count once for a part: a disruption that ends many
+    /// servers at once says nothing about the requests that they have in common.
+    static constexpr base::milliseconds minimum_crash_distance{400};
     /// Each event takes about 200 bytes. When the set is full, the oldest event is evicted.
     static constexpr std::size_t maximum_events = 4096;
+    /// Parts whose last answer is remembered. When exceeded, the older half is dropped.
+    static constexpr std::size_t maximum_answered_parts = 16384;
+    /// Time between two requests with an ambiguous part that a node sends to learn the cause.
+    static constexpr base::milliseconds trial_interval{2000};
+    /// Reports in which a node repeats its own news, in case datagrams are lost.
+    static constexpr int news_transmissions = 3;
 
     /// Returns true if the event was not known yet.
     bool record(crash_event const& event, base::time_point now);
     void merge(std::span<crash_event const> events, base::time_point now);
     poison_verdict classify(std::uint64_t fingerprint, base::time_point now);
+
+    /// Records the crash of a server that had begun no answer to a request with these parts. If a
+    /// part is rejected already, the crash is its doing and the other parts are not suspected.
+    /// Returns the parts that are suspected because of this crash.
+    std::vector<std::uint64_t> record_unanswered(std::span<std::uint64_t const> parts,
+                                                 std::string const& server,
+                                                 std::string const& instance, base::time_point now);
+    /// Records that a server has begun to answer a request with these parts. Returns those that
+    /// were suspected until then.
+    std::vector<std::uint64_t> record_answered(std::span<std::uint64_t const> parts,
+                                               base::time_point now);
+    /// Applies the answers that another node reports. An answer that clears a part here is
+    /// forwarded once; more often, its time would become younger with each exchange.
+    void merge_answered(std::span<answered_part const> parts, base::time_point now);
+    /// Judges a request by its parts. A part is not rejected if all crashes with it are explained
+    /// by another rejected part, which the request does not have and which crashed more servers.
+    part_judgement judge_parts(std::span<std::uint64_t const> parts, base::time_point now) const;
+    /// Returns true if this node may send a request with an ambiguous part now.
+    bool try_begin_trial(std::uint64_t part, base::time_point now);
+
     /// Returns the events that have not expired.
     std::vector<crash_event> events(base::time_point now);
+    /// Returns at most `limit` crashes and as many answers for the next report to other nodes: news
+    /// of this node first, then the other events in turn.
+    crash_report take_report(std::size_t limit, base::time_point now);
     std::size_t size() const;
 
     /// Reserves `server` for one suspected request of this node. Returns false if it is already
@@ -63,13 +147,48 @@
 private:
     using event_key = std::tuple<std::uint64_t, std::string, std::string>;
 
-    bool insert(crash_event const& event, base::time_point now);
+    struct event_state
+    {
+        /// Time of the crash; the earliest one reported.
+        base::time_point time{};
+        /// Reports in which this node still has to send the event as news.
+        int transmissions = 0;
+    };
+
+    struct answer_state
+    {
+        base::time_point last_answer{};
+        /// Last answer to a request of this node.
+        std::optional<base::time_point> last_local_answer;
+        /// Reports in which this node still has to send `last_answer`.
+        int transmissions = 0;
+        /// The answer to send is one to a request of this node.
+        bool is_local_news = false;
+    };
+
+    bool insert(crash_event const& event, base::time_point now, int transmissions = 0);
     void drop_expired(base::time_point now);
+    void drop_old_answers();
+    std::size_t count_crashes_since_answer(std::uint64_t part, base::time_point now) const;
+    bool is_part_rejected(std::uint64_t part, base::time_point now) const;
+    /// Returns the server and instance of each crash since the part's last answer.
+    std::set<std::pair<std::string, std::string>> crash_sites(std::uint64_t part,
+                                                              base::time_point now) const;
+    part_verdict judge_part(std::uint64_t part, std::span<std::uint64_t const> parts,
+                            base::time_point now) const;
+    static crash_event make_event(event_key const& key, base::time_point time,
+                                  base::time_point now);
+    void add_answers(crash_report& report, std::size_t limit, base::time_point now);
 
     mutable base::ordered_mutex<base::lock_level::poison_request_detector> m_mutex;
-    /// Time of each crash; the earliest one reported.
-    std::map<event_key, base::time_point> m_events;
+    std::map<event_key, event_state> m_events;
+    /// Last trial of each ambiguous part.
+    std::map<std::uint64_t, base::time_point> m_trials;
+    std::unordered_map<std::uint64_t, answer_state> m_answers;
     std::set<std::string> m_reserved_servers;
+    /// Last event that was sent in turn.
+    event_key m_last_sent_event;
+    std::uint64_t m_last_sent_answer = 0;
 };
 
 } // namespace jasminepier::decision
--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -122,9 +122,10 @@
             return;
         // The server may have responded before reading the complete request, so read its response
         // before reporting the send error.
+        auto const send_error = errno;
         receive_available();
         if (!ended())
-            handle_connection_end(false);
+            handle_connection_end(send_error);
         return;
     }
 }
@@ -147,13 +148,14 @@
     }
     if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         return;
-    handle_connection_end(received == 0);
+    handle_connection_end(received == 0 ? 0 : errno);
 }
 
-void client_exchange::handle_connection_end(bool orderly)
+void client_exchange::handle_connection_end(int socket_error)
 {
-    if (orderly)
+    if (socket_error == 0)
         m_reader.feed_eof();
+    m_closed_by_peer = socket_error == 0 || socket_error == ECONNRESET || socket_error == EPIPE;
     if (!complete())
         m_failure = exchange_failure::connection_lost;
 }
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -62,6 +62,12 @@
         return m_reader.current_state() == response_reader::state::complete;
     }
     exchange_failure failure() const noexcept { return m_failure; }
+    /// Returns true if the server's side closed or reset the connection before the response was
+    /// complete, in contrast to a link that timed out.
+    bool closed_by_peer() const noexcept
+    {
+        return m_failure == exchange_failure::connection_lost && m_closed_by_peer;
+    }
     bool ended() const noexcept { return complete() || m_failure != exchange_failure::none; }
     response const& head() const noexcept { return m_reader.head(); }
     std::string take_body() { return m_reader.take_body(); }
@@ -80,13 +86,15 @@
 private:
     void send_pending();
     void receive_available();
-    void handle_connection_end(bool orderly);
+    /// `socket_error` is 0 if the server closed the connection in order.
+    void handle_connection_end(int socket_error);
 
     Poco::Net::StreamSocket m_socket;
     std::string m_request;
     std::size_t m_bytes_sent = 0;
     bool m_connected = false;
     bool m_connection_released = false;
+    bool m_closed_by_peer = false;
     exchange_failure m_failure = exchange_failure::none;
     response_reader m_reader;
     base::time_point m_start_time;
--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -76,7 +76,13 @@
 bool is_valid(crash_record const& record)
 {
     return is_valid_identifier(record.server_id) && is_valid_name(record.instance) &&
-           record.age_seconds >= 0;
+           record.age_seconds >= 0 &&
+           (!record.__isset.age_milliseconds || record.age_milliseconds >= 0);
+}
+
+bool is_valid(answered_part const& answered)
+{
+    return answered.age_milliseconds >= 0;
 }
 
 bool is_valid(gossip_datagram const& message)
@@ -117,7 +123,9 @@
            std::all_of(report.uses.begin(), report.uses.end(),
                        [](auto const& use) { return is_valid(use); }) &&
            std::all_of(report.crashes.begin(), report.crashes.end(),
-                       [](auto const& crash) { return is_valid(crash); });
+                       [](auto const& crash) { return is_valid(crash); }) &&
+           std::all_of(report.answered_parts.begin(), report.answered_parts.end(),
+                       [](auto const& answered) { return is_valid(answered); });
 }
 
 template <class Message>
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -43,12 +43,20 @@
   15: i32 description,
 }
 
-// The death of one server, with the fingerprint of a request that was running there.
+// The crash of one server, with the fingerprint of a request that was running there or of a part of
+// its prompt.
 struct crash_record {
   1: i64 fingerprint,
   2: string server_id,
   3: string instance,
   4: i32 age_seconds,
+  5: optional i32 age_milliseconds,
+}
+
+// The sender has observed that a server began to answer a request with this prompt part.
+struct answered_part {
+  1: i64 part,
+  2: i32 age_milliseconds,
 }
 
 enum datagram_kind { ping = 0, acknowledgement = 1, ping_request = 2, notice = 3 }
@@ -166,6 +174,7 @@
   14: list<configuration_object> news,  // objects that the node has just read from the store
   11: list<server_use> uses,
   12: list<crash_record> crashes,
+  22: optional list<answered_part> answered_parts,
   // Only in reports to other zones: one part of the loads of all nodes of the zone.
   16: i32 summary_part,
   17: i32 summary_parts,          // 0 if the report is not a summary
--- a/libraries/serving/request_metadata.hpp
+++ b/libraries/serving/request_metadata.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jasminepier::serving
 {
@@ -22,6 +23,9 @@
     std::int64_t maximum_output_tokens = 0;
     /// The caller's estimate; accurate at the median, but single estimates are often far off.
     std::optional<std::int64_t> estimated_output_tokens;
+    /// Ids of the prompt's parts that other requests may share, in order; the last part is left
+    /// out.
+    std::vector<std::string> shared_prompt_parts;
     /// How long the caller waits, from the arrival of the request.
     std::optional<base::milliseconds> timeout;
     /// The caller resumes a stream after this event; empty for a new stream.
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -179,6 +179,7 @@
     if (m_state.poison_requests().classify(context.fingerprint, now) ==
         decision::poison_verdict::rejected)
         return base::fail(error_kind::no_server, "the request has crashed several servers");
+    BOOST_LEAF_CHECK(context.check_prompt_parts());
     m_state.with([&](node_state::tables& tables)
                  { tables.dispatcher.add_request(context.service->name, now); });
     if (route.streaming)
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -17,7 +17,9 @@
 constexpr base::milliseconds receive_timeout{1000};
 // Keeps a report well below the maximum size of a datagram: a load takes about 20 bytes.
 constexpr std::size_t maximum_loads_per_report = 40;
-constexpr std::size_t maximum_crashes_per_report = 4;
+constexpr std::size_t maximum_crashes_per_report = 12;
+// Expected size of a crash together with an answered part. Longer names leave out the last ones.
+constexpr std::size_t bytes_per_crash = 60;
 // Sums over a zone take more bytes, and the summary also holds addresses.
 constexpr std::size_t maximum_loads_per_summary = 30;
 
@@ -115,18 +117,13 @@
             if (!changes.empty())
                 relays = tables.nodes.pick_relays(tables.random);
         });
-    auto const crashes = m_state.poison_requests().events(now);
-    for (auto const& event : crashes)
-    {
-        if (report.crashes.size() >= maximum_crashes_per_report || !changes.empty())
-            break;
-        inner_protocol::crash_record record;
-        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
-        record.server_id = event.server;
-        record.instance = event.instance;
-        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
-        report.crashes.push_back(record);
-    }
+    if (changes.empty() && add_crashes(report))
+        relays = m_state.with(
+            [](node_state::tables& tables)
+            {
+                return tables.nodes.is_large_fleet() ? tables.nodes.pick_relays(tables.random)
+                                                     : std::vector<serving::node_entry>{};
+            });
     for (auto const& object : changes)
         report.news.push_back(inner_protocol::to_thrift(object));
     auto const bytes = inner_protocol::encode_node_report(report);
@@ -140,6 +137,41 @@
         m_socket.send_bytes(relay_node.peer_host, relay_node.peer_port, relayed_bytes);
 }
 
+bool peer_link::add_crashes(inner_protocol::node_report& report)
+{
+    auto const used = inner_protocol::encode_node_report(report).size();
+    auto const room = inner_protocol::maximum_datagram_bytes -
+                      std::min(used, inner_protocol::maximum_datagram_bytes);
+    auto const limit = std::min(room / bytes_per_crash, maximum_crashes_per_report);
+    auto const now = base::steady_clock_source{}.now();
+    auto const known = m_state.poison_requests().take_report(limit, now);
+    for (auto const& event : known.crashes)
+    {
+        inner_protocol::crash_record record;
+        record.fingerprint = static_cast<std::int64_t>(event.fingerprint);
+        record.server_id = event.server;
+        record.instance = event.instance;
+        record.age_seconds = static_cast<std::int32_t>(event.age_seconds);
+        if (event.age_milliseconds)
+            record.__set_age_milliseconds(static_cast<std::int32_t>(*event.age_milliseconds));
+        report.crashes.push_back(record);
+    }
+    for (auto const& answered : known.answered_parts)
+    {
+        inner_protocol::answered_part record;
+        record.part = static_cast<std::int64_t>(answered.part);
+        record.age_milliseconds = static_cast<std::int32_t>(answered.age_milliseconds);
+        report.answered_parts.push_back(record);
+        report.__isset.answered_parts = true;
+    }
+    while (!report.crashes.empty() && inner_protocol::encode_node_report(report).size() >
+                                          inner_protocol::maximum_datagram_bytes)
+        report.crashes.pop_back();
+    if (known.has_more_news)
+        m_state.report_due().signal();
+    return known.has_news;
+}
+
 void peer_link::send_zone_summary()
 {
     auto const now = base::steady_clock_source{}.now();
@@ -170,6 +202,8 @@
                 parts.push_back(std::move(part));
             }
         });
+    if (!parts.empty())
+        add_crashes(parts.back());
     for (auto const& part : parts)
     {
         auto const bytes = inner_protocol::encode_node_report(part);
@@ -339,9 +373,18 @@
     std::vector<decision::crash_event> crashes;
     for (auto const& record : report.crashes)
         crashes.push_back({static_cast<std::uint64_t>(record.fingerprint), record.server_id,
-                           record.instance, record.age_seconds});
+                           record.instance, record.age_seconds,
+                           record.__isset.age_milliseconds
+                               ? std::optional<std::int64_t>(record.age_milliseconds)
+                               : std::nullopt});
     if (!crashes.empty())
         m_state.poison_requests().merge(crashes, now);
+    std::vector<decision::answered_part> answered_parts;
+    for (auto const& record : report.answered_parts)
+        answered_parts.push_back(
+            {static_cast<std::uint64_t>(record.part), record.age_milliseconds});
+    if (!answered_parts.empty())
+        m_state.poison_requests().merge_answered(answered_parts, now);
 }
 
 } // namespace jasminepier::node
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -21,7 +21,8 @@
     peer_link& operator=(peer_link const&) = delete;
 
     /// Sends a report immediately, for example at the start of a shutdown. A report with `changes`
-    /// leaves out loads and crashes, since both together could exceed a datagram. Thread-safe.
+    /// leaves out loads and crashes, since both together could exceed a datagram. In a large fleet,
+    /// a report with news of crashes is relayed to the other zones. Thread-safe.
     void send_report(std::span<store::object const> changes);
     /// Sends objects just read from the store to all peers, in as many reports as needed.
     /// Thread-safe.
@@ -31,6 +32,9 @@
     void send_loop();
     /// Sends the loads of this node's zone to the other zones.
     void send_zone_summary();
+    /// Adds as many crashes and answered parts as the datagram has room for. Returns true if there
+    /// is news among them.
+    bool add_crashes(inner_protocol::node_report& report);
     /// Forwards a report from another zone to the nodes of this node's zone.
     void relay(inner_protocol::node_report report);
     /// Takes over what the followers of the store report about it, which decides whether missing
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -103,6 +103,8 @@
         current.attempt.end(current.uses_pooled_connection ? attempt_outcome::inconclusive
                                                            : attempt_outcome::failed);
         m_context.record_crash(server);
+        if (exchange.closed_by_peer())
+            m_context.record_unanswered(server, false);
         return attempt_result::failed;
     }
     current.body += exchange.take_body();
@@ -142,6 +144,7 @@
         return attempt_result::error_response;
     }
     current.attempt.end(attempt_outcome::succeeded);
+    m_context.record_answered();
     m_context.last_server = server.id;
     m_context.send_response(response);
     return attempt_result::delivered;
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -54,6 +54,10 @@
     std::optional<serving::customer> customer;
     serving::request_demand demand;
     std::uint64_t fingerprint = 0;
+    /// Fingerprints of `metadata.shared_prompt_parts`.
+    std::vector<std::uint64_t> prompt_parts;
+    /// This request has probably crashed a server itself.
+    bool crashed_server = false;
 
     /// Servers at which an attempt has failed.
     std::vector<std::string> excluded_servers;
@@ -91,6 +95,14 @@
     make_forwarded_metadata(serving::selected_server const& server) const;
     /// Records that the server failed while it ran the request, for poison request detection.
     void record_crash(serving::selected_server const& server);
+    /// Records that the server closed the connection before it answered. With `response_begun`, it
+    /// had sent a response head, so it was this request whose answer it was beginning. Otherwise
+    /// the loss counts only if the server refuses a new connection.
+    void record_unanswered(serving::selected_server const& server, bool response_begun);
+    /// Records that a server has begun to answer.
+    void record_answered();
+    /// Fails if a part of the prompt crashes servers.
+    base::result<void> check_prompt_parts();
 
     /// Sends an error response of this node. Rejections carry a Retry-After field.
     void send_local_error(base::error const& failure);
@@ -104,8 +116,13 @@
     template <class Condition>
     bool wait_until(base::time_point wait_deadline, Condition&& done);
     std::optional<server_attempt> try_acquire_server(serving::server_selection& selection);
+    /// Returns false if a part of the prompt crashes servers.
+    bool prompt_parts_may_run();
     void log_selected_server(serving::selected_server const& server,
                              std::string_view purpose) const;
+
+    /// This request may run although it has a part that is ambiguous.
+    bool m_is_trial = false;
 };
 
 } // namespace jasminepier::node
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -148,6 +148,7 @@
     {
         m_any_event_sent = true;
         m_attempt->record_first_event();
+        m_context.record_answered();
         m_attempt->set_can_hand_over(
             m_context.service->engine && m_context.service->engine->can_move_generations &&
             m_context.route->idempotency == serving::request_idempotency::non_idempotent);
@@ -254,6 +255,8 @@
         m_attempt->end(m_attempt->is_server_leaving() ? attempt_outcome::inconclusive
                                                       : attempt_outcome::failed);
         m_context.record_crash(m_attempt->server());
+        if (!m_any_event_sent && !m_is_continuation && m_exchange->closed_by_peer())
+            m_context.record_unanswered(m_attempt->server(), m_exchange->head_received());
         break;
     case stream_outcome::error_response:
         m_attempt->end(attempt_outcome::failed);
@@ -286,6 +289,7 @@
 bool stream_relay::try_spend_resume()
 {
     return m_context.route->idempotency == serving::request_idempotency::resumable &&
+           !m_context.crashed_server &&
            m_context.possible_executions < m_context.route->maximum_attempts &&
            m_context.attempts < maximum_attempts_per_request && m_context.try_spend_retry();
 }
--- a/tests/datagram_test.cpp
+++ b/tests/datagram_test.cpp
@@ -105,4 +105,36 @@
         is_rejected([](gossip_datagram& message) { message.target = std::string(1300, 'x'); }));
 }
 
+// Guards against reports of older nodes that are rejected because they lack newer fields, and
+// against ages that get lost on the way.
+TEST(datagram, reads_node_reports_with_and_without_details_of_crashes)
+{
+    node_report report;
+    report.node = "n";
+    report.caller_address = "10.1.2.3:80";
+    report.peer_port = 7000;
+    crash_record crash;
+    crash.fingerprint = 7;
+    crash.server_id = "i-1";
+    crash.age_seconds = 2;
+    report.crashes.push_back(crash);
+    auto const decode = [&]
+    {
+        return base::handle([&] { return decode_node_report(encode_node_report(report)); },
+                            [](base::error const&) { return node_report{}; });
+    };
+    auto const older = decode();
+    ASSERT_EQ(older.crashes.size(), 1U);
+    EXPECT_FALSE(older.crashes[0].__isset.age_milliseconds);
+    EXPECT_TRUE(older.answered_parts.empty());
+    report.crashes[0].__set_age_milliseconds(1500);
+    answered_part answered;
+    answered.part = -3;
+    answered.age_milliseconds = 20;
+    report.__set_answered_parts({answered});
+    EXPECT_EQ(decode(), report);
+    report.answered_parts[0].age_milliseconds = -1;
+    EXPECT_EQ(decode(), node_report{});
+}
+
 } // namespace jasminepier::inner_protocol
--- a/tests/poison_request_detector_test.cpp
+++ b/tests/poison_request_detector_test.cpp
@@ -4,6 +4,11 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
 
 namespace jasminepier::decision
 {
@@ -80,5 +85,263 @@
               poison_verdict::suspected);
 }
 
+std::vector<std::uint64_t> make_parts(std::initializer_list<std::string_view> names)
+{
+    std::vector<std::uint64_t> parts;
+    for (auto const name : names)
+        parts.push_back(fingerprint_prompt_part(name));
+    return parts;
+}
+
+std::optional<std::uint64_t> find_rejected_part(poison_request_detector const& detector,
+                                                std::vector<std::uint64_t> const& parts,
+                                                base::time_point now)
+{
+    auto const judgement = detector.judge_parts(parts, now);
+    return judgement.verdict == part_verdict::rejected ? std::optional(judgement.part)
+                                                       : std::nullopt;
+}
+
+// Guards against rejecting a sound part that no server has answered yet and that was there in every
+// crash of the deadly part.
+TEST(poison_prompt_part, is_told_from_its_constant_companion_by_a_trial)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const both = make_parts({"companion", "deadly"});
+    auto const companion = make_parts({"companion", "own"});
+    auto const deadly = make_parts({"other", "deadly"});
+    for (int crash = 0; crash < 3; ++crash)
+        detector.record_unanswered(both, "s" + std::to_string(crash), "", now += 1s);
+    EXPECT_EQ(detector.judge_parts(both, now).verdict, part_verdict::rejected);
+    EXPECT_EQ(detector.judge_parts(companion, now).verdict, part_verdict::ambiguous);
+    EXPECT_TRUE(detector.try_begin_trial(companion.front(), now));
+    EXPECT_FALSE(detector.try_begin_trial(companion.front(), now));
+    EXPECT_TRUE(
+        detector.try_begin_trial(companion.front(), now + poison_request_detector::trial_interval));
+    auto crashed = std::make_unique<poison_request_detector>();
+    crashed->merge(detector.events(now), now);
+    // The trial is answered.
+    detector.record_answered(companion, now += 1s);
+    EXPECT_EQ(detector.judge_parts(companion, now).verdict, part_verdict::clean);
+    EXPECT_EQ(detector.judge_parts(deadly, now).verdict, part_verdict::rejected);
+    // A trial of the deadly part crashes its server.
+    crashed->record_unanswered(deadly, "s3", "", now);
+    EXPECT_EQ(crashed->judge_parts(deadly, now).verdict, part_verdict::rejected);
+    EXPECT_EQ(crashed->judge_parts(companion, now).verdict, part_verdict::clean);
+}
+
+// Guards against requests that share a crashing prompt part, no two alike, each of which crashes a
+// server of its own because only whole requests are counted.
+TEST(poison_prompt_part, is_found_among_the_parts_that_sound_requests_share)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const common = make_parts({"system"});
+    detector.record_answered(common, now);
+    for (int crash = 0; crash < 3; ++crash)
+    {
+        now += 1s;
+        EXPECT_FALSE(find_rejected_part(detector, make_parts({"deadly"}), now));
+        auto const other = "other-" + std::to_string(crash);
+        detector.record_unanswered(make_parts({"system", "deadly", other}),
+                                   "s" + std::to_string(crash), "", now);
+    }
+    EXPECT_EQ(find_rejected_part(detector, make_parts({"system", "deadly", "new"}), now),
+              fingerprint_prompt_part("deadly"));
+    EXPECT_FALSE(find_rejected_part(detector, common, now));
+    for (auto const* other : {"other-0", "other-1", "other-2"})
+        EXPECT_FALSE(find_rejected_part(detector, make_parts({other}), now));
+    // Crashes that a rejected part explains don't count for the parts beside it.
+    for (int crash = 3; crash < 20; ++crash)
+    {
+        now += 1s;
+        detector.record_unanswered(make_parts({"system", "deadly", "beside"}),
+                                   "s" + std::to_string(crash), "", now);
+    }
+    EXPECT_FALSE(find_rejected_part(detector, make_parts({"system", "beside"}), now));
+    EXPECT_FALSE(find_rejected_part(detector, make_parts({"deadly"}),
+                                    now + poison_request_detector::event_lifetime + 1s));
+}
+
+// Guards against sound parts that stay rejected although servers answer requests with them.
+TEST(poison_prompt_part, is_cleared_by_an_answer_and_counted_anew_after_it)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const part = make_parts({"part"});
+    auto const crash = [&](std::string const& server)
+    {
+        now += 1s;
+        detector.record_unanswered(part, server, "", now);
+    };
+    for (auto const* server : {"a", "b", "c"})
+        crash(server);
+    EXPECT_TRUE(find_rejected_part(detector, part, now));
+    EXPECT_EQ(detector.record_answered(part, now += 1ms), part);
+    EXPECT_FALSE(find_rejected_part(detector, part, now));
+    EXPECT_TRUE(detector.record_answered(part, now += 1ms).empty());
+    // A part that turns deadly later is found, too.
+    for (auto const* server : {"d", "e", "f", "g"})
+        crash(server);
+    EXPECT_FALSE(find_rejected_part(detector, part, now));
+    crash("h");
+    EXPECT_TRUE(find_rejected_part(detector, part, now));
+}
+
+// Guards against rejecting what many requests have in common when a zone loses its servers.
+TEST(poison_prompt_part, is_not_rejected_when_many_servers_end_at_once)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const part = make_parts({"part"});
+    for (int server = 0; server < 50; ++server)
+        detector.record_unanswered(part, "s" + std::to_string(server), "", now += 5ms);
+    EXPECT_FALSE(find_rejected_part(detector, part, now));
+}
+
+// Guards against verdicts about parts that depend on the order or number of reports.
+RC_GTEST_PROP(poison_prompt_part, reports_are_idempotent_and_commutative, ())
+{
+    base::time_point const now{10000s};
+    auto const ages = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 20)));
+    auto const answer_age = *rc::gen::inRange(0, 20);
+    std::vector<crash_event> events;
+    events.reserve(ages.size());
+    for (auto const& [part, age] : ages)
+        events.push_back({static_cast<std::uint64_t>(part), "s" + std::to_string(age), "", age,
+                          std::int64_t{age} * 1000});
+    std::vector<answered_part> const answered{{0, std::int64_t{answer_age} * 1000}};
+    poison_request_detector merged;
+    merged.merge(events, now);
+    merged.merge_answered(answered, now);
+    poison_request_detector remerged;
+    remerged.merge_answered(answered, now);
+    std::reverse(events.begin(), events.end());
+    remerged.merge(events, now);
+    remerged.merge(merged.events(now), now);
+    remerged.merge_answered(answered, now);
+    for (std::uint64_t part = 0; part < 3; ++part)
+    {
+        std::vector<std::uint64_t> const parts{part};
+        RC_ASSERT(find_rejected_part(merged, parts, now) ==
+                  find_rejected_part(remerged, parts, now));
+    }
+}
+
+// Guards against an unbounded table of answered parts.
+TEST(poison_prompt_part, forgets_the_oldest_answers_when_full)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const limit = poison_request_detector::maximum_answered_parts;
+    for (std::uint64_t part = 0; part < limit + 1; ++part)
+        detector.record_answered(std::vector<std::uint64_t>{part}, now += 1ms);
+    std::vector<std::uint64_t> const newest{limit};
+    for (int crash = 0; crash < 4; ++crash)
+        detector.record_unanswered(newest, "s" + std::to_string(crash), "", now += 1s);
+    // The newest answer is remembered, so four crashes are not enough.
+    EXPECT_FALSE(find_rejected_part(detector, newest, now));
+}
+
+/// Detectors in memory that exchange reports like the nodes of a fleet: news is sent at once and
+/// relayed to one node of each other zone, everything else in turn.
+class report_network
+{
+public:
+    report_network(std::size_t nodes, std::size_t zones, double loss)
+        : m_detectors(nodes), m_zones(zones), m_loss(loss)
+    {
+    }
+
+    poison_request_detector& node(std::size_t index) { return m_detectors[index]; }
+
+    void exchange(base::time_point now)
+    {
+        for (std::size_t sender = 0; sender < m_detectors.size(); ++sender)
+        {
+            auto const report = m_detectors[sender].take_report(crashes_per_report, now);
+            deliver_in_zone(report, sender, sender % m_zones, now);
+            for (std::size_t zone = 0; zone < m_zones && report.has_news; ++zone)
+            {
+                auto const relay = zone + m_zones * (random() % (m_detectors.size() / m_zones));
+                if (zone == sender % m_zones || is_lost())
+                    continue;
+                apply(report, relay, now);
+                deliver_in_zone(report, relay, zone, now);
+            }
+        }
+    }
+
+    std::size_t count_nodes_that_reject(std::vector<std::uint64_t> const& parts,
+                                        base::time_point now) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_detectors.begin(), m_detectors.end(),
+                          [&](auto const& detector)
+                          { return find_rejected_part(detector, parts, now).has_value(); }));
+    }
+
+private:
+    static constexpr std::size_t crashes_per_report = 4;
+
+    std::uint32_t random() { return static_cast<std::uint32_t>(m_random()); }
+    bool is_lost() { return std::bernoulli_distribution(m_loss)(m_random); }
+
+    void apply(crash_report const& report, std::size_t receiver, base::time_point now)
+    {
+        m_detectors[receiver].merge(report.crashes, now);
+        m_detectors[receiver].merge_answered(report.answered_parts, now);
+    }
+
+    void deliver_in_zone(crash_report const& report, std::size_t sender, std::size_t zone,
+                         base::time_point now)
+    {
+        for (auto receiver = zone; receiver < m_detectors.size(); receiver += m_zones)
+            if (receiver != sender && !is_lost())
+                apply(report, receiver, now);
+    }
+
+    std::vector<poison_request_detector> m_detectors;
+    std::size_t m_zones;
+    double m_loss;
+    std::mt19937 m_random{20261204};
+};
+
+// Guards against a crash that some nodes never learn of because reports only ever held the first
+// four events of an hour, and never left their zone in a large fleet.
+TEST(poison_prompt_part, crashes_and_answers_reach_all_nodes_within_two_seconds)
+{
+    struct fleet
+    {
+        std::size_t nodes;
+        std::size_t zones;
+    };
+    for (auto const [nodes, zones] : {fleet{8, 1}, fleet{67, 3}, fleet{300, 3}})
+    {
+        base::time_point now{10000s};
+        report_network network(nodes, zones, 0.2);
+        // Older crashes come first in the order of keys.
+        for (std::uint64_t old = 0; old < 30; ++old)
+            network.node(0).record({old, "old", "", 60}, now);
+        auto const deadly = make_parts({"deadly"});
+        auto const sound = make_parts({"sound"});
+        std::vector<std::uint64_t> const both{deadly[0], sound[0]};
+        for (std::size_t crash = 0; crash < 3; ++crash)
+        {
+            now += 500ms;
+            network.node(crash * 2 + 1)
+                .record_unanswered(both, "s" + std::to_string(crash), "", now);
+            network.exchange(now);
+        }
+        network.node(5).record_answered(sound, now += 1ms);
+        for (int report = 0; report < 10; ++report)
+            network.exchange(now += 200ms);
+        EXPECT_EQ(network.count_nodes_that_reject(deadly, now), nodes) << nodes << " nodes";
+        EXPECT_EQ(network.count_nodes_that_reject(sound, now), 0U) << nodes << " nodes";
+    }
+}
+
 } // namespace
 } // namespace jasminepier::decision
