Entry: Count crashes for the messages that chat requests share

What callers saw: different requests with one message crashed engine after engine; each request was counted by itself.

Cause: the one of the node on the platform: the fingerprint covers the whole body.

Change: the messages before the last one are prompt parts of the shared detector, with keyed fingerprints, since other nodes receive them. A crash before the first generated token counts, a generated token clears. A retry after such a crash waits until the crashes count separately. The request is rejected with no_server (503, not run).

--- a/services/entry/chat_request.cpp
+++ b/services/entry/chat_request.cpp
@@ -30,6 +30,17 @@
     return std::int64_t{0};
 }
 
+/// `source` has a valid list of messages.
+std::vector<std::string> read_shared_messages(base::json_object const& source)
+{
+    auto const messages = source->getArray("messages");
+    std::vector<std::string> shared;
+    shared.reserve(messages->size());
+    for (unsigned i = 0; i + 1 < messages->size(); ++i)
+        shared.push_back(base::write_json(messages->getObject(i)));
+    return shared;
+}
+
 base::result<std::string> read_prompt(base::json_object const& source)
 {
     auto messages = source->getArray("messages");
@@ -65,6 +76,7 @@
     chat_request parsed;
     BOOST_LEAF_ASSIGN(parsed.model, base::read_string(source, "model"));
     BOOST_LEAF_ASSIGN(parsed.prompt, read_prompt(source));
+    parsed.shared_messages = read_shared_messages(source);
     BOOST_LEAF_AUTO(streamed, base::read_bool_or(source, "stream", false));
     parsed.mode = streamed ? response_mode::stream : response_mode::complete;
     BOOST_LEAF_AUTO(choice_count, base::read_integer_or(source, "n", 1));
--- a/services/entry/chat_request.hpp
+++ b/services/entry/chat_request.hpp
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jasminepier::entry
 {
@@ -20,6 +21,8 @@
     std::string model;
     /// The text of all messages, used to estimate the length and to match prefixes.
     std::string prompt;
+    /// All messages except the last one, each as JSON. Other requests may share them.
+    std::vector<std::string> shared_messages;
     response_mode mode = response_mode::complete;
     std::int64_t maximum_tokens = 0;
     /// The received body with `stream` and `max_tokens` set, as sent to the engine. It does not
--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -42,6 +42,18 @@
     return value;
 }
 
+/// The fingerprints are keyed, since all nodes receive them and messages may be easy to guess.
+std::vector<std::uint64_t> fingerprint_messages(std::string const& key,
+                                                std::vector<std::string> const& messages)
+{
+    std::vector<std::uint64_t> fingerprints;
+    fingerprints.reserve(messages.size());
+    for (auto const& message : messages)
+        fingerprints.push_back(decision::fingerprint_prompt_part(
+            base::hmac_sha256_hex(key, "message " + base::sha256_hex({message}))));
+    return fingerprints;
+}
+
 base::result<std::optional<base::time_point>> read_deadline(http_request const& request)
 {
     auto const text = request.get(timeout_header, "");
@@ -132,6 +144,8 @@
     completion.job.engine_body = completion.chat.engine_body;
     completion.job.requirements = server_requirements(completion, service->name, limits);
     completion.job.fingerprint = fingerprint_of(snapshot.event_id_key, completion.context.scope);
+    completion.job.prompt_parts =
+        fingerprint_messages(snapshot.event_id_key, completion.chat.shared_messages);
     completion.job.caller_is_connected = [&request] { return !caller_disconnected(request); };
     completion.settings = delivery_settings_of(completion, snapshot.active_preset);
     if (auto const id = request.get("Last-Event-ID", ""); !id.empty())
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Exception.h>
 
 #include <thread>
+#include <utility>
 
 namespace jasminepier::entry
 {
@@ -62,6 +63,10 @@
 std::optional<start_failure> completion_transport::start()
 {
     finish_attempt(attempt_outcome::failed);
+    // Crashes at shorter distances would count as one, although the retries follow each other.
+    if (m_last_unanswered_crash)
+        std::this_thread::sleep_until(*m_last_unanswered_crash +
+                                      decision::poison_request_detector::minimum_crash_distance);
     auto const verdict =
         m_serving.poison_requests().classify(m_job.fingerprint, base::steady_clock_source{}.now());
     if (verdict == decision::poison_verdict::rejected)
@@ -69,14 +74,20 @@
                              base::error{base::error_kind::request_crashes_servers,
                                          "servers died repeatedly while running this request"},
                              ""};
+    if (auto refusal = check_prompt_parts())
+        return start_failure{attempt_failure::not_connected, std::move(refusal), ""};
     if (auto refusal = select_server(verdict == decision::poison_verdict::suspected))
         return start_failure{attempt_failure::not_connected, std::move(refusal), ""};
+    // Another node may have reported a crash while this request waited for a server.
+    if (auto refusal = check_prompt_parts())
+        return start_failure{attempt_failure::not_connected, std::move(refusal), ""};
     auto const load = m_state.load(m_server.name);
     m_instance = load ? load->instance : "";
     m_generation_id = base::random_id();
     m_resumes = 0;
     m_connection_was_lost = false;
     m_server_died = false;
+    m_answered = false;
     backend::backend_request request{"POST", "/v1/chat/completions", {}, m_job.engine_body};
     request.headers["Content-Type"] = "application/json";
     request.headers["X-Generation-Id"] = m_generation_id;
@@ -212,6 +223,9 @@
             attempt_event event{attempt_event::type::token, {}, {}, {}, {}};
             BOOST_LEAF_ASSIGN(event.generation_id, base::read_string(object, "id"));
             BOOST_LEAF_ASSIGN(event.token, parse_token(object));
+            // The first event only opens the response.
+            if (event.token.index > 0 || event.token.is_last)
+                record_answered();
             if (m_acquired && !event.token.is_last)
                 m_state.record_tokens(m_server.ticket);
             // The last event carries the usage and no token.
@@ -291,6 +305,46 @@
         .field("server", m_server.name)
         .field("instance", instance)
         .field("suspected", recorded ? "yes" : "no");
+    if (planned || m_answered)
+        return;
+    m_last_unanswered_crash = base::steady_clock_source{}.now();
+    auto const suspects = m_serving.poison_requests().record_unanswered(
+        m_job.prompt_parts, m_server.name, instance, base::steady_clock_source{}.now());
+    for (auto const part : suspects)
+        base::log_line(base::log_level::warning, "prompt_part_suspected")
+            .field("request_id", m_job.requirements.request_id)
+            .field("part", part)
+            .field("server", m_server.name);
+}
+
+void completion_transport::record_answered()
+{
+    if (std::exchange(m_answered, true))
+        return;
+    auto const cleared = m_serving.poison_requests().record_answered(
+        m_job.prompt_parts, base::steady_clock_source{}.now());
+    for (auto const part : cleared)
+        base::log_line(base::log_level::info, "prompt_part_cleared")
+            .field("request_id", m_job.requirements.request_id)
+            .field("part", part);
+}
+
+std::optional<base::error> completion_transport::check_prompt_parts()
+{
+    auto const now = base::steady_clock_source{}.now();
+    auto const judgement = m_serving.poison_requests().judge_parts(m_job.prompt_parts, now);
+    if (judgement.verdict == decision::part_verdict::clean)
+        return std::nullopt;
+    if (judgement.verdict == decision::part_verdict::ambiguous)
+        m_is_trial = m_is_trial || m_serving.poison_requests().try_begin_trial(judgement.part, now);
+    bool const is_trial = judgement.verdict == decision::part_verdict::ambiguous && m_is_trial;
+    base::log_line(base::log_level::warning,
+                   is_trial ? "prompt_part_tried" : "prompt_part_rejected")
+        .field("request_id", m_job.requirements.request_id)
+        .field("part", judgement.part);
+    if (is_trial)
+        return std::nullopt;
+    return base::error{base::error_kind::no_server, "a message of the prompt crashes servers"};
 }
 
 void completion_transport::adopt(selected_server server, std::string generation_id)
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace jasminepier::entry
 {
@@ -22,6 +23,8 @@
     acquire_request requirements;
     std::string engine_body;
     std::uint64_t fingerprint = 0;
+    /// Fingerprints of the messages that other requests may share.
+    std::vector<std::uint64_t> prompt_parts;
     std::optional<base::time_point> deadline;
     /// Polled while waiting for a server. Returns false if the caller has disconnected.
     std::function<bool()> caller_is_connected;
@@ -82,6 +85,10 @@
     decision::attempt_event make_failure(decision::attempt_failure failure,
                                          std::string reason) const;
     void record_crash();
+    /// Records that the engine generates the response.
+    void record_answered();
+    /// Returns an error if a message of the prompt crashes servers.
+    std::optional<base::error> check_prompt_parts();
     bool port_is_closed() const;
     void finish_attempt(attempt_outcome outcome);
 
@@ -106,6 +113,12 @@
     int m_resumes = 0;
     bool m_connection_was_lost = false;
     bool m_server_died = false;
+    /// The engine has generated a token in this attempt.
+    bool m_answered = false;
+    /// Last crash of an engine before it answered this request.
+    std::optional<base::time_point> m_last_unanswered_crash;
+    /// This request may run although one of its messages is ambiguous.
+    bool m_is_trial = false;
     std::chrono::steady_clock::time_point m_last_read = std::chrono::steady_clock::now();
     bool m_was_paused = false;
 };
--- a/tests/serving_limits_test.cpp
+++ b/tests/serving_limits_test.cpp
@@ -3,8 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <optional>
+#include <thread>
 
 namespace jasminepier::tests
 {
@@ -60,6 +62,39 @@
     EXPECT_EQ(send_completion(test_deployment, stream_body(5, "Which screws?", false)).status, 200);
 }
 
+// Guards against one message that crashes engine after engine because the requests that carry it
+// are all different, and against rejecting requests that share their other messages.
+TEST(request_crashes, of_different_requests_with_one_message_stop)
+{
+    deployment test_deployment("127.0.12.29");
+    constexpr int engines = 12;
+    start(test_deployment, engines);
+    auto const make_body = [](std::string const& shared, int number)
+    {
+        return R"({"model":"demo","stream":true,"max_tokens":5,"messages":[)"
+               R"({"role":"system","content":"Be brief."},{"role":"system","content":")" +
+               shared + R"("},{"role":"user","content":"question )" + std::to_string(number) +
+               R"("}]})";
+    };
+    ASSERT_EQ(send_completion(test_deployment, make_body("Timber.", 0)).status, 200);
+    int rejected = 0;
+    for (int number = 1; number <= 10; ++number)
+    {
+        auto const body =
+            send_completion(test_deployment, make_body("crash-the-engine", number)).body;
+        rejected += body.find("no_server") != std::string::npos ? 1 : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    int running_engines = 0;
+    for (int engine = 1; engine <= engines; ++engine)
+        running_engines +=
+            test_deployment.program("engine-" + std::to_string(engine)).running() ? 1 : 0;
+    // The platform allows five crashes and three more requests.
+    EXPECT_GE(running_engines, engines - 8);
+    EXPECT_GE(rejected, 5);
+    EXPECT_EQ(send_completion(test_deployment, make_body("Timber.", 11)).status, 200);
+}
+
 // Guards against counting a planned shutdown of a server as a crash caused by its requests.
 TEST(request_crashes, are_not_seen_in_a_planned_end)
 {
