--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -135,9 +135,10 @@
         m_send_failed = true;
         // The server may have responded before reading the complete request, so read its response
         // before reporting the send error.
+        auto const send_error = errno;
         receive_available();
         if (!ended())
-            handle_connection_end(false);
+            handle_connection_end(send_error);
         return;
     }
 }
@@ -160,15 +161,16 @@
     }
     if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         return;
-    handle_connection_end(received == 0);
+    handle_connection_end(received == 0 ? 0 : errno);
 }
 
-void client_exchange::handle_connection_end(bool orderly)
+void client_exchange::handle_connection_end(int socket_error)
 {
     // The kernel reports a reset only once. After a failed send has reported it, the connection
     // seems to end in order.
-    if (orderly && !m_send_failed)
+    if (socket_error == 0 && !m_send_failed)
         m_reader.feed_eof();
+    m_closed_by_peer = socket_error == 0 || socket_error == ECONNRESET || socket_error == EPIPE;
     if (!complete())
         m_failure = exchange_failure::connection_lost;
 }
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -67,6 +67,12 @@
         return m_reader.current_state() == response_reader::state::complete;
     }
     exchange_failure failure() const noexcept { return m_failure; }
+    /// Returns true if the server's side closed or reset the connection before the response was
+    /// complete, in contrast to a link that timed out.
+    bool closed_by_peer() const noexcept
+    {
+        return m_failure == exchange_failure::connection_lost && m_closed_by_peer;
+    }
     bool ended() const noexcept { return complete() || m_failure != exchange_failure::none; }
     /// Returns true if the response is complete only because the server closed the connection.
     bool ended_with_connection() const noexcept { return m_reader.ended_with_connection(); }
@@ -87,7 +93,8 @@
 private:
     void send_pending();
     void receive_available();
-    void handle_connection_end(bool orderly);
+    /// `socket_error` is 0 if the server closed the connection in order.
+    void handle_connection_end(int socket_error);
 
     Poco::Net::StreamSocket m_socket;
     std::string m_request;
@@ -96,6 +103,7 @@
     bool m_connection_refused = false;
     bool m_send_failed = false;
     bool m_connection_released = false;
+    bool m_closed_by_peer = false;
     exchange_failure m_failure = exchange_failure::none;
     response_reader m_reader;
     base::time_point m_start_time;
