Store watcher: Watch the list of nodes for longer

Ruled out: a longer watch of the configuration (the bound of 3 s at 300 nodes does not hold then).

Change: in large fleets a watch of the list of nodes takes 2 to 4 s. Nodes also learn of new ones from their reports. The expected saving is half of what the shorter watch costs; it was not yet measured when this was committed.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -365,6 +365,12 @@
     return base::milliseconds(distribution(random));
 }
 
+base::milliseconds node_directory::node_watch_timeout(base::random_source& random) const
+{
+    // Nodes also learn of new ones from their reports, so a lost watch of the list may last longer.
+    return is_large_fleet() ? watch_timeout(random) * 2 : watch_timeout(random);
+}
+
 std::optional<node_entry>
 node_directory::follower_with_different_servers(std::string_view kind, std::uint64_t digest,
                                                 base::time_point now) const
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -173,6 +173,8 @@
     /// Random timeout for a watch of the configuration; shorter in large fleets, in which it also
     /// limits the time until other nodes replace followers that the store no longer answers.
     base::milliseconds configuration_watch_timeout(base::random_source& random) const;
+    /// Random timeout for a watch of the list of nodes; longer in large fleets, to save calls.
+    base::milliseconds node_watch_timeout(base::random_source& random) const;
     /// Returns the first of the peers that follow objects of `kind` if its server digest differs
     /// from `digest`.
     std::optional<node_entry> follower_with_different_servers(std::string_view kind,
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -106,9 +106,11 @@
         auto const watch_timeout = m_state.with(
             [&](node_state::tables& tables)
             {
-                return kind == platform::configuration_kind
-                           ? tables.nodes.configuration_watch_timeout(random)
-                           : tables.nodes.watch_timeout(random);
+                if (kind == platform::configuration_kind)
+                    return tables.nodes.configuration_watch_timeout(random);
+                if (kind == platform::node_kind)
+                    return tables.nodes.node_watch_timeout(random);
+                return tables.nodes.watch_timeout(random);
             });
         auto const call_start = base::steady_clock_source{}.now();
         if (needs_list)
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -385,6 +385,23 @@
     }
 }
 
+// Guards against followers whose watches of the configuration hide for too long that the store no
+// longer answers, and against more calls to the store for that.
+TEST(store_followers, watches_of_the_configuration_are_short_and_those_of_nodes_long)
+{
+    base::random_source random(20261204);
+    auto const large_fleet = make_fleet(67);
+    auto const small_fleet = make_fleet(8);
+    for (int i = 0; i < 50; ++i)
+    {
+        EXPECT_LE(large_fleet.front().configuration_watch_timeout(random), milliseconds(1000));
+        EXPECT_GE(large_fleet.front().configuration_watch_timeout(random), milliseconds(500));
+        EXPECT_GE(large_fleet.front().node_watch_timeout(random), milliseconds(1500));
+        EXPECT_LE(small_fleet.front().node_watch_timeout(random), milliseconds(4000));
+        EXPECT_GE(small_fleet.front().configuration_watch_timeout(random), milliseconds(2000));
+    }
+}
+
 // Guards against report traffic that grows with the square of the fleet size.
 TEST_F(node_directory_test, report_interval_grows_with_the_fleet)
 {
