--- a/tests/configuration_spread_process_test.cpp
+++ b/tests/configuration_spread_process_test.cpp
@@ -18,7 +18,7 @@
 
 // One more than the threshold of a large fleet, and one for each follower of the store.
 constexpr int node_count = 16;
-constexpr std::uint16_t first_port = 24600;
+constexpr std::uint16_t first_port = 24800;
 constexpr std::uint16_t store_port = first_port;
 constexpr std::uint16_t second_store_port = first_port + 100;
 
@@ -97,7 +97,7 @@
     report.peer_port = second_store_port + 6;
     report.started = 1;
     report.sequence = 1;
-    report.newest_configuration = 1'000'000;
+    report.__set_newest_configuration(1'000'000);
     inner_protocol::datagram_socket socket("127.0.0.1", second_store_port + 5);
     socket.send_bytes("127.0.0.1", second_store_port + 4,
                       inner_protocol::encode_node_report(report));
