--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.hpp"
 #include "inner_protocol/conversion.hpp"
-#include "platform/objects.hpp"
 #include "services/node/node_metrics.hpp"
 #include "services/node/object_updates.hpp"
 
