Store: End calls whose responses trickle or do not end

What users could see: a store, or something on the way to it, that sends bytes without end. A call had a limit for each read only, so a response that brought a byte now and then was never given up; a watch in that state hides all later changes of its kind from the node. A body without end was collected without a limit on VMs of 88 MB, and a list whose pages name the same continuation was read for ever.

Cause: the class is a limit on each step in place of one on the whole. Ruled out: cancelling the watch, which was only looked at before the response begins.

Change: calls use http::client_exchange, as calls to servers do, instead of POCO's session: one deadline until the response begins, then at least 128 KiB a second after call_timeout, at most 8 MiB a response and a list. A list whose continuation does not advance fails.

--- a/libraries/store/http_object_store.hpp
+++ b/libraries/store/http_object_store.hpp
@@ -40,6 +40,7 @@
     {
         object_page all_pages;
         std::string after;
+        std::size_t received_bytes = 0;
         for (bool first = true;; first = false)
         {
             BOOST_LEAF_AUTO(response, perform_request(m_settings, Dialect::list(kind, after),
@@ -53,6 +54,10 @@
                 all_pages.objects.push_back(std::move(item));
             if (!page.next_after)
                 return all_pages;
+            received_bytes += response.body.size();
+            if (*page.next_after == after || received_bytes > maximum_response_bytes)
+                return base::fail(base::error_kind::platform_unavailable,
+                                  "the list of " + kind + " does not end");
             after = *page.next_after;
         }
     }
--- a/libraries/store/store_connection.cpp
+++ b/libraries/store/store_connection.cpp
@@ -1,11 +1,9 @@
 #include "store/store_connection.hpp"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
+#include "http/client_exchange.hpp"
+#include "http/wait_set.hpp"
 
-#include <netinet/tcp.h>
+#include <algorithm>
 
 namespace jasminepier::store
 {
@@ -14,30 +12,110 @@
 
 using base::error_kind;
 
-// A pending watch transfers no bytes, so only keep-alive probes distinguish an idle store from an
-// unreachable one.
-constexpr int keep_alive_idle_seconds = 1;
-constexpr int keep_alive_interval_seconds = 1;
-constexpr int keep_alive_probe_count = 2;
 // 400 ms, a fifth of the 2 s within which a stored configuration must be in force.
-Poco::Timespan const cancellation_check_interval(0, 400000);
+constexpr std::chrono::milliseconds cancellation_check_interval{400};
+// Once a response has begun it must keep up this rate, so that one that trickles does not occupy
+// the caller without end. The slowest links of entry VMs are several times as fast.
+constexpr std::int64_t minimum_bytes_per_millisecond = 128;
 
-Poco::Net::StreamSocket connect(http_object_store_settings const& settings,
-                                std::chrono::milliseconds timeout)
+std::string format_address(http_object_store_settings const& settings)
 {
-    Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(settings.host, settings.port),
-                   Poco::Timespan(settings.call_timeout.count() * 1000));
-    // An HTTPClientSession applies its timeout only to connections that it opens itself.
-    socket.setReceiveTimeout(Poco::Timespan(timeout.count() * 1000));
-    socket.setSendTimeout(Poco::Timespan(timeout.count() * 1000));
-    socket.setKeepAlive(true);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_seconds);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_seconds);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probe_count);
-    return socket;
+    return settings.host + ":" + std::to_string(settings.port);
 }
 
+std::string write_http_request(http_object_store_settings const& settings,
+                               store_request const& request)
+{
+    http::request message;
+    message.method = request.method;
+    message.target = request.path;
+    message.headers.add("Host", format_address(settings));
+    message.headers.add("Connection", "close");
+    if (!request.condition_name.empty())
+        message.headers.add(request.condition_name, request.condition);
+    if (!request.body.empty())
+        message.headers.add("Content-Type", "application/json");
+    message.body = request.body;
+    return http::write_request(message);
+}
+
+base::error make_failure(std::string const& reason)
+{
+    return {error_kind::platform_unavailable, "the request to the platform " + reason};
+}
+
+/// One call to the store, from the connection to the end of the response.
+class store_call
+{
+public:
+    store_call(http_object_store_settings const& settings, store_request const& request,
+               std::chrono::milliseconds timeout)
+        : m_settings(settings), m_timeout(timeout), m_start(m_clock.now()),
+          m_exchange(format_address(settings), write_http_request(settings, request), true, m_start)
+    {
+    }
+
+    /// Returns the reason if the call failed.
+    std::optional<base::error> run(std::function<bool()> const& is_cancelled)
+    {
+        http::wait_set poll_set;
+        auto next_cancellation_check = m_start + cancellation_check_interval;
+        while (!m_exchange.ended())
+        {
+            auto const now = m_clock.now();
+            if (now >= deadline())
+                return make_failure("timed out");
+            bool const may_cancel = is_cancelled && !m_response_start;
+            if (may_cancel && now >= next_cancellation_check)
+            {
+                if (is_cancelled())
+                    return make_failure("was cancelled");
+                next_cancellation_check = now + cancellation_check_interval;
+            }
+            poll_set.clear();
+            poll_set.add(m_exchange.descriptor(), m_exchange.poll_events());
+            poll_set.wait(may_cancel ? std::min(deadline(), next_cancellation_check) : deadline());
+            m_exchange.advance(poll_set.ready(0));
+            take_received();
+            if (m_body.size() > maximum_response_bytes)
+                m_exchange.fail_as_oversized();
+        }
+        if (m_exchange.complete())
+            return std::nullopt;
+        return make_failure("failed: " + std::string(http::to_string(m_exchange.failure())));
+    }
+
+    store_response take_response() { return {m_exchange.head().status, std::move(m_body)}; }
+
+private:
+    void take_received()
+    {
+        if (!m_response_start && m_exchange.head_received())
+            m_response_start = m_clock.now();
+        if (m_response_start)
+            m_body += m_exchange.take_body();
+    }
+
+    base::time_point deadline() const
+    {
+        if (m_response_start)
+            return *m_response_start + m_settings.call_timeout +
+                   std::chrono::milliseconds(static_cast<std::int64_t>(m_body.size()) /
+                                             minimum_bytes_per_millisecond);
+        return m_start +
+               (m_exchange.connected() ? m_timeout : std::min(m_timeout, m_settings.call_timeout));
+    }
+
+    base::steady_clock_source m_clock;
+    http_object_store_settings const& m_settings;
+    std::chrono::milliseconds m_timeout;
+    base::time_point m_start;
+    /// When the head of the response was complete.
+    std::optional<base::time_point> m_response_start;
+    http::client_exchange m_exchange;
+    std::string m_body;
+};
+
 } // namespace
 
 base::error_kind error_kind_for_status(int status) noexcept
@@ -54,46 +132,10 @@
                                              std::chrono::milliseconds timeout,
                                              std::function<bool()> const& is_cancelled)
 {
-    try
-    {
-        Poco::Net::HTTPClientSession session(connect(settings, timeout));
-        Poco::Net::HTTPRequest http_request(request.method, request.path,
-                                            Poco::Net::HTTPMessage::HTTP_1_1);
-        http_request.setHost(settings.host, settings.port);
-        if (!request.condition_name.empty())
-            http_request.set(request.condition_name, request.condition);
-        if (!request.body.empty())
-            http_request.setContentType("application/json");
-        http_request.setContentLength(static_cast<std::streamsize>(request.body.size()));
-        // Without a flush the request is sent only when receiveResponse is called.
-        session.sendRequest(http_request) << request.body << std::flush;
-        auto const deadline = std::chrono::steady_clock::now() + timeout;
-        while (is_cancelled &&
-               !session.socket().poll(cancellation_check_interval, Poco::Net::Socket::SELECT_READ))
-        {
-            if (is_cancelled())
-                return base::fail(error_kind::platform_unavailable,
-                                  "the request to the platform was cancelled");
-            if (std::chrono::steady_clock::now() >= deadline)
-                return base::fail(error_kind::platform_unavailable,
-                                  "the request to the platform timed out");
-        }
-        Poco::Net::HTTPResponse response;
-        store_response received;
-        auto& in = session.receiveResponse(response);
-        Poco::StreamCopier::copyToString(in, received.body);
-        auto const length = response.getContentLength64();
-        if (response.hasContentLength() && length != static_cast<Poco::Int64>(received.body.size()))
-            return base::fail(error_kind::platform_unavailable,
-                              "the platform's response was truncated");
-        received.status = response.getStatus();
-        return received;
-    }
-    catch (std::exception const& failure)
-    {
-        return base::fail(error_kind::platform_unavailable,
-                          std::string("the request to the platform failed: ") + failure.what());
-    }
+    store_call call(settings, request, timeout);
+    if (auto const failure = call.run(is_cancelled))
+        return base::fail(failure->kind, failure->message);
+    return call.take_response();
 }
 
 } // namespace jasminepier::store
