Node: Take what an earlier version leaves out of its reports for unknown

Callers saw nothing yet; this would have come with a rolling upgrade.

Cause: a node of the version before the separate revisions reports one revision for its configuration and its evacuations. A newer node took it for that of the configuration, so after an evacuation it went on pulling from such peers at every check, five times a second. The missing revision and digest of the evacuations were compared as zeros.

Ruled out: a configuration that does not arrive. With the earlier comparison, configurations reach half-upgraded fleets within the bound, too.

Change: the fields are optional. The one revision still makes a node ask, but no longer once a read of the store has covered it, and a peer that brought nothing is left out for two seconds. A peer that brought nothing is remembered for each kind apart. In such a fleet every upgraded node reads the configuration from the store once after an evacuation.

configuration_spread_test has fleets of 8 and 67 nodes of which every second node, the followers or all but the followers run the earlier version. Earlier nodes are checked for single changes only: they still take an evacuation for a configuration.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -79,7 +79,7 @@
     m_newest_reported.configuration =
         std::max(m_newest_reported.configuration, report.configuration_revision);
     m_newest_reported.evacuations =
-        std::max(m_newest_reported.evacuations, report.evacuation_revision);
+        std::max(m_newest_reported.evacuations, report.evacuation_revision.value_or(0));
     return true;
 }
 
@@ -280,11 +280,19 @@
                            { return state.store_revision > revision; });
 }
 
-std::vector<node_entry> node_directory::peers_with_newer_configuration(std::int64_t revision,
-                                                                       base::time_point now) const
+std::vector<node_entry> node_directory::peers_with_newer_configuration(
+    std::int64_t revision, base::time_point now, std::int64_t checked_revision,
+    std::set<std::string, std::less<>> const& exhausted) const
 {
-    return find_live_nodes(now, [&](node_state_report const& state)
-                           { return state.configuration_revision > revision; });
+    return find_live_nodes(now,
+                           [&](node_state_report const& state)
+                           {
+                               bool const may_be_evacuation =
+                                   !state.separates_revisions() &&
+                                   (state.configuration_revision <= checked_revision ||
+                                    exhausted.contains(state.entry.name));
+                               return state.configuration_revision > revision && !may_be_evacuation;
+                           });
 }
 
 std::vector<node_entry> node_directory::peers_with_other_evacuations(std::int64_t revision,
@@ -294,18 +302,18 @@
     return find_live_nodes(now,
                            [&](node_state_report const& state)
                            {
-                               return state.evacuation_revision > revision ||
-                                      (state.evacuation_revision == revision &&
-                                       state.evacuation_digest != digest);
+                               if (!state.evacuation_revision || !state.evacuation_digest)
+                                   return false;
+                               return *state.evacuation_revision > revision ||
+                                      (*state.evacuation_revision == revision &&
+                                       *state.evacuation_digest != digest);
                            });
 }
 
-std::optional<node_entry>
-node_directory::configuration_source(std::string_view kind, std::int64_t revision, bool any_peer,
-                                     base::time_point now, base::random_source& random,
-                                     std::set<std::string, std::less<>> const& avoided) const
+std::optional<node_entry> node_directory::configuration_source(
+    std::string_view kind, std::vector<node_entry> newer_peers, bool any_peer, base::time_point now,
+    base::random_source& random, std::set<std::string, std::less<>> const& avoided) const
 {
-    auto newer_peers = peers_with_newer_configuration(revision, now);
     if (newer_peers.empty())
         return std::nullopt;
     if (any_peer || !is_large_fleet())
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -37,16 +37,20 @@
     bool store_reached = false;
     /// Newest revision among the node's copies of all objects.
     std::int64_t store_revision = 0;
-    /// Revision of the node's copy of the configuration.
+    /// Revision of the node's copy of the configuration. Nodes of earlier versions report the
+    /// larger of this and the revision of their evacuations, and leave `evacuation_revision` out.
     std::int64_t configuration_revision = 0;
     /// Equal on nodes that have the same server entries.
     std::uint64_t server_digest = 0;
     /// The node watches the store, so `store_reached` is up to date.
     bool follows_store = false;
-    /// Newest revision among the node's copies of the evacuations.
-    std::int64_t evacuation_revision = 0;
-    /// Equal on nodes that have the same evacuations.
-    std::uint64_t evacuation_digest = 0;
+    /// Newest revision among the node's copies of the evacuations; unset if unknown.
+    std::optional<std::int64_t> evacuation_revision = std::nullopt;
+    /// Equal on nodes that have the same evacuations; unset if unknown.
+    std::optional<std::uint64_t> evacuation_digest = std::nullopt;
+
+    /// False if `configuration_revision` may be that of an evacuation.
+    bool separates_revisions() const noexcept { return evacuation_revision.has_value(); }
 };
 
 /// Newest revisions of objects that any report has named, whether or not its sender is alive.
@@ -159,8 +163,12 @@
                                                      base::time_point now) const;
     /// Live peers whose configuration is newer than `revision`. The newest revision of all objects
     /// doesn't show this, since other objects reach the nodes earlier than configurations.
-    std::vector<node_entry> peers_with_newer_configuration(std::int64_t revision,
-                                                           base::time_point now) const;
+    /// A peer that reports one revision for configuration and evacuations counts only if that is
+    /// above `checked_revision`, too, and the peer is not in `exhausted`.
+    std::vector<node_entry>
+    peers_with_newer_configuration(std::int64_t revision, base::time_point now,
+                                   std::int64_t checked_revision = 0,
+                                   std::set<std::string, std::less<>> const& exhausted = {}) const;
     /// Live peers whose evacuations are newer than `revision`, or as new but different from those
     /// with `digest`: each of the two nodes may have missed one.
     std::vector<node_entry> peers_with_other_evacuations(std::int64_t revision,
@@ -180,13 +188,14 @@
     std::optional<node_entry> follower_with_different_servers(std::string_view kind,
                                                               std::uint64_t digest,
                                                               base::time_point now) const;
-    /// Returns the peer from which this node pulls a configuration newer than `revision`, if any
-    /// has one. In a large fleet, the nodes of a zone form a tree with the followers of the store
-    /// at the top, so that no node serves many pulls at once; `any_peer` selects a random peer
-    /// instead, for a node whose parent does not have the configuration in time. Peers in `avoided`
-    /// and peers that have not reported within `recent_report_period` are selected last.
+    /// Returns the peer from which this node pulls a newer configuration, if any has one. In a
+    /// large fleet, the nodes of a zone form a tree with the followers of the store at the top, so
+    /// that no node serves many pulls at once; `any_peer` selects a random peer instead, for a node
+    /// whose parent does not have the configuration in time. Peers in `avoided` and peers that have
+    /// not reported within `recent_report_period` are selected last. `newer_peers` are the peers
+    /// that have one.
     std::optional<node_entry>
-    configuration_source(std::string_view kind, std::int64_t revision, bool any_peer,
+    configuration_source(std::string_view kind, std::vector<node_entry> newer_peers, bool any_peer,
                          base::time_point now, base::random_source& random,
                          std::set<std::string, std::less<>> const& avoided = {}) const;
     /// True if this node watches `kind` in the store. In small fleets every node does. In large
--- a/libraries/serving/object_catch_up.cpp
+++ b/libraries/serving/object_catch_up.cpp
@@ -41,15 +41,17 @@
     m_evacuations.lag.update(
         std::max(evacuation_revision, view.objects.complete_revision(m_kinds.evacuations)),
         reported.evacuations, now);
-    std::erase_if(m_failed_peers,
-                  [&](auto const& peer) { return now >= peer.second + failed_peer_pause; });
+    for (auto* const peers :
+         {&m_failed_peers, &m_configuration.exhausted_peers, &m_evacuations.exhausted_peers})
+        std::erase_if(*peers,
+                      [&](auto const& peer) { return now >= peer.second + failed_peer_pause; });
 }
 
-std::set<std::string, std::less<>> object_catch_up::peers_to_avoid(base::time_point now) const
+std::set<std::string, std::less<>> object_catch_up::peers_to_avoid(kind_state const& state) const
 {
     std::set<std::string, std::less<>> names;
-    for (auto const& [name, failed] : m_failed_peers)
-        if (now < failed + failed_peer_pause)
+    for (auto const* const peers : {&m_failed_peers, &state.exhausted_peers})
+        for (auto const& [name, time] : *peers)
             names.insert(name);
     return names;
 }
@@ -59,15 +61,18 @@
                                                                     base::random_source& random)
 {
     auto const revision = view.objects.kind_revision(m_kinds.configuration);
-    auto const source = view.nodes.configuration_source(m_kinds.servers, revision,
-                                                        m_configuration_pulls.use_any_peer(), now,
-                                                        random, peers_to_avoid(now));
-    bool const behind = !view.nodes.peers_with_newer_configuration(revision, now).empty();
+    auto const avoided = peers_to_avoid(m_configuration);
+    auto newer_peers = view.nodes.peers_with_newer_configuration(
+        revision, now, m_configuration.lag.checked(), avoided);
+    bool const behind = !newer_peers.empty();
+    auto const source =
+        view.nodes.configuration_source(m_kinds.servers, std::move(newer_peers),
+                                        m_configuration_pulls.use_any_peer(), now, random, avoided);
     m_configuration_pulls.record_check(behind, source.has_value());
     if (!source)
         return std::nullopt;
     return object_pull{*source, pull_start_revision(view.objects.revision(), revision),
-                       pull_reason::configuration};
+                       pull_reason::configuration, view.objects.digest(m_kinds.configuration)};
 }
 
 std::optional<object_pull> object_catch_up::plan_evacuation_pull(catch_up_view const& view,
@@ -82,7 +87,7 @@
     auto const behind_since = m_evacuations.lag.behind_since();
     if (behind_since && now < *behind_since + evacuation_grace_period)
         return std::nullopt;
-    auto const avoided = peers_to_avoid(now);
+    auto const avoided = peers_to_avoid(m_evacuations);
     auto const digest = view.objects.digest(m_kinds.evacuations);
     auto peers = view.nodes.peers_with_other_evacuations(revision, digest, now);
     std::erase_if(peers, [&](node_entry const& peer) { return avoided.contains(peer.name); });
@@ -152,14 +157,18 @@
     update(view, now);
     if (!succeeded)
         m_configuration_pulls.record_failed_pull();
-    // If a pull changes nothing, the other node has missed the evacuation, not this one.
-    bool const peer_lacks_objects =
-        pull.reason == pull_reason::evacuations &&
-        view.objects.digest(m_kinds.evacuations) == pull.evacuation_digest;
-    if (!succeeded || peer_lacks_objects)
+    if (!succeeded)
+    {
         m_failed_peers[pull.peer.name] = now;
-    else
-        m_failed_peers.erase(pull.peer.name);
+        return;
+    }
+    m_failed_peers.erase(pull.peer.name);
+    auto const* const kind = pull.reason == pull_reason::configuration ? &m_kinds.configuration
+                             : pull.reason == pull_reason::evacuations ? &m_kinds.evacuations
+                                                                       : nullptr;
+    // If a pull changes nothing, the other node has missed the change, not this one.
+    if (kind != nullptr && view.objects.digest(*kind) == pull.held_digest)
+        find_kind(*kind)->exhausted_peers[pull.peer.name] = now;
 }
 
 object_catch_up::kind_state* object_catch_up::find_kind(std::string const& kind)
--- a/libraries/serving/object_catch_up.hpp
+++ b/libraries/serving/object_catch_up.hpp
@@ -55,8 +55,8 @@
     node_entry peer;
     std::int64_t since = 0;
     pull_reason reason = pull_reason::other_objects;
-    /// Digest of the node's evacuations before the pull.
-    std::uint64_t evacuation_digest = 0;
+    /// Digest of the node's objects of the kind before the pull.
+    std::uint64_t held_digest = 0;
 };
 
 /// A change of a node's being behind, for its log.
@@ -82,7 +82,8 @@
     static constexpr base::milliseconds check_interval{200};
     /// A node that is behind for so long is logged.
     static constexpr base::milliseconds log_delay{600};
-    /// Peers from which a pull failed are asked last for this time.
+    /// Peers from which a pull failed are asked last for this time. For a peer whose objects
+    /// brought nothing new, the same holds for the kind that it was asked for.
     static constexpr base::milliseconds failed_peer_pause{2000};
 
     explicit object_catch_up(object_kinds kinds) : m_kinds(std::move(kinds)) {}
@@ -112,9 +113,13 @@
     std::vector<lag_event> take_lag_events(base::time_point now);
 
 private:
+    using peer_times = std::map<std::string, base::time_point, std::less<>>;
+
     struct kind_state
     {
         revision_lag lag;
+        /// Peers from which a pull brought nothing new, and when.
+        peer_times exhausted_peers;
         /// Set while the node counts as behind in the log.
         std::optional<lag_event> logged;
         base::time_point logged_since{};
@@ -129,13 +134,14 @@
                                                     base::random_source& random) const;
     std::optional<object_pull> plan_other_pull(catch_up_view const& view, base::time_point now,
                                                base::random_source& random);
-    std::set<std::string, std::less<>> peers_to_avoid(base::time_point now) const;
+    /// Names of the peers from which pulls have recently failed, or brought nothing of this kind.
+    std::set<std::string, std::less<>> peers_to_avoid(kind_state const& state) const;
 
     object_kinds m_kinds;
     kind_state m_configuration;
     kind_state m_evacuations;
     configuration_pull_policy m_configuration_pulls;
-    std::map<std::string, base::time_point, std::less<>> m_failed_peers;
+    peer_times m_failed_peers;
     bool m_was_behind = false;
     int m_check_count = 0;
 };
--- a/libraries/serving/revision_lag.hpp
+++ b/libraries/serving/revision_lag.hpp
@@ -46,6 +46,8 @@
     bool is_behind() const noexcept { return !m_missing.empty(); }
     std::int64_t held() const noexcept { return m_held; }
     std::int64_t known() const noexcept { return m_known; }
+    /// Revisions up to this one are not missing, since the node holds them or has read the store.
+    std::int64_t checked() const noexcept { return std::max(m_held, m_confirmed); }
     /// Time at which the node heard of the oldest missing revision; nothing if none is missing.
     std::optional<base::time_point> behind_since() const noexcept
     {
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -71,6 +71,33 @@
 
 } // namespace
 
+serving::node_state_report read_state_report(inner_protocol::node_report const& report)
+{
+    serving::node_state_report state;
+    auto const colon = report.caller_address.rfind(':');
+    state.entry = {report.node, report.zone, report.caller_address,
+                   report.caller_address.substr(0, colon),
+                   static_cast<std::uint16_t>(report.peer_port)};
+    state.started = report.started;
+    state.sequence = report.sequence;
+    state.store_reached = report.store_reached;
+    state.follows_store = report.follows_store;
+    state.store_revision = report.store_revision;
+    state.server_digest = static_cast<std::uint64_t>(report.server_digest);
+    state.phase = report.stopping ? serving::node_phase::shutting_down
+                  : report.ready  ? serving::node_phase::ready
+                                  : serving::node_phase::starting;
+    bool const separates_revisions =
+        report.__isset.newest_configuration && report.__isset.newest_evacuation;
+    state.configuration_revision =
+        separates_revisions ? report.newest_configuration : report.configuration_revision;
+    if (separates_revisions)
+        state.evacuation_revision = report.newest_evacuation;
+    if (report.__isset.evacuation_digest)
+        state.evacuation_digest = static_cast<std::uint64_t>(report.evacuation_digest);
+    return state;
+}
+
 peer_link::peer_link(node_state& state)
     : m_state(state), m_socket(state.settings()->host, state.settings()->peer_port)
 {
@@ -92,10 +119,10 @@
     serving::describe_objects(tables.catch_up.kinds(), tables.objects, copies);
     report.store_revision = copies.store_revision;
     report.configuration_revision =
-        std::max(copies.configuration_revision, copies.evacuation_revision);
+        std::max(copies.configuration_revision, *copies.evacuation_revision);
     report.__set_newest_configuration(copies.configuration_revision);
-    report.newest_evacuation = copies.evacuation_revision;
-    report.evacuation_digest = static_cast<std::int64_t>(copies.evacuation_digest);
+    report.__set_newest_evacuation(*copies.evacuation_revision);
+    report.__set_evacuation_digest(static_cast<std::int64_t>(*copies.evacuation_digest));
     report.server_digest = static_cast<std::int64_t>(copies.server_digest);
     report.store_reached = tables.configuration && !tables.store_call_failed;
     report.follows_store = tables.follows_store || tables.store_call_failed;
@@ -322,27 +349,7 @@
 void peer_link::apply_report(inner_protocol::node_report const& report)
 {
     auto const now = base::steady_clock_source{}.now();
-    serving::node_state_report peer_state;
-    auto const colon = report.caller_address.rfind(':');
-    peer_state.entry = {report.node, report.zone, report.caller_address,
-                        report.caller_address.substr(0, colon),
-                        static_cast<std::uint16_t>(report.peer_port)};
-    peer_state.started = report.started;
-    peer_state.sequence = report.sequence;
-    peer_state.store_reached = report.store_reached;
-    peer_state.follows_store = report.follows_store;
-    peer_state.store_revision = report.store_revision;
-    // A node of an earlier version reports one revision for both kinds. Taking it for that of the
-    // configuration may cost a pull that brings nothing.
-    peer_state.configuration_revision = report.__isset.newest_configuration
-                                            ? report.newest_configuration
-                                            : report.configuration_revision;
-    peer_state.evacuation_revision = report.newest_evacuation;
-    peer_state.evacuation_digest = static_cast<std::uint64_t>(report.evacuation_digest);
-    peer_state.server_digest = static_cast<std::uint64_t>(report.server_digest);
-    peer_state.phase = report.stopping ? serving::node_phase::shutting_down
-                       : report.ready  ? serving::node_phase::ready
-                                       : serving::node_phase::starting;
+    auto const peer_state = read_state_report(report);
     std::vector<serving::server_load> loads;
     for (auto const& use : report.uses)
         loads.push_back(from_message(use));
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -10,6 +10,9 @@
 namespace jasminepier::node
 {
 
+/// Returns the state of the sender of a report. What nodes of earlier versions leave out is unset.
+serving::node_state_report read_state_report(inner_protocol::node_report const& report);
+
 /// Sends this node's reports to all peers and applies the peers' reports, on two threads. Reports
 /// are datagrams; the next report replaces a lost one.
 class peer_link
--- a/tests/configuration_spread_test.cpp
+++ b/tests/configuration_spread_test.cpp
@@ -58,6 +58,15 @@
     {disturbance::nodes_lose_the_store, "nodes lose the store"},
 };
 
+/// Which nodes run the version before reports had separate revisions.
+enum class earlier_nodes
+{
+    none,
+    every_second,
+    followers,
+    all_but_followers,
+};
+
 struct scenario
 {
     int nodes;
@@ -65,6 +74,7 @@
     change_pattern pattern;
     disturbance fault;
     std::uint64_t seed;
+    earlier_nodes earlier = earlier_nodes::none;
 };
 
 /// Runs a scenario and returns the ages of the configuration, sorted.
@@ -82,6 +92,7 @@
     {
         m_fleet.run(seconds(5));
         select_nodes();
+        select_earlier_nodes();
         bool const cut_before =
             m_settings.fault == disturbance::group_cut_until_after_the_changes ||
             m_settings.fault == disturbance::group_cut_from_peers_only;
@@ -103,6 +114,24 @@
     virtual_serving_fleet& fleet() noexcept { return m_fleet; }
 
 private:
+    void select_earlier_nodes()
+    {
+        for (int i = 0; i < m_fleet.size(); ++i)
+        {
+            bool const is_earlier =
+                m_settings.earlier == earlier_nodes::every_second        ? i % 2 == 0
+                : m_settings.earlier == earlier_nodes::followers         ? m_fleet.follows_store(i)
+                : m_settings.earlier == earlier_nodes::all_but_followers ? !m_fleet.follows_store(i)
+                                                                         : false;
+            if (!is_earlier)
+                continue;
+            m_fleet.set_earlier_version(i);
+            // These take an evacuation, which arrives earlier, for the configuration.
+            if (m_settings.pattern != change_pattern::single)
+                m_fleet.ignore_ages(i);
+        }
+    }
+
     void select_nodes()
     {
         auto const fault = m_settings.fault;
@@ -262,5 +291,42 @@
     check_spread(300, 5, 5, seconds(3));
 }
 
+/// Checks half-upgraded fleets: the ages, and that pulls end once all nodes have the configuration.
+void check_spread_during_upgrade(int nodes, int zones, milliseconds bound)
+{
+    std::uint64_t seed = 0;
+    for (auto const earlier :
+         {earlier_nodes::every_second, earlier_nodes::followers, earlier_nodes::all_but_followers})
+        for (auto const pattern : all_patterns)
+            for (auto const fault : {disturbance::none, disturbance::nodes_lose_the_store})
+            {
+                // Every node of a small fleet is a follower.
+                if (nodes <= 12 && earlier != earlier_nodes::every_second)
+                    continue;
+                scenario_run run({nodes, zones, pattern, fault, ++seed, earlier});
+                auto const ages = run.run();
+                ASSERT_FALSE(ages.empty());
+                EXPECT_LE(ages.back(), bound) << nodes << " nodes, changes " << int(pattern)
+                                              << ", earlier nodes " << int(earlier);
+                auto const pulls_before = run.fleet().pulls();
+                run.fleet().run(seconds(10));
+                auto const pulls = run.fleet().pulls() - pulls_before;
+                EXPECT_LE(pulls, static_cast<std::uint64_t>(nodes))
+                    << nodes << " nodes, changes " << int(pattern) << ", earlier nodes "
+                    << int(earlier);
+                std::cout << nodes << " nodes, changes " << int(pattern) << ", earlier nodes "
+                          << int(earlier) << ": at most " << ages.back().count() << " ms, then "
+                          << pulls << " pulls in 10 s\n";
+            }
+}
+
+// Guards against nodes that go on pulling from peers of an earlier version whose newest evacuation
+// they take for a configuration.
+TEST(configuration_spread, reaches_a_half_upgraded_fleet)
+{
+    check_spread_during_upgrade(8, 2, seconds(2));
+    check_spread_during_upgrade(67, 3, seconds(3));
+}
+
 } // namespace
 } // namespace jasminepier::tests
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -196,8 +196,9 @@
                 node.apply_report(report, start);
             }
             auto& revision = revisions[node.self().name];
-            auto const source =
-                node.configuration_source("servers", revision, false, start, random);
+            auto const source = node.configuration_source(
+                "servers", node.peers_with_newer_configuration(revision, start), false, start,
+                random);
             if (!source)
                 continue;
             EXPECT_LE(++pulls[source->name], 4);
@@ -214,7 +215,8 @@
 {
     base::random_source random(20261204);
     for (auto const& node : make_zone_of_large_fleet(2))
-        EXPECT_TRUE(node.configuration_source("servers", 1, true, start, random));
+        EXPECT_TRUE(node.configuration_source(
+            "servers", node.peers_with_newer_configuration(1, start), true, start, random));
 }
 
 // Guards against a node that asks its parent forever although the pulls fail, and against asking
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/objects.hpp"
 #include "platform/settings.hpp"
 #include "platform/store_dialect.hpp"
+#include "services/node/peer_link.hpp"
 
 #include <gtest/gtest.h>
 
@@ -256,5 +257,39 @@
     }
 }
 
+// Guards against taking the one revision of a node of an earlier version for a known evacuation.
+TEST(node_report, fields_that_an_earlier_version_leaves_out_are_unknown)
+{
+    inner_protocol::node_report report;
+    report.node = "n1";
+    report.caller_address = "10.0.0.1:8740";
+    report.configuration_revision = 298;
+    auto const decode = [&]
+    {
+        return base::handle(
+            [&]() -> base::result<serving::node_state_report>
+            {
+                BOOST_LEAF_AUTO(decoded, inner_protocol::decode_node_report(
+                                             inner_protocol::encode_node_report(report)));
+                return node::read_state_report(decoded);
+            },
+            [](base::error const&) { return serving::node_state_report{}; });
+    };
+    auto const earlier = decode();
+    EXPECT_EQ(earlier.entry.peer_host, "10.0.0.1");
+    EXPECT_EQ(earlier.configuration_revision, 298);
+    EXPECT_FALSE(earlier.separates_revisions());
+    EXPECT_FALSE(earlier.evacuation_revision);
+    EXPECT_FALSE(earlier.evacuation_digest);
+
+    report.__set_newest_configuration(296);
+    report.__set_newest_evacuation(0);
+    report.__set_evacuation_digest(0);
+    auto const present = decode();
+    EXPECT_EQ(present.configuration_revision, 296);
+    EXPECT_EQ(present.evacuation_revision, 0);
+    EXPECT_EQ(present.evacuation_digest, 0U);
+}
+
 } // namespace
 } // namespace jasminepier::platform
--- a/tests/support/virtual_serving_fleet.cpp
+++ b/tests/support/virtual_serving_fleet.cpp
@@ -20,6 +20,15 @@
 constexpr milliseconds maximum_backoff{800};
 constexpr std::size_t objects_per_datagram = 2;
 
+/// Turns a report into what a node of the earlier version writes or reads.
+void use_one_revision(serving::node_state_report& state)
+{
+    state.configuration_revision =
+        std::max(state.configuration_revision, state.evacuation_revision.value_or(0));
+    state.evacuation_revision.reset();
+    state.evacuation_digest.reset();
+}
+
 } // namespace
 
 virtual_serving_fleet::member::member(serving::node_entry entry, serving::object_kinds const& names)
@@ -188,7 +197,10 @@
         if (!target.runs())
             continue;
         auto const& datagram = *next.datagram;
-        bool const is_new = target.directory.apply_report(datagram.state, m_now);
+        auto state = datagram.state;
+        if (target.earlier_version)
+            use_one_revision(state);
+        bool const is_new = target.directory.apply_report(state, m_now);
         if (is_new && datagram.summary)
             target.directory.apply_zone_summary(datagram.state.entry.zone, *datagram.summary,
                                                 m_now);
@@ -216,11 +228,9 @@
             target.arrivals[i] = m_now;
 }
 
-void virtual_serving_fleet::send_report(int number, std::vector<store::object> const& news)
+serving::node_state_report virtual_serving_fleet::make_state(member& sender)
 {
-    auto& sender = m_nodes[index(number)];
-    report_datagram datagram;
-    auto& state = datagram.state;
+    serving::node_state_report state;
     state.entry = sender.directory.self();
     state.started = 1;
     state.sequence = ++sender.sequence;
@@ -229,6 +239,16 @@
         sender.objects.kind_revision(kinds.configuration) > 0 && !sender.store_call_failed;
     state.follows_store = sender.follows_store || sender.store_call_failed;
     serving::describe_objects(kinds, sender.objects, state);
+    if (sender.earlier_version)
+        use_one_revision(state);
+    return state;
+}
+
+void virtual_serving_fleet::send_report(int number, std::vector<store::object> const& news)
+{
+    auto& sender = m_nodes[index(number)];
+    report_datagram datagram;
+    datagram.state = make_state(sender);
     datagram.news = news;
     send(number, sender.directory.report_recipients(), datagram);
     if (news.empty())
@@ -243,13 +263,7 @@
     if (!sender.directory.reports_zone(m_now))
         return;
     report_datagram datagram;
-    datagram.state.entry = sender.directory.self();
-    datagram.state.started = 1;
-    datagram.state.sequence = ++sender.sequence;
-    datagram.state.phase = sender.directory.phase();
-    datagram.state.store_reached = !sender.store_call_failed;
-    datagram.state.follows_store = sender.follows_store || sender.store_call_failed;
-    serving::describe_objects(kinds, sender.objects, datagram.state);
+    datagram.state = make_state(sender);
     datagram.summary = sender.directory.summarize_zone(sender.random, m_now);
     datagram.relay = true;
     send(number, sender.directory.pick_relays(sender.random), datagram);
@@ -277,6 +291,7 @@
 void virtual_serving_fleet::start_pull(int number, serving::object_pull const& pull)
 {
     auto& local = m_nodes[index(number)];
+    m_pulls += local.earlier_version ? 0 : 1;
     int const peer = number_of(pull.peer.name);
     auto const& source = m_nodes[index(peer)];
     running_pull started{pull, m_now + random_time(20, 150), true, {}};
@@ -302,15 +317,42 @@
         auto const finished = *std::exchange(local.pull, std::nullopt);
         apply(number, finished.objects);
         local.catch_up.record_pull(finished.pull, finished.succeeds, local.view(), m_now);
+        if (!finished.succeeds)
+            local.earlier_pull_policy.record_failed_pull();
         local.next_check = m_now + serving::object_catch_up::check_interval;
     }
     if (m_now < local.next_check)
         return;
     local.next_check = m_now + serving::object_catch_up::check_interval;
-    if (auto const pull = local.catch_up.plan_pull(local.view(), m_now, local.random))
+    if (auto const pull = local.earlier_version
+                              ? plan_pull_of_earlier_version(local)
+                              : local.catch_up.plan_pull(local.view(), m_now, local.random))
         start_pull(number, *pull);
 }
 
+std::optional<serving::object_pull>
+virtual_serving_fleet::plan_pull_of_earlier_version(member& local)
+{
+    auto const revision = std::max(local.objects.kind_revision(kinds.configuration),
+                                   local.objects.kind_revision(kinds.evacuations));
+    auto const since = serving::pull_start_revision(local.objects.revision(), revision);
+    auto const newer_peers = local.directory.peers_with_newer_configuration(revision, m_now);
+    auto const source = local.directory.configuration_source(
+        kinds.servers, newer_peers, local.earlier_pull_policy.use_any_peer(), m_now, local.random);
+    local.earlier_pull_policy.record_check(!newer_peers.empty(), source.has_value());
+    if (source)
+        return serving::object_pull{*source, since, serving::pull_reason::configuration};
+    auto const peers =
+        local.store_call_failed
+            ? local.directory.peers_reaching_store(m_now)
+            : local.directory.peers_with_newer_objects(local.objects.revision(), m_now);
+    if (peers.empty())
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> index(0, peers.size() - 1);
+    return serving::object_pull{peers[index(local.random)], since,
+                                serving::pull_reason::other_objects};
+}
+
 void virtual_serving_fleet::start_store_call(int number, store_thread& thread)
 {
     auto& local = m_nodes[index(number)];
--- a/tests/support/virtual_serving_fleet.hpp
+++ b/tests/support/virtual_serving_fleet.hpp
@@ -55,6 +55,9 @@
         m_nodes.at(index(number)).directory.set_phase(serving::node_phase::shutting_down);
     }
     void kill(int number) { m_nodes.at(index(number)).killed = true; }
+    /// The node runs the version of 3 December 2026, which reports and compares one revision for
+    /// configuration and evacuations.
+    void set_earlier_version(int number) { m_nodes.at(index(number)).earlier_version = true; }
     /// The ages of the node's configuration count from now on, as after the end of a disturbance
     /// that kept it from both its peers and the store.
     void restart_ages(int number) { m_nodes.at(index(number)).in_touch_since = m_now; }
@@ -68,6 +71,8 @@
     /// True if no running node lacks an evacuation or has one too many.
     bool evacuations_agree() const;
     std::uint64_t store_calls() const noexcept { return m_store_calls; }
+    /// Pulls that nodes of the present version have started.
+    std::uint64_t pulls() const noexcept { return m_pulls; }
 
 private:
     struct report_datagram
@@ -136,6 +141,8 @@
         store_access access = store_access::reachable;
         bool frozen = false;
         bool killed = false;
+        bool earlier_version = false;
+        serving::configuration_pull_policy earlier_pull_policy;
         bool ignored = false;
         base::time_point in_touch_since{};
         /// Arrival of each change of the configuration.
@@ -166,6 +173,8 @@
     void apply(int number, std::span<store::object const> objects);
     void step_reports(int number);
     void step_pulls(int number);
+    serving::node_state_report make_state(member& sender);
+    std::optional<serving::object_pull> plan_pull_of_earlier_version(member& local);
     void start_pull(int number, serving::object_pull const& pull);
     void step_store(int number, store_thread& thread);
     void start_store_call(int number, store_thread& thread);
@@ -183,6 +192,7 @@
     std::map<std::pair<std::string, std::string>, store::object> m_store;
     std::int64_t m_revision = 100;
     std::uint64_t m_store_calls = 0;
+    std::uint64_t m_pulls = 0;
     /// Revision and time of each change of the configuration.
     std::vector<std::pair<std::int64_t, base::time_point>> m_changes;
 };
