Node: Compare servers with every peer

Callers saw nothing yet. A node that missed a change of a server may send requests to one that is leaving or gone.

Cause: a node compared the digest of its servers with that of the first peer in the followers' order only. If that peer lacked the change, too, was cut off or frozen, the node asked nobody else.

Change: reports carry the newest revision of the servers, and servers are compared like evacuations, with every live peer: a peer with a newer revision, or with another digest at the same revision, is asked. Digests of different revisions say nothing, since changes take a moment to arrive. A peer whose objects brought nothing is not asked again for 10 s unless it reports other objects, so two nodes that differ don't pull in turns. Peers of earlier versions are compared as before.

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -172,6 +172,7 @@
   22: optional i64 newest_configuration, // revision of its copy of the configuration
   23: optional i64 newest_evacuation,      // newest of its copies of evacuations
   24: optional i64 evacuation_digest,      // equal on nodes with the same evacuations
+  26: optional i64 server_revision, // newest of its copies of servers
   10: bool store_reached,         // the node's own copies of the store's objects are current
   13: i64 server_digest,          // equal on nodes with the same entries of servers
   14: list<configuration_object> news,  // objects that the node has just read from the store
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -80,6 +80,8 @@
         std::max(m_newest_reported.configuration, report.configuration_revision);
     m_newest_reported.evacuations =
         std::max(m_newest_reported.evacuations, report.evacuation_revision.value_or(0));
+    m_newest_reported.servers =
+        std::max(m_newest_reported.servers, report.server_revision.value_or(0));
     return true;
 }
 
@@ -295,19 +297,25 @@
                            });
 }
 
-std::vector<node_entry> node_directory::peers_with_other_evacuations(std::int64_t revision,
-                                                                     std::uint64_t digest,
-                                                                     base::time_point now) const
+std::vector<peer_copies> node_directory::peers_with_other_copies(compared_kind kind,
+                                                                 std::int64_t revision,
+                                                                 std::uint64_t digest,
+                                                                 base::time_point now) const
 {
-    return find_live_nodes(now,
-                           [&](node_state_report const& state)
-                           {
-                               if (!state.evacuation_revision || !state.evacuation_digest)
-                                   return false;
-                               return *state.evacuation_revision > revision ||
-                                      (*state.evacuation_revision == revision &&
-                                       *state.evacuation_digest != digest);
-                           });
+    std::vector<peer_copies> found;
+    for (auto const& [name, node] : m_nodes)
+    {
+        auto const& state = node.state;
+        bool const is_evacuation = kind == compared_kind::evacuations;
+        auto const reported = is_evacuation ? state.evacuation_revision : state.server_revision;
+        if (!reported || !is_alive(node, now))
+            continue;
+        auto const reported_digest =
+            is_evacuation ? state.evacuation_digest.value_or(digest) : state.server_digest;
+        if (*reported > revision || (*reported == revision && reported_digest != digest))
+            found.push_back({state.entry, *reported, reported_digest});
+    }
+    return found;
 }
 
 std::optional<node_entry> node_directory::configuration_source(
@@ -396,7 +404,8 @@
             highest_weight = weight;
         }
     }
-    if (follower == nullptr || follower->state.server_digest == digest)
+    if (follower == nullptr || follower->state.server_revision ||
+        follower->state.server_digest == digest)
         return std::nullopt;
     return follower->state.entry;
 }
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -48,6 +48,8 @@
     std::optional<std::int64_t> evacuation_revision = std::nullopt;
     /// Equal on nodes that have the same evacuations; unset if unknown.
     std::optional<std::uint64_t> evacuation_digest = std::nullopt;
+    /// Newest revision among the node's copies of the servers; unset if unknown.
+    std::optional<std::int64_t> server_revision = std::nullopt;
 
     /// False if `configuration_revision` may be that of an evacuation.
     bool separates_revisions() const noexcept { return evacuation_revision.has_value(); }
@@ -58,6 +60,22 @@
 {
     std::int64_t configuration = 0;
     std::int64_t evacuations = 0;
+    std::int64_t servers = 0;
+};
+
+/// Kinds of objects whose copies nodes compare by revision and digest.
+enum class compared_kind
+{
+    evacuations,
+    servers,
+};
+
+/// What a peer has reported about its copies of a kind.
+struct peer_copies
+{
+    node_entry peer;
+    std::int64_t revision = 0;
+    std::uint64_t digest = 0;
 };
 
 /// What another zone reports about its nodes.
@@ -169,11 +187,12 @@
     peers_with_newer_configuration(std::int64_t revision, base::time_point now,
                                    std::int64_t checked_revision = 0,
                                    std::set<std::string, std::less<>> const& exhausted = {}) const;
-    /// Live peers whose evacuations are newer than `revision`, or as new but different from those
-    /// with `digest`: each of the two nodes may have missed one.
-    std::vector<node_entry> peers_with_other_evacuations(std::int64_t revision,
-                                                         std::uint64_t digest,
-                                                         base::time_point now) const;
+    /// Live peers whose objects are newer than `revision`, or as new but different from those with
+    /// `digest`: each of the two nodes may have missed one. Digests of different revisions say
+    /// nothing, since changes take a moment to arrive.
+    std::vector<peer_copies> peers_with_other_copies(compared_kind kind, std::int64_t revision,
+                                                     std::uint64_t digest,
+                                                     base::time_point now) const;
     reported_revisions const& newest_reported() const noexcept { return m_newest_reported; }
     /// Random timeout for a watch of the store. A store that stops responding never answers open
     /// watches, so the timeouts are chosen such that some node's watch ends about twice a second.
@@ -184,7 +203,7 @@
     /// Random timeout for a watch of the list of nodes; longer in large fleets, to save calls.
     base::milliseconds node_watch_timeout(base::random_source& random) const;
     /// Returns the first of the peers that follow objects of `kind` if its server digest differs
-    /// from `digest`.
+    /// from `digest` and it does not report the revision of its servers.
     std::optional<node_entry> follower_with_different_servers(std::string_view kind,
                                                               std::uint64_t digest,
                                                               base::time_point now) const;
--- a/libraries/serving/object_catch_up.cpp
+++ b/libraries/serving/object_catch_up.cpp
@@ -9,10 +9,11 @@
 
 // Servers announce their removal 1.5 to 2 s ahead, so changes are still useful half a second late.
 constexpr int checks_per_object_check = 2;
-// Published evacuations take a moment to arrive.
-constexpr base::milliseconds evacuation_grace_period{200};
+// Published changes take a moment to arrive.
+constexpr base::milliseconds object_grace_period{200};
 
-node_entry const& pick_peer(std::vector<node_entry> const& peers, base::random_source& random)
+template <class Peer>
+Peer const& pick_peer(std::vector<Peer> const& peers, base::random_source& random)
 {
     std::uniform_int_distribution<std::size_t> index(0, peers.size() - 1);
     return peers[index(random)];
@@ -27,32 +28,39 @@
     report.configuration_revision = objects.kind_revision(kinds.configuration);
     report.evacuation_revision = objects.kind_revision(kinds.evacuations);
     report.evacuation_digest = objects.digest(kinds.evacuations);
+    report.server_revision = objects.kind_revision(kinds.servers);
     report.server_digest = objects.digest(kinds.servers);
 }
 
 void object_catch_up::update(catch_up_view const& view, base::time_point now)
 {
     auto const& reported = view.nodes.newest_reported();
-    auto const configuration_revision = view.objects.kind_revision(m_kinds.configuration);
-    m_configuration.lag.update(
-        std::max(configuration_revision, view.objects.complete_revision(m_kinds.configuration)),
-        reported.configuration, now);
-    auto const evacuation_revision = view.objects.kind_revision(m_kinds.evacuations);
-    m_evacuations.lag.update(
-        std::max(evacuation_revision, view.objects.complete_revision(m_kinds.evacuations)),
-        reported.evacuations, now);
-    for (auto* const peers :
-         {&m_failed_peers, &m_configuration.exhausted_peers, &m_evacuations.exhausted_peers})
-        std::erase_if(*peers,
-                      [&](auto const& peer) { return now >= peer.second + failed_peer_pause; });
+    std::pair<std::string const*, std::int64_t> const known[] = {
+        {&m_kinds.configuration, reported.configuration},
+        {&m_kinds.evacuations, reported.evacuations},
+        {&m_kinds.servers, reported.servers}};
+    for (auto const& [kind, revision] : known)
+    {
+        auto& state = *find_kind(*kind);
+        state.lag.update(
+            std::max(view.objects.kind_revision(*kind), view.objects.complete_revision(*kind)),
+            revision, now);
+        auto const pause =
+            *kind == m_kinds.configuration ? failed_peer_pause : exhausted_peer_pause;
+        std::erase_if(state.exhausted_peers,
+                      [&](auto const& peer) { return now >= peer.second.time + pause; });
+    }
+    std::erase_if(m_failed_peers,
+                  [&](auto const& peer) { return now >= peer.second + failed_peer_pause; });
 }
 
 std::set<std::string, std::less<>> object_catch_up::peers_to_avoid(kind_state const& state) const
 {
     std::set<std::string, std::less<>> names;
-    for (auto const* const peers : {&m_failed_peers, &state.exhausted_peers})
-        for (auto const& [name, time] : *peers)
-            names.insert(name);
+    for (auto const& [name, time] : m_failed_peers)
+        names.insert(name);
+    for (auto const& [name, pull] : state.exhausted_peers)
+        names.insert(name);
     return names;
 }
 
@@ -75,28 +83,51 @@
                        pull_reason::configuration, view.objects.digest(m_kinds.configuration)};
 }
 
-std::optional<object_pull> object_catch_up::plan_evacuation_pull(catch_up_view const& view,
-                                                                 base::time_point now,
-                                                                 base::random_source& random) const
+std::optional<object_pull> object_catch_up::plan_compared_pull(compared_kind kind,
+                                                               catch_up_view const& view,
+                                                               base::time_point now,
+                                                               base::random_source& random)
 {
-    auto const revision = view.objects.kind_revision(m_kinds.evacuations);
-    auto const complete = view.objects.complete_revision(m_kinds.evacuations);
-    // A node that has read all evacuations up to a revision has missed none of them.
-    if (complete >= view.nodes.newest_reported().evacuations && complete >= revision)
+    bool const is_server = kind == compared_kind::servers;
+    auto const& name = is_server ? m_kinds.servers : m_kinds.evacuations;
+    auto& state = *find_kind(name);
+    auto const revision = view.objects.kind_revision(name);
+    auto const complete = view.objects.complete_revision(name);
+    // A node that has read all objects up to a revision has missed none of them.
+    if (complete >= state.lag.known() && complete >= revision)
         return std::nullopt;
-    auto const behind_since = m_evacuations.lag.behind_since();
-    if (behind_since && now < *behind_since + evacuation_grace_period)
+    auto const behind_since = state.lag.behind_since();
+    if (behind_since && now < *behind_since + object_grace_period)
         return std::nullopt;
-    auto const avoided = peers_to_avoid(m_evacuations);
-    auto const digest = view.objects.digest(m_kinds.evacuations);
-    auto peers = view.nodes.peers_with_other_evacuations(revision, digest, now);
-    std::erase_if(peers, [&](node_entry const& peer) { return avoided.contains(peer.name); });
+    auto const digest = view.objects.digest(name);
+    auto peers = view.nodes.peers_with_other_copies(kind, revision, digest, now);
+    if (behind_since || peers.empty())
+        state.differs_since.reset();
+    else if (!state.differs_since)
+        state.differs_since = now;
+    // Most pulls bring a recent change, so the changes of servers of some time ago are left out. A
+    // node with another evacuation of the same age may have missed one long ago.
+    bool const is_complete =
+        !behind_since &&
+        (!is_server || (state.differs_since && now >= *state.differs_since + complete_pull_delay));
+    std::erase_if(peers,
+                  [&](peer_copies const& copies)
+                  {
+                      auto const found = state.exhausted_peers.find(copies.peer.name);
+                      bool const is_exhausted = found != state.exhausted_peers.end() &&
+                                                found->second.peer_digest == copies.digest &&
+                                                (found->second.is_complete || !is_complete);
+                      return is_exhausted || m_failed_peers.contains(copies.peer.name);
+                  });
     if (peers.empty())
         return std::nullopt;
-    // A node with another evacuation of the same age may have missed one long ago.
-    auto const since = behind_since ? pull_start_revision(view.objects.revision(), revision)
-                                    : std::min(complete, revision);
-    return object_pull{pick_peer(peers, random), since, pull_reason::evacuations, digest};
+    auto const& chosen = pick_peer(peers, random);
+    state.lag.record_asked_peer(chosen.peer.name);
+    auto const since = is_complete ? std::min(complete, revision)
+                                   : pull_start_revision(view.objects.revision(), revision);
+    return object_pull{
+        chosen.peer, since,         is_server ? pull_reason::servers : pull_reason::evacuations,
+        digest,      chosen.digest, is_complete};
 }
 
 std::optional<object_pull> object_catch_up::plan_other_pull(catch_up_view const& view,
@@ -143,11 +174,9 @@
     bool const check_objects = m_check_count++ % checks_per_object_check == 0;
     if (!check_objects)
         return std::nullopt;
-    if (auto pull = plan_evacuation_pull(view, now, random))
-    {
-        m_evacuations.lag.record_asked_peer(pull->peer.name);
-        return pull;
-    }
+    for (auto const kind : {compared_kind::evacuations, compared_kind::servers})
+        if (auto pull = plan_compared_pull(kind, view, now, random))
+            return pull;
     return plan_other_pull(view, now, random);
 }
 
@@ -165,16 +194,20 @@
     m_failed_peers.erase(pull.peer.name);
     auto const* const kind = pull.reason == pull_reason::configuration ? &m_kinds.configuration
                              : pull.reason == pull_reason::evacuations ? &m_kinds.evacuations
+                             : pull.reason == pull_reason::servers     ? &m_kinds.servers
                                                                        : nullptr;
     // If a pull changes nothing, the other node has missed the change, not this one.
     if (kind != nullptr && view.objects.digest(*kind) == pull.held_digest)
-        find_kind(*kind)->exhausted_peers[pull.peer.name] = now;
+        find_kind(*kind)->exhausted_peers[pull.peer.name] = {pull.peer_digest, pull.is_complete,
+                                                             now};
 }
 
 object_catch_up::kind_state* object_catch_up::find_kind(std::string const& kind)
 {
     if (kind == m_kinds.configuration)
         return &m_configuration;
+    if (kind == m_kinds.servers)
+        return &m_servers;
     return kind == m_kinds.evacuations ? &m_evacuations : nullptr;
 }
 
@@ -182,6 +215,8 @@
 {
     if (kind == m_kinds.configuration)
         return &m_configuration;
+    if (kind == m_kinds.servers)
+        return &m_servers;
     return kind == m_kinds.evacuations ? &m_evacuations : nullptr;
 }
 
@@ -214,7 +249,7 @@
 std::vector<lag_event> object_catch_up::take_lag_events(base::time_point now)
 {
     std::vector<lag_event> events;
-    for (auto const* const kind : {&m_kinds.configuration, &m_kinds.evacuations})
+    for (auto const* const kind : {&m_kinds.configuration, &m_kinds.evacuations, &m_kinds.servers})
     {
         auto& state = *find_kind(*kind);
         auto const since = state.lag.behind_since();
--- a/libraries/serving/object_catch_up.hpp
+++ b/libraries/serving/object_catch_up.hpp
@@ -43,9 +43,10 @@
 {
     configuration,
     evacuations,
+    servers,
     /// The node has no configuration or cannot reach the store.
     store_unreachable,
-    /// The peer has newer objects or different servers.
+    /// The peer has newer objects, or it is of an earlier version and has different servers.
     other_objects,
 };
 
@@ -57,6 +58,10 @@
     pull_reason reason = pull_reason::other_objects;
     /// Digest of the node's objects of the kind before the pull.
     std::uint64_t held_digest = 0;
+    /// Digest that the peer has reported; 0 for configurations.
+    std::uint64_t peer_digest = 0;
+    /// The pull contains every object that the node may have missed.
+    bool is_complete = true;
 };
 
 /// A change of a node's being behind, for its log.
@@ -71,10 +76,11 @@
     std::vector<std::string> asked_peers;
 };
 
-/// Decides from whom and when a node obtains objects that it lacks. The revisions of configurations
-/// and evacuations are compared apart: evacuations arrive as datagrams, earlier than configurations
-/// that were changed before them. A node that lacks a revision asks its peers at every check, and
-/// reads the store after `revision_lag::store_read_delay`, until it holds it. Not synchronized.
+/// Decides from whom and when a node obtains objects that it lacks. Each kind is compared apart:
+/// evacuations and servers arrive as datagrams, earlier than configurations that were changed
+/// before them. Evacuations and servers are compared with every peer, by revision and digest. A
+/// node that lacks a revision asks its peers at every check, and reads the store after
+/// `revision_lag::store_read_delay`, until it holds it. Not synchronized.
 class object_catch_up
 {
 public:
@@ -82,9 +88,13 @@
     static constexpr base::milliseconds check_interval{200};
     /// A node that is behind for so long is logged.
     static constexpr base::milliseconds log_delay{600};
-    /// Peers from which a pull failed are asked last for this time. For a peer whose objects
-    /// brought nothing new, the same holds for the kind that it was asked for.
+    /// Peers from which a pull failed are asked last for this time.
     static constexpr base::milliseconds failed_peer_pause{2000};
+    /// A peer whose objects brought nothing new is not asked for the same kind for this time,
+    /// unless it reports other objects. A configuration is asked for after `failed_peer_pause`.
+    static constexpr base::milliseconds exhausted_peer_pause{10000};
+    /// Servers that differ for so long were changed long ago, so all of them are pulled.
+    static constexpr base::milliseconds complete_pull_delay{2000};
 
     explicit object_catch_up(object_kinds kinds) : m_kinds(std::move(kinds)) {}
 
@@ -115,11 +125,21 @@
 private:
     using peer_times = std::map<std::string, base::time_point, std::less<>>;
 
+    /// A pull that brought nothing new.
+    struct vain_pull
+    {
+        std::uint64_t peer_digest = 0;
+        bool is_complete = true;
+        base::time_point time{};
+    };
+
     struct kind_state
     {
         revision_lag lag;
-        /// Peers from which a pull brought nothing new, and when.
-        peer_times exhausted_peers;
+        /// Peers from which a pull brought nothing new.
+        std::map<std::string, vain_pull, std::less<>> exhausted_peers;
+        /// Since when a peer has had other objects of the same revision.
+        std::optional<base::time_point> differs_since;
         /// Set while the node counts as behind in the log.
         std::optional<lag_event> logged;
         base::time_point logged_since{};
@@ -130,8 +150,10 @@
     std::optional<object_pull> plan_configuration_pull(catch_up_view const& view,
                                                        base::time_point now,
                                                        base::random_source& random);
-    std::optional<object_pull> plan_evacuation_pull(catch_up_view const& view, base::time_point now,
-                                                    base::random_source& random) const;
+    /// Plans a pull of evacuations or servers.
+    std::optional<object_pull> plan_compared_pull(compared_kind kind, catch_up_view const& view,
+                                                  base::time_point now,
+                                                  base::random_source& random);
     std::optional<object_pull> plan_other_pull(catch_up_view const& view, base::time_point now,
                                                base::random_source& random);
     /// Names of the peers from which pulls have recently failed, or brought nothing of this kind.
@@ -140,6 +162,7 @@
     object_kinds m_kinds;
     kind_state m_configuration;
     kind_state m_evacuations;
+    kind_state m_servers;
     configuration_pull_policy m_configuration_pulls;
     peer_times m_failed_peers;
     bool m_was_behind = false;
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -84,6 +84,8 @@
     state.follows_store = report.follows_store;
     state.store_revision = report.store_revision;
     state.server_digest = static_cast<std::uint64_t>(report.server_digest);
+    if (report.__isset.server_revision)
+        state.server_revision = report.server_revision;
     state.phase = report.stopping ? serving::node_phase::shutting_down
                   : report.ready  ? serving::node_phase::ready
                                   : serving::node_phase::starting;
@@ -124,6 +126,7 @@
     report.__set_newest_evacuation(*copies.evacuation_revision);
     report.__set_evacuation_digest(static_cast<std::int64_t>(*copies.evacuation_digest));
     report.server_digest = static_cast<std::int64_t>(copies.server_digest);
+    report.__set_server_revision(*copies.server_revision);
     report.store_reached = tables.configuration && !tables.store_call_failed;
     report.follows_store = tables.follows_store || tables.store_call_failed;
     report.started = m_state.started_unix_milliseconds();
--- a/tests/configuration_spread_test.cpp
+++ b/tests/configuration_spread_test.cpp
@@ -196,6 +196,7 @@
             for (int i = 0; i < count; ++i)
             {
                 m_fleet.change_configuration();
+                m_fleet.change_server(i % 4, i % 4 == 3);
                 if (i == 0)
                     disturb();
                 m_fleet.run(gap);
@@ -237,14 +238,26 @@
     return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
 }
 
+void print_ages(int nodes, std::string const& name, std::vector<milliseconds>& ages)
+{
+    if (ages.empty())
+        return;
+    std::sort(ages.begin(), ages.end());
+    std::cout << nodes << " nodes, " << name << ": " << ages.size() << " ages, p99 "
+              << percentile(ages, 0.99).count() << " ms, at most " << ages.back().count()
+              << " ms\n";
+}
+
 /// Runs every `stride`-th combination of changes and disturbances, and prints the ages.
 void check_spread(int nodes, int zones, int stride, milliseconds bound)
 {
     std::vector<milliseconds> all_ages;
+    std::vector<milliseconds> all_server_ages;
     int number = 0;
     for (auto const& [fault, fault_name] : all_disturbances)
     {
         std::vector<milliseconds> fault_ages;
+        std::vector<milliseconds> server_ages;
         for (auto const pattern : all_patterns)
         {
             if (number++ % stride != 0)
@@ -257,19 +270,20 @@
             EXPECT_TRUE(run.fleet().evacuations_agree())
                 << nodes << " nodes, changes " << int(pattern) << ", " << fault_name;
             fault_ages.insert(fault_ages.end(), ages.begin(), ages.end());
+            auto const of_servers = run.fleet().server_ages();
+            EXPECT_LE(of_servers.back(), bound)
+                << nodes << " nodes, servers, changes " << int(pattern) << ", " << fault_name;
+            EXPECT_TRUE(run.fleet().servers_agree())
+                << nodes << " nodes, changes " << int(pattern) << ", " << fault_name;
+            server_ages.insert(server_ages.end(), of_servers.begin(), of_servers.end());
         }
-        std::sort(fault_ages.begin(), fault_ages.end());
-        if (!fault_ages.empty())
-            std::cout << nodes << " nodes, " << fault_name << ": age p50 "
-                      << percentile(fault_ages, 0.5).count() << " ms, p99 "
-                      << percentile(fault_ages, 0.99).count() << " ms, at most "
-                      << fault_ages.back().count() << " ms\n";
+        print_ages(nodes, fault_name, fault_ages);
+        print_ages(nodes, std::string(fault_name) + ", servers", server_ages);
         all_ages.insert(all_ages.end(), fault_ages.begin(), fault_ages.end());
+        all_server_ages.insert(all_server_ages.end(), server_ages.begin(), server_ages.end());
     }
-    std::sort(all_ages.begin(), all_ages.end());
-    std::cout << nodes << " nodes: " << all_ages.size() << " ages, p99 "
-              << percentile(all_ages, 0.99).count() << " ms, at most " << all_ages.back().count()
-              << " ms\n";
+    print_ages(nodes, "all", all_ages);
+    print_ages(nodes, "all, servers", all_server_ages);
 }
 
 // Guards against a small fleet that applies a configuration later than 2 s after its change.
--- a/tests/object_catch_up_test.cpp
+++ b/tests/object_catch_up_test.cpp
@@ -88,6 +88,79 @@
     EXPECT_FALSE(plan_pull(start + object_catch_up::failed_peer_pause + seconds(1)));
 }
 
+// Guards against waiting for the first follower, which lacks a change of servers that others have,
+// and against nodes that pull from each other in turns.
+TEST_F(object_catch_up_test, compares_servers_with_every_peer)
+{
+    hold("servers", "s1", 20);
+    auto const same = m_objects.digest("servers");
+    auto const report_servers =
+        [&](std::string const& name, std::int64_t revision, std::uint64_t digest)
+    {
+        node_state_report state{make_node(name), 1, ++m_sequence, node_phase::ready, true};
+        state.configuration_revision = 40;
+        state.evacuation_revision = 30;
+        state.evacuation_digest = m_objects.digest("evacuations");
+        state.server_revision = revision;
+        state.server_digest = digest;
+        m_nodes.apply_report(state, start);
+    };
+    for (int i = 0; i < 14; ++i)
+        report_servers("n" + std::to_string(i), 20, same);
+    EXPECT_FALSE(plan_pull(start));
+    for (int i = 0; i < 14; ++i)
+    {
+        SCOPED_TRACE(i);
+        auto const name = "n" + std::to_string(i);
+        object_catch_up catch_up{{"config", "evacuations", "servers"}};
+        // An older copy shows nothing, since changes take a moment to arrive.
+        report_servers(name, 19, same + 1);
+        EXPECT_FALSE(catch_up.plan_pull(view(), start, m_random));
+        report_servers(name, 20, same + 1);
+        catch_up.plan_pull(view(), start, m_random);
+        auto const pull = catch_up.plan_pull(view(), start, m_random);
+        ASSERT_TRUE(pull);
+        EXPECT_EQ(pull->peer.name, name);
+        EXPECT_EQ(pull->reason, pull_reason::servers);
+        // The pull brought nothing, so the peer itself lacks the change.
+        catch_up.record_pull(*pull, true, view(), start);
+        for (int check = 0; check < 4; ++check)
+            EXPECT_FALSE(catch_up.plan_pull(view(), start, m_random));
+        report_servers(name, 20, same);
+    }
+}
+
+// Guards against missing a change of servers that is older than what a usual pull contains.
+TEST_F(object_catch_up_test, pulls_all_servers_if_they_differ_for_long)
+{
+    hold("servers", "s1", 2000);
+    auto const next_pull = [&](base::time_point now)
+    {
+        node_state_report state{make_node("n1"), 1, ++m_sequence, node_phase::ready, true};
+        state.configuration_revision = 40;
+        state.evacuation_revision = 30;
+        state.evacuation_digest = digest();
+        state.server_revision = 2000;
+        state.server_digest = 1;
+        m_nodes.apply_report(state, now);
+        std::optional<object_pull> pull;
+        for (int check = 0; check < 4 && !pull; ++check)
+            pull = plan_pull(now);
+        return pull;
+    };
+    auto const pull = next_pull(start);
+    ASSERT_TRUE(pull);
+    EXPECT_GT(pull->since, 0);
+    m_catch_up.record_pull(*pull, true, view(), start);
+    EXPECT_FALSE(next_pull(start + seconds(1)));
+    auto const later = start + object_catch_up::complete_pull_delay;
+    auto const complete = next_pull(later);
+    ASSERT_TRUE(complete);
+    EXPECT_EQ(complete->since, 0);
+    m_catch_up.record_pull(*complete, true, view(), later);
+    EXPECT_FALSE(next_pull(later + seconds(1)));
+}
+
 // Guards against forgetting a configuration whose only holder has died.
 TEST_F(object_catch_up_test, reads_the_store_while_no_peer_brings_the_configuration)
 {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -281,14 +281,17 @@
     EXPECT_FALSE(earlier.separates_revisions());
     EXPECT_FALSE(earlier.evacuation_revision);
     EXPECT_FALSE(earlier.evacuation_digest);
+    EXPECT_FALSE(earlier.server_revision);
 
     report.__set_newest_configuration(296);
     report.__set_newest_evacuation(0);
     report.__set_evacuation_digest(0);
+    report.__set_server_revision(0);
     auto const present = decode();
     EXPECT_EQ(present.configuration_revision, 296);
     EXPECT_EQ(present.evacuation_revision, 0);
     EXPECT_EQ(present.evacuation_digest, 0U);
+    EXPECT_EQ(present.server_revision, 0);
 }
 
 } // namespace
--- a/tests/support/virtual_serving_fleet.cpp
+++ b/tests/support/virtual_serving_fleet.cpp
@@ -27,6 +27,7 @@
         std::max(state.configuration_revision, state.evacuation_revision.value_or(0));
     state.evacuation_revision.reset();
     state.evacuation_digest.reset();
+    state.server_revision.reset();
 }
 
 } // namespace
@@ -85,21 +86,27 @@
     return m_revision;
 }
 
-void virtual_serving_fleet::change_configuration()
+void virtual_serving_fleet::write_tracked(std::string const& kind, std::string const& name,
+                                          bool deleted)
 {
-    m_changes.emplace_back(write(kinds.configuration, "main", false), m_now);
+    m_changes.push_back({kind, name, write(kind, name, deleted), m_now});
     for (auto& each : m_nodes)
         each.arrivals.emplace_back();
 }
 
+void virtual_serving_fleet::change_configuration()
+{
+    write_tracked(kinds.configuration, "main", false);
+}
+
 void virtual_serving_fleet::change_evacuation(std::string const& zone, bool removed)
 {
     write(kinds.evacuations, zone, removed);
 }
 
-void virtual_serving_fleet::change_server(int server)
+void virtual_serving_fleet::change_server(int server, bool removed)
 {
-    write(kinds.servers, "s" + std::to_string(server), false);
+    write_tracked(kinds.servers, "s" + std::to_string(server), removed);
 }
 
 void virtual_serving_fleet::set_store_access(int number, store_access access)
@@ -116,7 +123,7 @@
             fail_store_call(number, thread);
 }
 
-std::vector<milliseconds> virtual_serving_fleet::configuration_ages() const
+std::vector<milliseconds> virtual_serving_fleet::ages(std::string const& kind) const
 {
     std::vector<milliseconds> ages;
     for (auto const& each : m_nodes)
@@ -125,7 +132,9 @@
             continue;
         for (std::size_t i = 0; i < m_changes.size(); ++i)
         {
-            auto const begin = std::max(m_changes[i].second, each.in_touch_since);
+            if (m_changes[i].kind != kind)
+                continue;
+            auto const begin = std::max(m_changes[i].time, each.in_touch_since);
             ages.push_back(each.arrivals[i]
                                ? std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
                                                                *each.arrivals[i] - begin))
@@ -136,17 +145,14 @@
     return ages;
 }
 
-bool virtual_serving_fleet::evacuations_agree() const
+bool virtual_serving_fleet::copies_agree(std::string const& kind) const
 {
     configuration::versioned_store stored;
     for (auto const& [key, object] : m_store)
         stored.merge({&object, 1});
     return std::all_of(m_nodes.begin(), m_nodes.end(),
                        [&](member const& each)
-                       {
-                           return each.killed || each.objects.digest(kinds.evacuations) ==
-                                                     stored.digest(kinds.evacuations);
-                       });
+                       { return each.killed || each.objects.digest(kind) == stored.digest(kind); });
 }
 
 void virtual_serving_fleet::run(milliseconds duration)
@@ -217,15 +223,16 @@
 void virtual_serving_fleet::apply(int number, std::span<store::object const> objects)
 {
     auto& target = m_nodes[index(number)];
-    auto const before = target.objects.kind_revision(kinds.configuration);
-    target.objects.merge(objects);
-    auto const revision = target.objects.kind_revision(kinds.configuration);
-    if (revision == before)
-        return;
-    target.report_due = true;
-    for (std::size_t i = 0; i < m_changes.size(); ++i)
-        if (m_changes[i].first <= revision && !target.arrivals[i])
-            target.arrivals[i] = m_now;
+    for (auto const& object : objects)
+    {
+        if (!target.objects.merge({&object, 1}))
+            continue;
+        target.report_due |= object.kind == kinds.configuration;
+        for (std::size_t i = 0; i < m_changes.size(); ++i)
+            if (m_changes[i].kind == object.kind && m_changes[i].name == object.name &&
+                m_changes[i].revision <= object.version && !target.arrivals[i])
+                target.arrivals[i] = m_now;
+    }
 }
 
 serving::node_state_report virtual_serving_fleet::make_state(member& sender)
--- a/tests/support/virtual_serving_fleet.hpp
+++ b/tests/support/virtual_serving_fleet.hpp
@@ -39,7 +39,7 @@
     /// Writes the configuration, an evacuation or a server to the store.
     void change_configuration();
     void change_evacuation(std::string const& zone, bool removed);
-    void change_server(int server);
+    void change_server(int server, bool removed = false);
 
     /// Blocks datagrams and pulls on the links for which the function returns true.
     void set_blocked_links(std::function<bool(int from, int to)> is_blocked)
@@ -65,11 +65,13 @@
     void ignore_ages(int number) { m_nodes.at(index(number)).ignored = true; }
 
     bool follows_store(int number) const { return m_nodes.at(index(number)).follows_store; }
-    /// Time from each change of the configuration to its arrival at each node that is not ignored;
-    /// the maximum if it never arrived.
-    std::vector<base::milliseconds> configuration_ages() const;
-    /// True if no running node lacks an evacuation or has one too many.
-    bool evacuations_agree() const;
+    /// Time from each change to its arrival at each node that is not ignored; the maximum if it
+    /// never arrived.
+    std::vector<base::milliseconds> configuration_ages() const { return ages("config"); }
+    std::vector<base::milliseconds> server_ages() const { return ages("servers"); }
+    /// True if no running node lacks an evacuation or server or has one too many.
+    bool evacuations_agree() const { return copies_agree("evacuations"); }
+    bool servers_agree() const { return copies_agree("servers"); }
     std::uint64_t store_calls() const noexcept { return m_store_calls; }
     /// Pulls that nodes of the present version have started.
     std::uint64_t pulls() const noexcept { return m_pulls; }
@@ -145,7 +147,7 @@
         serving::configuration_pull_policy earlier_pull_policy;
         bool ignored = false;
         base::time_point in_touch_since{};
-        /// Arrival of each change of the configuration.
+        /// Arrival of each change of the configuration or a server.
         std::vector<std::optional<base::time_point>> arrivals;
 
         serving::catch_up_view view() const
@@ -160,6 +162,9 @@
     serving::node_entry make_entry(int number) const;
     int number_of(std::string const& name) const;
     std::int64_t write(std::string const& kind, std::string const& name, bool deleted);
+    void write_tracked(std::string const& kind, std::string const& name, bool deleted);
+    std::vector<base::milliseconds> ages(std::string const& kind) const;
+    bool copies_agree(std::string const& kind) const;
     bool is_blocked(int from, int to) const
     {
         return m_blocked_links && (m_blocked_links(from, to) || m_blocked_links(to, from));
@@ -193,8 +198,14 @@
     std::int64_t m_revision = 100;
     std::uint64_t m_store_calls = 0;
     std::uint64_t m_pulls = 0;
-    /// Revision and time of each change of the configuration.
-    std::vector<std::pair<std::int64_t, base::time_point>> m_changes;
+    struct tracked_change
+    {
+        std::string kind;
+        std::string name;
+        std::int64_t revision;
+        base::time_point time;
+    };
+    std::vector<tracked_change> m_changes;
 };
 
 } // namespace jasminepier::tests
