Node: Apply the newest stored change of an evacuation

Callers saw nothing yet. A zone could stay evacuated after the end of its evacuation, or be used during it, until its next change.

Cause: a node stores changes under its lock, one thread for each watch and one for the datagrams, and applied them after releasing it, in any order. Servers and configurations compare revisions when they are applied, evacuations did not, so the stored copy was right and what requests obeyed was not.

Change: what is applied is what the stored copy says at that moment.

--- a/services/node/object_updates.cpp
+++ b/services/node/object_updates.cpp
@@ -105,23 +105,28 @@
     }
 }
 
-void apply_zone_evacuation(node_state& state, std::string const& zone, bool evacuated,
-                           std::int64_t revision)
+void apply_zone_changes(node_state& state, store::object_page const& page)
 {
-    state.with(
-        [&](node_state::tables& tables)
-        {
-            auto zones = tables.dispatcher.evacuated_zones();
-            if (evacuated)
-                zones.insert(zone);
-            else
-                zones.erase(zone);
-            tables.dispatcher.set_evacuated_zones(std::move(zones));
-        });
-    base::log_line(base::log_level::info, "zone_changed")
-        .field("zone", zone)
-        .field("evacuated", evacuated ? 1 : 0)
-        .field("revision", revision);
+    for (auto const& object : page.objects)
+    {
+        bool const evacuated = state.with(
+            [&](node_state::tables& tables)
+            {
+                // Another thread may have stored a newer change since this one.
+                bool const is_stored = tables.objects.find(object.kind, object.name) != nullptr;
+                auto zones = tables.dispatcher.evacuated_zones();
+                if (is_stored)
+                    zones.insert(object.name);
+                else
+                    zones.erase(object.name);
+                tables.dispatcher.set_evacuated_zones(std::move(zones));
+                return is_stored;
+            });
+        base::log_line(base::log_level::info, "zone_changed")
+            .field("zone", object.name)
+            .field("evacuated", evacuated ? 1 : 0)
+            .field("revision", object.version);
+    }
 }
 
 void apply_node_changes(node_state& state, store::object_page const& page)
@@ -148,12 +153,6 @@
     }
 }
 
-void apply_zone_changes(node_state& state, store::object_page const& page)
-{
-    for (auto const& object : page.objects)
-        apply_zone_evacuation(state, object.name, !object.deleted, object.version);
-}
-
 void dispatch_changes(node_state& state, std::string const& kind, store::object_page const& page)
 {
     if (kind == platform::configuration_kind)
