--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -89,11 +89,10 @@
     state.phase = report.stopping ? serving::node_phase::shutting_down
                   : report.ready  ? serving::node_phase::ready
                                   : serving::node_phase::starting;
-    bool const separates_revisions =
-        report.__isset.newest_configuration && report.__isset.newest_evacuation;
-    state.configuration_revision =
-        separates_revisions ? report.newest_configuration : report.configuration_revision;
-    if (separates_revisions)
+    state.configuration_revision = report.__isset.newest_configuration
+                                       ? report.newest_configuration
+                                       : report.configuration_revision;
+    if (report.__isset.newest_evacuation)
         state.evacuation_revision = report.newest_evacuation;
     if (report.__isset.evacuation_digest)
         state.evacuation_digest = static_cast<std::uint64_t>(report.evacuation_digest);
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -284,6 +284,7 @@
     EXPECT_FALSE(earlier.server_revision);
 
     report.__set_newest_configuration(296);
+    EXPECT_EQ(decode().configuration_revision, 296);
     report.__set_newest_evacuation(0);
     report.__set_evacuation_digest(0);
     report.__set_server_revision(0);
