Store watcher: Notice sooner that the store has fallen silent

Cause: of the time that a configuration takes when the store falls silent for all followers alone, up to 1.0 s was the watch, 0.8 s the time that a follower waited for its answer after that, up to 0.25 s the time until another node looked whether it follows now; the list and the tree took the rest.

Change: a watch fails 0.5 s after its end (the store answers within 4 ms, when slow within 0.24 s), and nodes look every 0.1 s whether they follow.

Ruled out: shorter watches, since each of them is a call, and a second node that reads with every follower, for the same reason.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -22,7 +22,7 @@
 constexpr base::milliseconds minimum_watch_timeout{2000};
 constexpr base::milliseconds maximum_watch_timeout{25000};
 // In a large fleet all followers may wait at a store that has fallen silent for them alone. Their
-// watches end 0.8 s after the timeout, and other nodes then need 1.2 s to follow the store and to
+// watches end 0.5 s after the timeout, and other nodes then need 1.1 s to follow the store and to
 // distribute a configuration, which must be applied within 3 s.
 constexpr base::milliseconds maximum_follower_configuration_watch{1000};
 
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -19,11 +19,11 @@
 // A store that stops responding loses its pending watches. With the watch timeout of at most 2 s in
 // small fleets, this margin ends them before the platform's limits on the delay of changes apply
 // again, 3 s after the store's return.
-constexpr base::milliseconds watch_margin{800};
+constexpr base::milliseconds watch_margin{500};
 constexpr base::milliseconds initial_backoff{100};
 constexpr base::milliseconds maximum_backoff{800};
 // Time within which a node takes over the watch of a failed node.
-constexpr base::milliseconds follower_check_interval{250};
+constexpr base::milliseconds follower_check_interval{100};
 
 } // namespace
 
--- a/tests/configuration_spread_test.cpp
+++ b/tests/configuration_spread_test.cpp
@@ -75,6 +75,8 @@
     disturbance fault;
     std::uint64_t seed;
     earlier_nodes earlier = earlier_nodes::none;
+    double loss = 0.05;
+    milliseconds slowest_pull{150};
 };
 
 /// Runs a scenario and returns the ages of the configuration, sorted.
@@ -83,9 +85,10 @@
 public:
     explicit scenario_run(scenario const& settings)
         : m_settings(settings),
-          m_fleet(settings.nodes, settings.zones, {0.05, 0.01, milliseconds(1), milliseconds(5)},
-                  settings.seed)
+          m_fleet(settings.nodes, settings.zones,
+                  {settings.loss, 0.01, milliseconds(1), milliseconds(5)}, settings.seed)
     {
+        m_fleet.set_slowest_pull(settings.slowest_pull);
     }
 
     std::vector<milliseconds> run()
@@ -334,6 +337,50 @@
             }
 }
 
+// Guards against followers that wait for too long at a store which is silent for them alone.
+TEST(configuration_spread, silent_store_leaves_a_margin)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        scenario_run run({67, 3, change_pattern::two_and_an_evacuation,
+                          disturbance::followers_cut_from_silent_store, seed});
+        EXPECT_LE(run.run().back(), milliseconds(2100)) << "seed " << seed;
+        EXPECT_LE(run.fleet().server_ages().back(), milliseconds(2100)) << "seed " << seed;
+    }
+}
+
+// Prints how the ages grow with slower pulls and more lost datagrams; takes minutes.
+TEST(configuration_spread, DISABLED_prints_the_ages_under_load)
+{
+    constexpr std::pair<int, int> fleets[] = {{67, 3}, {300, 5}};
+    constexpr std::pair<double, int> conditions[] = {
+        {0.05, 150}, {0.05, 400}, {0.2, 150}, {0.2, 400}, {0.4, 400}};
+    constexpr std::uint64_t seeds = 6;
+    for (auto const& [nodes, zones] : fleets)
+        for (auto const& [loss, slowest_pull] : conditions)
+            for (auto const fault :
+                 {disturbance::none, disturbance::followers_frozen,
+                  disturbance::followers_cut_from_silent_store, disturbance::followers_cut_off})
+            {
+                std::vector<milliseconds> ages;
+                std::vector<milliseconds> server_ages;
+                for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+                {
+                    scenario_run run({nodes, zones, change_pattern::two_and_an_evacuation, fault,
+                                      seed, earlier_nodes::none, loss, milliseconds(slowest_pull)});
+                    auto const run_ages = run.run();
+                    ages.insert(ages.end(), run_ages.begin(), run_ages.end());
+                    auto const of_servers = run.fleet().server_ages();
+                    server_ages.insert(server_ages.end(), of_servers.begin(), of_servers.end());
+                }
+                auto const name = "loss " + std::to_string(loss) + ", pulls " +
+                                  std::to_string(slowest_pull) + " ms, " +
+                                  all_disturbances[static_cast<std::size_t>(fault)].second;
+                print_ages(nodes, name, ages);
+                print_ages(nodes, name + ", servers", server_ages);
+            }
+}
+
 // Guards against nodes that go on pulling from peers of an earlier version whose newest evacuation
 // they take for a configuration.
 TEST(configuration_spread, reaches_a_half_upgraded_fleet)
--- a/tests/support/virtual_serving_fleet.cpp
+++ b/tests/support/virtual_serving_fleet.cpp
@@ -12,10 +12,10 @@
 serving::object_kinds const kinds{"config", "evacuations", "servers"};
 
 constexpr milliseconds step_length{10};
-constexpr milliseconds follower_check_interval{250};
+constexpr milliseconds follower_check_interval{100};
 constexpr milliseconds pull_timeout{800};
 constexpr milliseconds call_timeout{1500};
-constexpr milliseconds watch_margin{800};
+constexpr milliseconds watch_margin{500};
 constexpr milliseconds cancellation_check_interval{400};
 constexpr milliseconds maximum_backoff{800};
 constexpr std::size_t objects_per_datagram = 2;
@@ -301,7 +301,8 @@
     m_pulls += local.earlier_version ? 0 : 1;
     int const peer = number_of(pull.peer.name);
     auto const& source = m_nodes[index(peer)];
-    running_pull started{pull, m_now + random_time(20, 150), true, {}};
+    running_pull started{
+        pull, m_now + random_time(20, static_cast<int>(m_slowest_pull.count())), true, {}};
     if (source.killed)
         started.succeeds = false;
     else if (source.frozen || is_blocked(number, peer))
--- a/tests/support/virtual_serving_fleet.hpp
+++ b/tests/support/virtual_serving_fleet.hpp
@@ -47,6 +47,8 @@
         m_blocked_links = std::move(is_blocked);
     }
     void set_store_access(int number, store_access access);
+    /// Pulls take 20 ms to this time.
+    void set_slowest_pull(base::milliseconds duration) { m_slowest_pull = duration; }
     /// A frozen node does nothing and receives nothing.
     void set_frozen(int number, bool is_frozen) { m_nodes.at(index(number)).frozen = is_frozen; }
     /// The node shuts down as planned, but runs on.
@@ -187,6 +189,7 @@
     void fail_store_call(int number, store_thread& thread);
 
     network_settings m_settings;
+    base::milliseconds m_slowest_pull{150};
     base::random_source m_random;
     int m_zones;
     base::time_point m_now{std::chrono::seconds(100)};
