Serving: Let both programs use one process_shutdown

jasminepier-node held the admission of a shutdown and its wakeup as two members and wrote the check before each send itself; jasminepier-entry held the admission alone and so could wake nobody. serving::process_shutdown joins them: it rejects what may outlast the process, tells when a response is due, and wakes those that wait. The node's behaviour does not change.

--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -99,14 +99,15 @@
                                            is_first ? first_request_timeout
                                                     : base::milliseconds(0)};
         http::request request;
-        auto const outcome = caller.read_request(request, timeouts, m_state.shutdown_begun(),
-                                                 [&]
-                                                 {
-                                                     // In this order: `stop_reading` waits for
-                                                     // requests that are counted.
-                                                     active.set(true);
-                                                     return !m_state.reading_stopped();
-                                                 });
+        auto const outcome =
+            caller.read_request(request, timeouts, m_state.shutdown().begin_event(),
+                                [&]
+                                {
+                                    // In this order: `stop_reading` waits for
+                                    // requests that are counted.
+                                    active.set(true);
+                                    return !m_state.reading_stopped();
+                                });
         if (outcome != http::read_outcome::request)
             return send_read_error(caller, outcome);
         request_context context(m_state, caller, wake, std::move(request),
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -69,7 +69,7 @@
     wait_for_active_requests();
     base::log_line(base::log_level::info, "stopped")
         .field("running", state.active_requests())
-        .field("elapsed_ms", state.shutdown().elapsed(clock.now()).count());
+        .field("elapsed_ms", state.shutdown().admission().elapsed(clock.now()).count());
 }
 
 /// Reads the settings file. Prints the error and returns nothing if the file is invalid.
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -49,9 +49,8 @@
 
 void node_state::begin_shutdown(base::time_point now, base::time_point end)
 {
-    m_shutdown.begin(now, end);
     with([](tables& state) { state.nodes.set_phase(serving::node_phase::shutting_down); });
-    m_shutdown_begun.signal();
+    m_shutdown.begin(now, end);
 }
 
 void notify_waiting_requests(node_state::tables& tables)
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -5,12 +5,12 @@
 #include "base/ordered_mutex.hpp"
 #include "configuration/versioned_store.hpp"
 #include "decision/poison_request_detector.hpp"
-#include "decision/shutdown_admission.hpp"
 #include "http/wait_set.hpp"
 #include "services/node/node_settings.hpp"
 #include "serving/dispatcher.hpp"
 #include "serving/node_directory.hpp"
 #include "serving/object_catch_up.hpp"
+#include "serving/process_shutdown.hpp"
 
 #include <atomic>
 #include <memory>
@@ -78,10 +78,9 @@
     /// been answered at `end`.
     void begin_shutdown(base::time_point now, base::time_point end);
     bool shutting_down() const noexcept { return m_shutdown.begun(); }
-    decision::shutdown_admission const& shutdown() const noexcept { return m_shutdown; }
-    /// Signalled when the shutdown begins and never cleared. Wakes requests, whose deadlines
-    /// change, and closes connections that wait for their next request.
-    http::wakeup& shutdown_begun() noexcept { return m_shutdown_begun; }
+    /// Wakes requests, whose deadlines change, and closes connections that wait for their next
+    /// request.
+    serving::process_shutdown& shutdown() noexcept { return m_shutdown; }
 
     /// From now on, no connection reads another request.
     void stop_reading() noexcept { m_reading_stopped = true; }
@@ -100,9 +99,8 @@
     std::shared_ptr<node_settings const> m_settings;
     tables m_tables;
     decision::poison_request_detector m_poison_requests;
-    http::wakeup m_shutdown_begun;
     http::wakeup m_report_due;
-    decision::shutdown_admission m_shutdown;
+    serving::process_shutdown m_shutdown;
     std::atomic<bool> m_reading_stopped{false};
     std::atomic<int> m_active_requests{0};
     std::int64_t m_started_unix_milliseconds;
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -186,7 +186,7 @@
             second.reset();
             break;
         }
-        bool const shutting_down = m_context.state.shutting_down();
+        auto const shutdown_descriptor = m_context.state.shutdown().pending_descriptor();
         if (current_time >= m_context.response_deadline())
             return attempt_result::deadline_exceeded;
         if (is_idempotent() && !m_hedged && !second && current_time >= hedge_time)
@@ -196,7 +196,7 @@
         poll_set.add(first.exchange->descriptor(), first.exchange->poll_events());
         if (second)
             poll_set.add(second->exchange->descriptor(), second->exchange->poll_events());
-        poll_set.add(shutting_down ? -1 : m_context.state.shutdown_begun().descriptor(), POLLIN);
+        poll_set.add(shutdown_descriptor, POLLIN);
         auto wait_deadline = m_context.response_deadline();
         if (is_idempotent() && !m_hedged)
             wait_deadline = std::min(wait_deadline, std::max(hedge_time, current_time));
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -193,15 +193,12 @@
 
 base::result<server_attempt> request_context::acquire_server()
 {
-    auto const may_start = [&]
+    auto const response_bound = [&]
     {
-        auto const now = base::steady_clock_source{}.now();
-        return state.shutdown().admits(
-            serving::response_time_bound(*route, metadata, now, deadline));
+        return serving::response_time_bound(*route, metadata, base::steady_clock_source{}.now(),
+                                            deadline);
     };
-    auto const stopping = [] { return base::fail(error_kind::node_stopping, "the node stops"); };
-    if (!may_start())
-        return stopping();
+    BOOST_LEAF_CHECK(state.shutdown().check_start(response_bound()));
     serving::server_selection selection;
     if (auto attempt = try_acquire_server(selection))
         return std::move(*attempt);
@@ -224,7 +221,7 @@
         wait_until(queue_deadline,
                    [&]
                    {
-                       if (!may_start())
+                       if (!state.shutdown().admission().admits(response_bound()))
                            return true;
                        attempt = try_acquire_server(selection);
                        return attempt || !selection.worth_waiting();
@@ -238,8 +235,7 @@
     }
     if (attempt)
         return std::move(*attempt);
-    if (!may_start())
-        return stopping();
+    BOOST_LEAF_CHECK(state.shutdown().check_start(response_bound()));
     BOOST_LEAF_CHECK(check_prompt_parts());
     auto const wait_time = std::chrono::duration_cast<base::milliseconds>(
         base::steady_clock_source{}.now() - wait_start);
@@ -396,7 +392,7 @@
     if (first_event)
         line.field("first_event_ms", elapsed(*first_event));
     if (state.shutting_down())
-        line.field("arrived_after_stop_ms", state.shutdown().elapsed(arrival).count());
+        line.field("arrived_after_stop_ms", state.shutdown().admission().elapsed(arrival).count());
     observe_request({route == nullptr ? "none" : route->name, std::string(to_string(outcome)),
                      std::string(error_code)},
                     now - arrival,
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -224,7 +224,7 @@
         if (server_leaving && !m_handover)
             m_handover = std::make_unique<generation_handover>(m_context, *m_attempt);
 
-        bool const shutting_down = m_context.state.shutting_down();
+        auto const shutdown_descriptor = m_context.state.shutdown().pending_descriptor();
         auto wait_deadline = m_context.response_deadline();
         if (!m_exchange->connected())
             wait_deadline = std::min(wait_deadline, m_exchange->start_time() + connect_timeout);
@@ -243,7 +243,7 @@
         poll_set.add(m_exchange->descriptor(), m_exchange->poll_events());
         poll_set.add(m_handover ? m_handover->descriptor() : -1,
                      m_handover ? m_handover->poll_events() : short{0});
-        poll_set.add(shutting_down ? -1 : m_context.state.shutdown_begun().descriptor(), POLLIN);
+        poll_set.add(shutdown_descriptor, POLLIN);
         poll_set.wait(wait_deadline);
         if (poll_set.ready(0) != 0)
             return stream_outcome::caller_left;
