Entry: Answer every accepted request before the drain limit ends the process

Cause: admission was checked once, at arrival, and waits ended at a deadline that was computed before the shutdown.

Lookups, unkeyed and keyed calls wait with process_shutdown::wait_for, so the shutdown moves the time at which they are answered: 502 for a call that was sent, in_progress for a keyed one, whose claim stays open as before. The keyed call obtains its claim on its own thread, too, so a slow store or a frozen peer cannot hold the response back.

An unkeyed call now runs on a thread of its own, as lookups do.

--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -112,6 +112,7 @@
     requirements.maximum_tokens = completion.chat.maximum_tokens;
     requirements.prefix_hash =
         base::stable_hash(std::string_view(completion.chat.prompt).substr(0, prefix_characters));
+    requirements.deadline = completion.job.deadline;
     requirements.maximum_wait = base::milliseconds(std::max(1, limits.maximum_wait_milliseconds));
     if (completion.job.deadline)
         // At least 1 ms, since 0 means the limit of the preset.
@@ -261,12 +262,10 @@
 {
     auto const snapshot = state.snapshot();
     BOOST_LEAF_AUTO(completion, read_completion_request(*snapshot, customer, request));
-    if (!serving.shutdown().admits(completion.job.deadline))
-        return base::fail(base::error_kind::node_stopping,
-                          "this node may stop before the response has ended");
+    BOOST_LEAF_CHECK(serving.shutdown().check_start(completion.job.deadline));
     // A stream that the end of the process breaks off can be resumed at another node.
     if (completion.chat.mode == response_mode::complete)
-        completion.settings.shutdown = &serving.shutdown();
+        completion.settings.shutdown = &serving.shutdown().admission();
     completion.context.request_id = response.get("X-Request-Id", "");
     completion.job.requirements.request_id = completion.context.request_id;
     observe_request(completion.context.request_id, customer.name, completion.kind,
--- a/services/entry/entry_state.cpp
+++ b/services/entry/entry_state.cpp
@@ -61,8 +61,9 @@
 
 } // namespace
 
-entry_state::entry_state(std::string node)
-    : m_core(decision::core_settings{std::move(node), "", base::stable_hash(base::random_id()), {}})
+entry_state::entry_state(std::string node, serving::process_shutdown const& shutdown)
+    : m_shutdown(shutdown),
+      m_core(decision::core_settings{std::move(node), "", base::stable_hash(base::random_id()), {}})
 {
 }
 
@@ -121,6 +122,7 @@
 base::result<selected_server> entry_state::acquire(acquire_request const& request)
 {
     std::unique_lock lock(m_mutex);
+    BOOST_LEAF_CHECK(m_shutdown.check_start(request.deadline));
     decision::submission submitted;
     submitted.service = request.service;
     submitted.model = request.model;
@@ -132,6 +134,7 @@
     submitted.maximum_wait = request.maximum_wait;
     submitted.excluded.assign(request.excluded.begin(), request.excluded.end());
     waiter waiting;
+    waiting.deadline = request.deadline;
     auto const ticket = m_core.submit(submitted, m_clock.now());
     m_waiters.emplace(ticket, &waiting);
     poll_core();
@@ -142,9 +145,30 @@
     return selected;
 }
 
+void entry_state::reject_waiters_at_shutdown()
+{
+    if (m_waiters_checked || !m_shutdown.begun())
+        return;
+    m_waiters_checked = true;
+    for (auto const& [ticket, waiting] : m_waiters)
+    {
+        // A request that the core no longer queues has a decision.
+        if (m_shutdown.admission().admits(waiting->deadline) || !m_core.cancel_waiting(ticket))
+            continue;
+        decision::decision_result rejected;
+        rejected.ticket = ticket;
+        rejected.refusal = base::error_kind::node_stopping;
+        rejected.retry_after_seconds =
+            base::error_response_for(rejected.refusal).retry_after_seconds;
+        rejected.reason = base::to_string(rejected.refusal);
+        m_decisions.push_back(std::move(rejected));
+    }
+}
+
 void entry_state::poll_core()
 {
     m_decisions.clear();
+    reject_waiters_at_shutdown();
     m_core.poll(m_clock.now(), m_decisions);
     for (auto& decided : m_decisions)
     {
--- a/services/entry/entry_state.hpp
+++ b/services/entry/entry_state.hpp
@@ -6,6 +6,7 @@
 #include "configuration/snapshot.hpp"
 #include "decision/decision_core.hpp"
 #include "inner_protocol/conversion.hpp"
+#include "serving/process_shutdown.hpp"
 
 #include <condition_variable>
 #include <map>
@@ -35,6 +36,9 @@
     std::uint64_t prefix_hash = 0;
     /// Maximum wait for dispatch; 0 uses the preset's limit for the work kind.
     base::milliseconds maximum_wait{0};
+    /// Time by which the response has ended. A process that shuts down rejects requests without
+    /// one.
+    std::optional<base::time_point> deadline{};
     /// Servers that must not be selected, for example because an attempt at them failed.
     std::set<std::string> excluded{};
 };
@@ -67,8 +71,8 @@
 {
 public:
     /// `node` is the name of this entry VM in the configuration. It determines the local zone and
-    /// this node's slots at cold servers.
-    explicit entry_state(std::string node = "node-1");
+    /// this node's slots at cold servers. `shutdown` outlives this object.
+    entry_state(std::string node, serving::process_shutdown const& shutdown);
 
     /// Applies an update of the control process and rebuilds the snapshot if objects changed.
     void apply(inner_protocol::control_update const& update);
@@ -77,9 +81,10 @@
     bool ready() const;
 
     /// Waits in the queue until a server is selected, the maximum wait has passed or the request is
-    /// rejected. Eligibility is checked at dispatch. Fails with no_server, overloaded or
-    /// deadline_exceeded; nothing was sent in these cases. The caller must end a successful attempt
-    /// with `finish`.
+    /// rejected. Eligibility is checked at dispatch. Fails with no_server, overloaded,
+    /// deadline_exceeded, or with node_stopping if the process may exit before the response has
+    /// ended; nothing was sent in these cases. The caller must end a successful attempt with
+    /// `finish`.
     base::result<selected_server> acquire(acquire_request const& request);
     /// Records `count` tokens of the attempt. The first call marks its first token.
     void record_tokens(std::uint64_t ticket, std::int64_t count = 1);
@@ -98,11 +103,15 @@
     struct waiter
     {
         std::condition_variable_any decision_ready;
+        std::optional<base::time_point> deadline;
         std::optional<decision::decision_result> result;
     };
 
     /// Polls the decision core and passes its decisions to the waiters. Requires the lock.
     void poll_core();
+    /// Rejects the waiting requests that must not be started any more, once the shutdown has begun.
+    /// Requires the lock.
+    void reject_waiters_at_shutdown();
     /// Waits for the decision of `waiting`. One waiter at a time polls for all of them.
     void wait_for_decision(std::unique_lock<table_mutex>& lock, waiter& waiting);
     /// Logs a decision and returns its server, or the error for a rejected request.
@@ -110,6 +119,7 @@
                                                    decision::decision_result const& decided) const;
     void apply_load(inner_protocol::load_digest const& digest);
 
+    serving::process_shutdown const& m_shutdown;
     mutable table_mutex m_mutex;
     base::steady_clock_source m_clock;
     configuration::versioned_store m_store;
@@ -117,6 +127,8 @@
     std::map<std::string, inner_protocol::load_digest> m_loads;
     decision::decision_core m_core;
     std::unordered_map<std::uint64_t, waiter*> m_waiters;
+    /// The requests that waited when the shutdown began have been checked.
+    bool m_waiters_checked = false;
     std::vector<decision::decision_result> m_decisions;
     bool m_poller_active = false;
     std::int64_t m_load_sequence = 0;
--- a/services/entry/idempotent_calls.cpp
+++ b/services/entry/idempotent_calls.cpp
@@ -4,7 +4,6 @@
 #include "services/entry/entry_metrics.hpp"
 
 #include <algorithm>
-#include <condition_variable>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -35,7 +34,7 @@
 
     plain_call const call;
     std::mutex mutex;
-    std::condition_variable attempt_finished;
+    http::wakeup attempt_finished;
     std::set<std::string> attempted_servers;
     int running_attempts = 0;
     bool ended = false;
@@ -60,6 +59,7 @@
     requirements.customer = race->call.customer;
     requirements.kind = configuration::work_kind::lookup;
     requirements.request_id = race->call.request_id;
+    requirements.deadline = race->call.deadline;
     requirements.maximum_wait = std::max(race->call.time_left(), base::milliseconds(1));
     {
         std::lock_guard lock(race->mutex);
@@ -121,7 +121,7 @@
                                      : attempt_outcome::failed;
     m_state.finish(server.ticket, outcome);
     --race->running_attempts;
-    race->attempt_finished.notify_all();
+    race->attempt_finished.signal();
     // The call has a result or its deadline has passed, so this result is discarded.
     if (race->ended)
         return;
@@ -164,11 +164,16 @@
     while (can_continue || race->running_attempts > 0)
     {
         auto const hedge_at = hedge_delay && !hedged ? started_at + *hedge_delay : call.deadline;
-        race->attempt_finished.wait_until(lock, std::min(call.deadline, hedge_at),
-                                          [&]
-                                          { return race->ended || race->running_attempts == 0; });
+        lock.unlock();
+        m_shutdown.wait_for(race->attempt_finished, std::min(call.deadline, hedge_at),
+                            [&]
+                            {
+                                std::lock_guard const race_lock(race->mutex);
+                                return race->ended || race->running_attempts == 0;
+                            });
+        lock.lock();
         auto const now = base::steady_clock_source{}.now();
-        if (race->ended || now >= call.deadline)
+        if (race->ended || now >= m_shutdown.response_deadline(call.deadline))
             break;
         if (race->running_attempts == 0)
         {
--- a/services/entry/idempotent_calls.hpp
+++ b/services/entry/idempotent_calls.hpp
@@ -12,11 +12,14 @@
 class idempotent_calls
 {
 public:
-    explicit idempotent_calls(entry_state& state) : m_state(state) {}
+    idempotent_calls(entry_state& state, serving::process_shutdown const& shutdown)
+        : m_state(state), m_shutdown(shutdown)
+    {
+    }
 
     /// Returns the first complete response without a server error and discards those of other
     /// attempts. Without one, returns the latest response with a server error, or fails. Returns by
-    /// the call's deadline.
+    /// the call's deadline or the end of the shutdown.
     base::result<backend::backend_response> execute(plain_call const& call);
 
 private:
@@ -31,6 +34,7 @@
     bool may_retry(attempt_race const& race, base::error_kind last_failure);
 
     entry_state& m_state;
+    serving::process_shutdown const& m_shutdown;
     decision::retry_budgets m_retries;
     decision::hedge_policy m_hedging;
 };
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -114,8 +114,8 @@
     serving_settings.engine_silence_timeout =
         std::chrono::milliseconds(engine_silence_milliseconds);
     serving_settings.local_address = host + ":" + std::to_string(entry_port);
-    entry::entry_state state(node_id);
     entry::serving_state serving(serving_settings);
+    entry::entry_state state(node_id, serving.shutdown());
     entry::control_link link(state, serving, host, control_port);
     base::periodic_thread const control_exchange_thread(std::chrono::milliseconds(200),
                                                         [&] { link.exchange(); });
--- a/services/entry/non_idempotent_calls.cpp
+++ b/services/entry/non_idempotent_calls.cpp
@@ -2,9 +2,7 @@
 
 #include "decision/retry_policy.hpp"
 #include "inner_protocol/rpc.hpp"
-
-#include <system_error>
-#include <thread>
+#include "services/entry/detached_call.hpp"
 
 namespace jasminepier::entry
 {
@@ -50,6 +48,7 @@
     requirements.kind = configuration::work_kind::action;
     requirements.request_id = call.request_id;
     requirements.maximum_wait = std::max(call.time_left(), base::milliseconds(1));
+    requirements.deadline = call.deadline;
     requirements.excluded = excluded;
     return state.acquire(requirements);
 }
@@ -61,10 +60,13 @@
 
 /// Sends the call to one server. The status is `not_sent` only if no connection was established.
 claims::dispatch_result send_to(selected_server const& server, plain_call const& call,
-                                base::milliseconds response_timeout)
+                                base::time_point response_deadline)
 {
-    backend::http_exchange exchange({server.host, server.port},
-                                    {std::chrono::milliseconds(500), response_timeout});
+    auto const response_timeout = std::chrono::duration_cast<base::milliseconds>(
+        response_deadline - base::steady_clock_source{}.now());
+    backend::http_exchange exchange(
+        {server.host, server.port},
+        {base::milliseconds(500), std::max(response_timeout, base::milliseconds(1))});
     return base::handle(
         [&]() -> base::result<claims::dispatch_result>
         {
@@ -103,7 +105,7 @@
 }
 
 claims::dispatch_result send_once(entry_state& state, plain_call const& call,
-                                  base::milliseconds response_timeout)
+                                  base::time_point response_deadline)
 {
     std::set<std::string> excluded;
     claims::dispatch_result result = make_failure(
@@ -126,7 +128,7 @@
             return excluded.empty()
                        ? make_failure(claims::dispatch_status::not_sent, selection_error)
                        : result;
-        result = send_to(*server, call, response_timeout);
+        result = send_to(*server, call, response_deadline);
         bool const responded = result.status == claims::dispatch_status::responded;
         state.finish(server->ticket,
                      responded ? attempt_outcome::completed : attempt_outcome::failed);
@@ -140,53 +142,41 @@
     return result;
 }
 
-non_idempotent_calls::non_idempotent_calls(entry_state& state, std::string node_id,
+non_idempotent_calls::non_idempotent_calls(entry_state& state,
+                                           serving::process_shutdown const& shutdown,
+                                           std::string node_id,
                                            store::http_object_store_settings const& platform)
-    : m_state(state), m_node_id(std::move(node_id)), m_store(platform), m_peers(state),
-      m_claimant(m_store, m_peers, m_clock, {m_node_id}), m_sweep(m_store, m_clock, {m_node_id}),
+    : m_state(state), m_shutdown(shutdown), m_node_id(std::move(node_id)), m_store(platform),
+      m_peers(state), m_claimant(m_store, m_peers, m_clock, {m_node_id}),
+      m_sweep(m_store, m_clock, {m_node_id}),
       m_retry_thread(retry_interval, [this] { m_claimant.retry_pending_writes(); }),
       m_sweep_thread(sweep_interval, [this] { sweep(); })
 {
 }
 
 claims::execution_result non_idempotent_calls::execute(plain_call const& call)
+{
+    // The thread outlives the caller's deadline if the service is slow. The size of the claim table
+    // limits the number of such threads. If none can be started, the caller may wait past its
+    // deadline, but the claim gets an outcome.
+    auto const result = run_detached(m_shutdown, call.deadline, [this, call] { return run(call); });
+    return result.value_or(
+        base::error{error_kind::in_progress, "the service has not responded yet"});
+}
+
+claims::execution_result non_idempotent_calls::run(plain_call const& call)
 {
     auto acquisition = m_claimant.acquire_claim(
         {claims::claim_name(call.customer, call.service, call.idempotency_key), request_hash(call),
          call.deadline});
     if (auto* result = std::get_if<claims::execution_result>(&acquisition))
         return *result;
-    struct shared_result
-    {
-        std::mutex mutex;
-        std::condition_variable ended;
-        std::optional<claims::execution_result> result;
-    };
-    auto shared = std::make_shared<shared_result>();
-    auto run = [this, shared, call, claim = std::get<claims::owned_claim>(acquisition)]
-    {
-        auto result = m_claimant.execute(
-            claim, [&] { return send_once(m_state, call, service_response_timeout); });
-        std::lock_guard lock(shared->mutex);
-        shared->result = std::move(result);
-        shared->ended.notify_all();
-    };
-    try
-    {
-        // The thread outlives the caller's deadline if the service is slow. The size of the claim
-        // table limits the number of such threads.
-        std::thread(run).detach();
-    }
-    catch (std::system_error const&)
-    {
-        // Without a thread the caller may wait past its deadline, but the claim gets an outcome.
-        run();
-    }
-    std::unique_lock lock(shared->mutex);
-    shared->ended.wait_until(lock, call.deadline, [&] { return shared->result.has_value(); });
-    if (!shared->result)
-        return base::error{error_kind::in_progress, "the service has not responded yet"};
-    return *shared->result;
+    return m_claimant.execute(std::get<claims::owned_claim>(acquisition),
+                              [&] {
+                                  return send_once(m_state, call,
+                                                   base::steady_clock_source{}.now() +
+                                                       service_response_timeout);
+                              });
 }
 
 void non_idempotent_calls::sweep()
--- a/services/entry/non_idempotent_calls.hpp
+++ b/services/entry/non_idempotent_calls.hpp
@@ -31,17 +31,19 @@
     entry_state const& m_state;
 };
 
-/// Sends a call once: tries further servers only while no connection is established.
+/// Sends a call once: tries further servers only while no connection is established. Waits for the
+/// response until `response_deadline`.
 claims::dispatch_result send_once(entry_state& state, plain_call const& call,
-                                  base::milliseconds response_timeout);
+                                  base::time_point response_deadline);
 
 class non_idempotent_calls
 {
 public:
-    non_idempotent_calls(entry_state& state, std::string node_id,
-                         store::http_object_store_settings const& platform);
+    non_idempotent_calls(entry_state& state, serving::process_shutdown const& shutdown,
+                         std::string node_id, store::http_object_store_settings const& platform);
 
-    /// Returns by the call's deadline. A response that arrives later is still recorded.
+    /// Returns by the call's deadline or the end of the shutdown. A response that arrives later is
+    /// still recorded.
     claims::execution_result execute(plain_call const& call);
 
     claims::claim_progress progress(std::string const& nonce) const
@@ -56,10 +58,13 @@
     }
 
 private:
+    /// Obtains the claim of the call and sends it.
+    claims::execution_result run(plain_call const& call);
     /// Sweeps expired claims if rendezvous hashing selects this node as one of the sweeping nodes.
     void sweep();
 
     entry_state& m_state;
+    serving::process_shutdown const& m_shutdown;
     std::string m_node_id;
     store::http_object_store m_store;
     node_peers m_peers;
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -1,5 +1,6 @@
 #include "services/entry/plain_handler.hpp"
 
+#include "services/entry/detached_call.hpp"
 #include "services/entry/entry_metrics.hpp"
 
 namespace jasminepier::entry
@@ -42,20 +43,21 @@
             return base::fail(failure->kind, failure->message);
         return std::get<claims::service_response>(result);
     }
-    auto const response_timeout = std::max(call.time_left(), base::milliseconds(1));
-    auto const sent = send_once(m_state, call, response_timeout);
-    if (sent.status != claims::dispatch_status::responded)
-        return base::fail(sent.failure.kind, sent.failure.message);
-    return sent.response;
+    auto const sent =
+        run_detached(m_shutdown, call.deadline,
+                     [this, call] { return send_once(m_state, call, call.deadline); });
+    if (!sent)
+        return base::fail(base::error_kind::server_failed, "the service did not respond in time");
+    if (sent->status != claims::dispatch_status::responded)
+        return base::fail(sent->failure.kind, sent->failure.message);
+    return sent->response;
 }
 
 base::result<void> plain_calls::serve(configuration::customer const& customer,
                                       http_request& request, http_response& response)
 {
     BOOST_LEAF_AUTO(call, parse_plain_call(*m_state.snapshot(), customer, request));
-    if (!m_shutdown.admits(call.deadline))
-        return base::fail(base::error_kind::node_stopping,
-                          "this node may stop before the call has ended");
+    BOOST_LEAF_CHECK(m_shutdown.check_start(call.deadline));
     response.set("X-Request-Id", call.request_id);
     observe_request(call.request_id, customer.name,
                     call.semantics == call_semantics::idempotent ? configuration::work_kind::lookup
--- a/services/entry/plain_handler.hpp
+++ b/services/entry/plain_handler.hpp
@@ -1,7 +1,6 @@
 /// Handler of calls to plain services.
 #pragma once
 
-#include "decision/shutdown_admission.hpp"
 #include "services/entry/idempotent_calls.hpp"
 #include "services/entry/non_idempotent_calls.hpp"
 
@@ -12,10 +11,11 @@
 class plain_calls
 {
 public:
-    plain_calls(entry_state& state, decision::shutdown_admission const& shutdown,
-                std::string node_id, store::http_object_store_settings const& platform)
+    plain_calls(entry_state& state, serving::process_shutdown const& shutdown, std::string node_id,
+                store::http_object_store_settings const& platform)
         : m_state(state), m_shutdown(shutdown),
-          m_non_idempotent(state, std::move(node_id), platform), m_idempotent(state)
+          m_non_idempotent(state, shutdown, std::move(node_id), platform),
+          m_idempotent(state, shutdown)
     {
     }
 
@@ -37,7 +37,7 @@
     base::result<claims::service_response> execute(plain_call const& call);
 
     entry_state& m_state;
-    decision::shutdown_admission const& m_shutdown;
+    serving::process_shutdown const& m_shutdown;
     non_idempotent_calls m_non_idempotent;
     idempotent_calls m_idempotent;
 };
--- a/services/entry/serving_state.hpp
+++ b/services/entry/serving_state.hpp
@@ -3,7 +3,7 @@
 
 #include "decision/poison_request_detector.hpp"
 #include "decision/retry_policy.hpp"
-#include "decision/shutdown_admission.hpp"
+#include "serving/process_shutdown.hpp"
 
 #include <atomic>
 #include <chrono>
@@ -43,7 +43,7 @@
     void set_phase(shutdown_phase phase) noexcept { m_phase = phase; }
     /// Limits the requests that are started and the time that they take once a shutdown with a
     /// limit has begun.
-    decision::shutdown_admission& shutdown() noexcept { return m_shutdown; }
+    serving::process_shutdown& shutdown() noexcept { return m_shutdown; }
 
     /// Returns the number of requests being served.
     int active_requests() const noexcept { return m_active_requests; }
@@ -53,7 +53,7 @@
     serving_settings m_settings;
     decision::retry_budgets m_budgets;
     decision::poison_request_detector m_poison_requests;
-    decision::shutdown_admission m_shutdown;
+    serving::process_shutdown m_shutdown;
     std::atomic<shutdown_phase> m_phase = shutdown_phase::serving;
     std::atomic<int> m_active_requests = 0;
 };
--- a/tests/serving_limits_test.cpp
+++ b/tests/serving_limits_test.cpp
@@ -206,6 +206,138 @@
     EXPECT_EQ(entry.wait_for_exit(30), 0);
 }
 
+/// Starts one node with a drain limit, and a plain service.
+void start_with_drain_limit(deployment& test_deployment, char const* seconds, int services)
+{
+    setenv("JASMINEPIER_ADDRESS_TIME_TO_LIVE", "0", 1);
+    setenv("JASMINEPIER_DRAIN_LIMIT", seconds, 1);
+    for (int service = 1; service <= services; ++service)
+        test_deployment.start_service(service);
+    test_deployment.start_node(1);
+    unsetenv("JASMINEPIER_DRAIN_LIMIT");
+    ASSERT_TRUE(test_deployment.wait_until_ready(1));
+    ASSERT_TRUE(wait_until(
+        [&] {
+            return test_deployment.call(entry_port, "GET", "/v1/services/shop/ready").status == 200;
+        }));
+}
+
+int count_executions(deployment& test_deployment, int services, std::string const& path)
+{
+    int count = 0;
+    for (int service = 1; service <= services; ++service)
+    {
+        auto const port = static_cast<std::uint16_t>(service_port_base + service);
+        auto const body = test_deployment.call(port, "GET", "/stand-in/count").body;
+        auto const found = body.find("\"" + path + "|\":");
+        count += found == std::string::npos ? 0 : std::stoi(body.substr(found + path.size() + 4));
+    }
+    return count;
+}
+
+// Guards against calls that run at the signal, wait for their own deadline and lose their
+// connection without a response when the drain limit ends the process.
+TEST(graceful_shutdown, with_a_drain_limit_answers_plain_calls_before_the_end)
+{
+    deployment test_deployment("127.0.12.30");
+    start_with_drain_limit(test_deployment, "1", 1);
+    test_deployment.set_faults(service_port_base + 1, R"({"hold_answers":true})");
+    auto const call =
+        [&](std::string const& method, std::string const& path, std::string const& key)
+    {
+        std::map<std::string, std::string> headers{{"Jasminepier-Timeout-Milliseconds", "30000"}};
+        if (!key.empty())
+            headers["Idempotency-Key"] = key;
+        return std::async(std::launch::async,
+                          [&test_deployment, method, path, headers] {
+                              return test_deployment.call(entry_port, method,
+                                                          "/v1/services/shop" + path, "", headers);
+                          });
+    };
+    auto lookup = call("GET", "/stock", "");
+    auto unkeyed = call("POST", "/quote", "");
+    auto order = call("POST", "/orders", "k1");
+    for (char const* path : {"/stock", "/quote", "/orders"})
+        ASSERT_TRUE(wait_until([&] { return count_executions(test_deployment, 1, path) == 1; }))
+            << path;
+    auto& entry = test_deployment.program("entry-1");
+    entry.send_signal(SIGTERM);
+    auto const expect_unknown = [](backend::backend_response const& response, int status)
+    {
+        EXPECT_EQ(response.status, status) << response.body;
+        EXPECT_NE(response.body.find("\"execution\":\"unknown\""), std::string::npos)
+            << response.body;
+    };
+    expect_unknown(lookup.get(), 502);
+    expect_unknown(unkeyed.get(), 502);
+    expect_unknown(order.get(), 409);
+    EXPECT_EQ(entry.wait_for_exit(30), 0);
+}
+
+// Guards against a retry that a stopping process starts although it may exit before the response.
+TEST(graceful_shutdown, with_a_drain_limit_starts_no_retry_that_may_outlast_it)
+{
+    deployment test_deployment("127.0.12.31");
+    start_with_drain_limit(test_deployment, "5", 2);
+    for (int service = 1; service <= 2; ++service)
+        test_deployment.set_faults(static_cast<std::uint16_t>(service_port_base + service),
+                                   R"({"delay_milliseconds":1500,"drop_answers":1})");
+    auto lookup =
+        std::async(std::launch::async,
+                   [&]
+                   {
+                       return test_deployment.call(entry_port, "GET", "/v1/services/shop/stock", "",
+                                                   {{"Jasminepier-Timeout-Milliseconds", "30000"}});
+                   });
+    ASSERT_TRUE(wait_until([&] { return count_executions(test_deployment, 2, "/stock") == 1; }));
+    auto& entry = test_deployment.program("entry-1");
+    entry.send_signal(SIGTERM);
+    EXPECT_EQ(lookup.get().status, 502);
+    EXPECT_EQ(count_executions(test_deployment, 2, "/stock"), 1);
+    EXPECT_EQ(entry.wait_for_exit(30), 0);
+}
+
+// Guards against a completion that waits for a server at the signal and is started afterwards, or
+// loses its connection without a response at the drain limit.
+TEST(graceful_shutdown, with_a_drain_limit_rejects_queued_completions_at_once)
+{
+    setenv("JASMINEPIER_ADDRESS_TIME_TO_LIVE", "0", 1);
+    setenv("JASMINEPIER_DRAIN_LIMIT", "4", 1);
+    deployment test_deployment("127.0.12.32");
+    test_deployment.start_engine(1, {"--step-milliseconds", "5", "--max-running", "1"});
+    test_deployment.start_node(1);
+    unsetenv("JASMINEPIER_DRAIN_LIMIT");
+    ASSERT_TRUE(test_deployment.wait_until_ready(1));
+    received_completion running;
+    stream_client client(test_deployment, 1, stream_body(20000));
+    client.read(running, 5);
+    auto const send_queued = [&](bool streamed)
+    {
+        return std::async(std::launch::async,
+                          [&test_deployment, streamed]
+                          {
+                              return send_completion(test_deployment,
+                                                     stream_body(5, "Which screws?", streamed),
+                                                     {{"Jasminepier-Work-Kind", "proposal"}});
+                          });
+    };
+    auto whole = send_queued(false);
+    auto stream = send_queued(true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    ASSERT_EQ(whole.wait_for(std::chrono::seconds(0)), std::future_status::timeout);
+    auto& entry = test_deployment.program("entry-1");
+    auto const begin = std::chrono::steady_clock::now();
+    entry.send_signal(SIGTERM);
+    for (auto* queued : {&whole, &stream})
+    {
+        auto const response = queued->get();
+        EXPECT_EQ(response.status, 503);
+        EXPECT_NE(response.body.find("node_stopping"), std::string::npos) << response.body;
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(2));
+    EXPECT_EQ(entry.wait_for_exit(30), 0);
+}
+
 // Guards against event ids that resume the completion of another customer or request, or that a
 // caller forged.
 TEST(event_ids, are_rejected_when_forged_or_for_another_request)
