Tests: Reserve the ports of each test program

Two checkouts on one machine disturbed each other: their tests used the same fixed ports, and POCO's listening sockets share a port (SO_REUSEPORT) with other programs that set the same option, so two stores answered on one port and neither program said so. The soak ended with std::terminate when a port was in use, since its proxy thread was not joined, or ran on beside the other user.

The fakes listen without SO_REUSEPORT. The soak writes which ports it could not use and why, and ends with status 2. meta/soak.sh keeps planned work in folders of its own and passes no ports.

No check was changed.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -2,13 +2,16 @@
 # Runs the fault soak: `meta/soak.sh FIRST LAST [JOBS]` for a range of seeds, `meta/soak.sh fresh
 # COUNT [JOBS]` for random seeds, `meta/soak.sh regression [JOBS]` for all that failed before.
 # `meta/soak.sh planned FIRST LAST [JOBS]` plays planned work only.
-# Keeps the logs of a failed seed in build/soak/SEED.
+# Keeps the logs of a failed seed in build/soak/SEED, with planned work in build/soak/planned-SEED.
+# SOAK_OPTIONS are further options of the driver.
 set -eu
 cd "$(dirname "$0")/.."
 build=${BUILD_DIRECTORY:-build}
-soak_options=
+soak_options=${SOAK_OPTIONS:-}
+directory_prefix=
 if [ "${1:-}" = planned ]; then
-    soak_options=--planned-work
+    soak_options="$soak_options --planned-work"
+    directory_prefix=planned-
     shift
 fi
 case ${1:-} in
@@ -27,11 +30,10 @@
 esac
 
 run_seed() {
-    # Seeds that run at the same time use different ports.
-    local seed=$1 position=$2 seed_directory="$build/soak/$1"
+    local seed=$1 seed_directory="$build/soak/$directory_prefix$1"
     mkdir -p "$seed_directory"
-    if "$build/tests/soak/fault-soak" $soak_options --seed "$seed" --first-port $((25000 + 700 * (position % 8))) \
-        --keep "$seed_directory" >"$seed_directory/output.txt" 2>&1; then
+    if "$build/tests/soak/fault-soak" $soak_options --seed "$seed" --keep "$seed_directory" \
+        >"$seed_directory/output.txt" 2>&1; then
         echo "seed $seed passed: $(tail -n 1 "$seed_directory/output.txt")"
         rm -r "$seed_directory"
     else
@@ -40,5 +42,5 @@
     fi
 }
 export -f run_seed
-export build soak_options
-printf '%s\n' "$seeds" | awk '{ print $1, NR }' | xargs -P "$jobs" -L 1 bash -c 'run_seed "$0" "$1"'
+export build soak_options directory_prefix
+printf '%s\n' "$seeds" | xargs -P "$jobs" -L 1 bash -c 'run_seed "$0"'
--- a/tests/configuration_spread_process_test.cpp
+++ b/tests/configuration_spread_process_test.cpp
@@ -18,9 +18,13 @@
 
 // One more than the threshold of a large fleet, and one for each follower of the store.
 constexpr int node_count = 16;
-constexpr std::uint16_t first_port = 24800;
-constexpr std::uint16_t store_port = first_port;
-constexpr std::uint16_t second_store_port = first_port + 100;
+
+/// Returns a port that is reserved for this test program.
+std::uint16_t port_at(int offset)
+{
+    static auto const first_port = reserve_ports(2 * port_block_size);
+    return static_cast<std::uint16_t>(first_port + offset);
+}
 
 class configuration_spread_process_test : public testing::Test
 {
@@ -30,13 +34,12 @@
         m_store.put("config", "main", make_configuration(1, "shop"));
         for (int i = 0; i < node_count; ++i)
         {
-            auto const port = static_cast<std::uint16_t>(first_port + 10 + 4 * i);
-            m_nodes.push_back(std::make_unique<node_process>(
-                "spread-" + std::to_string(i),
-                node_ports{port, static_cast<std::uint16_t>(port + 1),
-                           static_cast<std::uint16_t>(port + 2),
-                           static_cast<std::uint16_t>(port + 3)},
-                store_port));
+            auto const offset = 10 + 4 * i;
+            m_nodes.push_back(
+                std::make_unique<node_process>("spread-" + std::to_string(i),
+                                               node_ports{port_at(offset), port_at(offset + 1),
+                                                          port_at(offset + 2), port_at(offset + 3)},
+                                               port_at(0)));
         }
         ASSERT_TRUE(wait_until(
             [&]
@@ -55,7 +58,7 @@
                              { return node->program().output().find(line) != std::string::npos; });
     }
 
-    fake_store m_store{store_port};
+    fake_store m_store{port_at(0)};
     std::vector<std::unique_ptr<node_process>> m_nodes;
 };
 
@@ -80,12 +83,13 @@
 // what a report has named, and against one that goes on after the store has answered.
 TEST(configuration_behind_test, node_logs_that_it_is_behind_and_reads_the_store)
 {
-    fake_store metadata_store(second_store_port);
+    auto const store_port = port_at(port_block_size);
+    fake_store metadata_store(store_port);
     metadata_store.put("config", "main", make_configuration(1, "shop"));
     node_process node("behind",
-                      {second_store_port + 1, second_store_port + 2, second_store_port + 3,
-                       second_store_port + 4},
-                      second_store_port);
+                      {port_at(port_block_size + 1), port_at(port_block_size + 2),
+                       port_at(port_block_size + 3), port_at(port_block_size + 4)},
+                      store_port);
     ASSERT_TRUE(wait_until([&] { return node.is_ready(); }, seconds(20)));
     auto const has_logged = [&](std::string const& text)
     { return node.program().output().find(text) != std::string::npos; };
@@ -94,12 +98,12 @@
     report.node = "vanished";
     report.zone = "a";
     report.caller_address = "127.0.0.1:1";
-    report.peer_port = second_store_port + 6;
+    report.peer_port = port_at(port_block_size + 6);
     report.started = 1;
     report.sequence = 1;
     report.__set_newest_configuration(1'000'000);
-    inner_protocol::datagram_socket socket("127.0.0.1", second_store_port + 5);
-    socket.send_bytes("127.0.0.1", second_store_port + 4,
+    inner_protocol::datagram_socket socket("127.0.0.1", port_at(port_block_size + 5));
+    socket.send_bytes("127.0.0.1", port_at(port_block_size + 4),
                       inner_protocol::encode_node_report(report));
     EXPECT_TRUE(
         wait_until([&] { return has_logged("event=objects_behind kind=config"); }, seconds(10)));
--- a/tests/node_poison_test.cpp
+++ b/tests/node_poison_test.cpp
@@ -12,7 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint16_t store_port = 24300;
 // Longer than the time within which crashes count once.
 constexpr milliseconds crash_interval{450};
 // The platform allows five crashes before the part must be known, and three more requests.
@@ -21,7 +20,7 @@
 class node_poison_test : public node_fixture
 {
 protected:
-    node_poison_test() : node_fixture(store_port)
+    node_poison_test()
     {
         for (int i = 0; i < 6; ++i)
             m_engines.push_back(
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -15,13 +15,15 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint16_t store_port = 24100;
-
-/// Uses its own range of ports.
 class node_process_test : public node_fixture
 {
 protected:
-    node_process_test() : node_fixture(store_port) {}
+    static std::string make_address(std::uint16_t port)
+    {
+        return std::string(loopback_host) + ":" + std::to_string(port);
+    }
+
+    node_ports m_second_ports{port(31), port(32), port(33), port(34)};
 };
 
 // Guards against permanent errors, such as 404, before a node has a configuration.
@@ -378,7 +380,7 @@
 TEST_F(node_process_test, address_in_use_ends_startup_with_a_logged_reason)
 {
     start_until_ready();
-    node_process second("n2", m_node.ports(), store_port);
+    node_process second("n2", m_node.ports(), port(0));
     EXPECT_EQ(second.program().wait_for_exit(10), 1);
     EXPECT_NE(second.program().output().find("event=failed"), std::string::npos);
     EXPECT_NE(second.program().output().find("already in use"), std::string::npos);
@@ -387,7 +389,7 @@
 // Guards against watches that keep waiting at a store that has lost them.
 TEST_F(node_process_test, watch_ends_when_it_is_cancelled)
 {
-    platform::object_store client({"127.0.0.1", store_port});
+    platform::object_store client({"127.0.0.1", port(0)});
     auto const watch_succeeds = [&](bool is_cancelled)
     {
         return base::handle(
@@ -410,15 +412,21 @@
     start_until_ready();
     auto const list_addresses = [&]
     { return call_node(m_node.ports().addresses, make_request("GET", "/resolve", "")).body; };
-    EXPECT_NE(list_addresses().find("127.0.0.1:24101"), std::string::npos);
+    EXPECT_NE(list_addresses().find(make_address(m_node.ports().callers)), std::string::npos);
     {
-        node_process second("n2", {24131, 24132, 24133, 24134}, store_port);
+        node_process second("n2", m_second_ports, port(0));
         EXPECT_TRUE(wait_until(
-            [&] { return list_addresses().find("127.0.0.1:24131") != std::string::npos; },
+            [&] {
+                return list_addresses().find(make_address(m_second_ports.callers)) !=
+                       std::string::npos;
+            },
             seconds(10)));
         second.program().send_signal(SIGTERM);
         EXPECT_TRUE(wait_until(
-            [&] { return list_addresses().find("127.0.0.1:24131") == std::string::npos; },
+            [&] {
+                return list_addresses().find(make_address(m_second_ports.callers)) ==
+                       std::string::npos;
+            },
             seconds(5)));
     }
 }
@@ -427,12 +435,13 @@
 TEST_F(node_process_test, node_without_store_access_pulls_objects_from_peers)
 {
     start_until_ready();
-    fake_store unreachable(24140);
+    fake_store unreachable(port(40));
     unreachable.set_mode(store_mode::unavailable);
-    node_process second("n2", {24131, 24132, 24133, 24134}, 24140);
+    node_process second("n2", m_second_ports, port(40));
     m_store.put("jasminepier-nodes", "n2",
-                R"({"zone":"a","caller_address":"127.0.0.1:24131","peer_host":"127.0.0.1",)"
-                R"("peer_port":24134})");
+                R"({"zone":"a","caller_address":")" + make_address(m_second_ports.callers) +
+                    R"(","peer_host":"127.0.0.1","peer_port":)" +
+                    std::to_string(m_second_ports.peers) + "}");
     ASSERT_TRUE(wait_until([&] { return second.is_ready(); }, seconds(10)));
     EXPECT_TRUE(wait_until(
         [&]
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -22,8 +22,6 @@
 class node_shutdown_test : public node_fixture
 {
 protected:
-    node_shutdown_test() : node_fixture(24600) {}
-
     http::request make_stream_request(std::string const& path, std::string const& request_id) const
     {
         auto request = make_request("POST", path, request_id);
--- a/tests/node_stream_test.cpp
+++ b/tests/node_stream_test.cpp
@@ -13,11 +13,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Uses its own range of ports.
 class node_stream_test : public node_fixture
 {
-protected:
-    node_stream_test() : node_fixture(24500) {}
 };
 
 // Guards against rejecting or changing a plain response without a length, and against delivering
--- a/tests/server_exchange_test.cpp
+++ b/tests/server_exchange_test.cpp
@@ -3,6 +3,7 @@
 #include "http/client_exchange.hpp"
 #include "http/wait_set.hpp"
 #include "tests/support/connection_server.hpp"
+#include "tests/support/port_reservation.hpp"
 
 #include <gtest/gtest.h>
 
@@ -14,7 +15,11 @@
 namespace
 {
 
-constexpr std::uint16_t server_port = 24480;
+std::uint16_t server_port()
+{
+    static auto const port = reserve_ports();
+    return port;
+}
 
 /// How the server ends its side of the connection.
 enum class connection_end
@@ -62,7 +67,7 @@
         request.headers.add("Host", "server");
         base::steady_clock_source const clock;
         http::client_exchange exchange(std::string(loopback_host) + ":" +
-                                           std::to_string(server_port),
+                                           std::to_string(server_port()),
                                        http::write_request(request), method != "HEAD", clock.now());
         http::wait_set poll_set;
         received_response received;
@@ -90,9 +95,10 @@
         return base::handle(
             [&]() -> base::result<received_response>
             {
-                BOOST_LEAF_AUTO(response, backend::call_backend(
-                                              {loopback_host, server_port}, {method, "/", {}, body},
-                                              {.receive = std::chrono::seconds(5)}));
+                BOOST_LEAF_AUTO(response,
+                                backend::call_backend({loopback_host, server_port()},
+                                                      {method, "/", {}, body},
+                                                      {.receive = std::chrono::seconds(5)}));
                 return received_response{true, response.status, response.body, false};
             },
             [](base::error const&) { return received_response{}; });
@@ -106,7 +112,7 @@
     static received_response call(server_script const& script, std::string const& method = "GET",
                                   std::string const& body = "")
     {
-        connection_server const server(server_port, [&](Poco::Net::StreamSocket& socket)
+        connection_server const server(server_port(), [&](Poco::Net::StreamSocket& socket)
                                        { serve(socket, script); });
         return Client::call(method, body);
     }
--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -143,11 +143,12 @@
     : m_context(context), m_target(std::move(target)), m_acceptor(context, listen),
       m_datagrams(context)
 {
+    if (forward_datagrams)
+    {
+        m_datagrams = udp::socket(context, udp::endpoint(listen.address(), listen.port()));
+        receive_next();
+    }
     accept_next();
-    if (!forward_datagrams)
-        return;
-    m_datagrams = udp::socket(context, udp::endpoint(listen.address(), listen.port()));
-    receive_next();
 }
 
 link_proxy::~link_proxy()
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,8 +1,10 @@
 /// Runs node processes under faults drawn from a seed and checks the recorded history.
 #include "tests/soak/checks.hpp"
 #include "tests/soak/soak_deployment.hpp"
+#include "tests/support/port_reservation.hpp"
 
 #include <CLI/CLI.hpp>
+#include <Poco/Exception.h>
 
 #include <csignal>
 #include <filesystem>
@@ -13,6 +15,7 @@
 {
 
 using namespace jasminepier::tests::soak;
+using jasminepier::tests::reserve_ports;
 
 // Time before the first fault, in which the nodes settle and callers use all of them.
 constexpr milliseconds initial_delay{3000};
@@ -48,6 +51,14 @@
                         << milliseconds_since(begin, span.to) << '\n';
 }
 
+/// Ends the program without destroying the parts that have been started.
+[[noreturn]] void exit_without_start(soak_options const& options, std::string const& reason)
+{
+    std::cerr << "cannot start with the ports from " << options.first_port << " on: " << reason
+              << std::endl;
+    std::_Exit(2);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -67,7 +78,8 @@
     bool planned_work_only = false;
     application.add_flag("--planned-work", planned_work_only,
                          "Only stop and reload nodes and change the configuration, beside bursts");
-    application.add_option("--first-port", options.first_port, "First of 700 consecutive ports");
+    application.add_option("--first-port", options.first_port,
+                           "First of 700 consecutive ports; reserves free ones if it is not given");
     application.add_option("--hide", options.hidden_kinds,
                            "Object kinds whose changes the store hides from the nodes");
     application.add_option("--keep", output_folder,
@@ -95,6 +107,8 @@
     std::unique_ptr<soak_deployment> soak;
     try
     {
+        if (options.first_port == 0)
+            options.first_port = reserve_ports(port_count);
         soak = std::make_unique<soak_deployment>(options);
         if (!soak->start())
         {
@@ -102,10 +116,13 @@
             return 2;
         }
     }
+    catch (Poco::Exception const& failure)
+    {
+        exit_without_start(options, failure.displayText());
+    }
     catch (std::exception const& failure)
     {
-        std::cerr << "cannot start: " << failure.what() << '\n';
-        std::_Exit(2);
+        exit_without_start(options, failure.what());
     }
     auto const begin = std::chrono::steady_clock::now();
     soak->run(plan, initial_delay + std::chrono::seconds(seconds) + limits::recovery_time +
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -82,8 +82,8 @@
 
 soak_deployment::soak_deployment(soak_options options)
     : m_options(std::move(options)), m_work_guard(boost::asio::make_work_guard(m_context)),
-      m_proxy_thread([this] { m_context.run(); }),
-      m_store(std::make_unique<fake_store>(m_options.first_port))
+      m_store(std::make_unique<fake_store>(m_options.first_port)),
+      m_proxy_thread([this] { m_context.run(); })
 {
     // Replaces the peer hosts that nodes publish, so that nodes reach each other through proxies.
     m_store->set_spec_rewriter(
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -20,6 +20,9 @@
 namespace jasminepier::tests::soak
 {
 
+/// Number of consecutive ports that a deployment uses.
+inline constexpr int port_count = 700;
+
 struct soak_options
 {
     int nodes = 3;
@@ -29,7 +32,8 @@
     int burst_callers = 0;
     /// Callers keep their connections and send short and long requests.
     bool has_varied_callers = false;
-    std::uint16_t first_port = 25000;
+    /// First of `port_count` ports.
+    std::uint16_t first_port = 0;
     /// Object kinds that the store hides from the nodes, to show that a check detects it.
     std::vector<std::string> hidden_kinds;
     /// Folder for the output of the nodes; empty to discard it.
@@ -100,8 +104,8 @@
     history m_history;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work_guard;
-    std::thread m_proxy_thread;
     std::unique_ptr<fake_store> m_store;
+    std::thread m_proxy_thread;
     std::vector<std::unique_ptr<running_server>> m_servers;
     std::vector<running_node> m_nodes;
     std::atomic<bool> m_burst{false};
--- a/tests/support/connection_server.cpp
+++ b/tests/support/connection_server.cpp
@@ -43,6 +43,15 @@
     connection_server::handler m_handler;
 };
 
+Poco::Net::ServerSocket listen_on(std::uint16_t port)
+{
+    Poco::Net::ServerSocket socket;
+    // By default, POCO shares the port with other programs that listen on it.
+    socket.bind(Poco::Net::SocketAddress(loopback_host, port), true, false);
+    socket.listen(128);
+    return socket;
+}
+
 } // namespace
 
 void send_all(Poco::Net::StreamSocket& socket, std::string const& text)
@@ -69,8 +78,7 @@
     m_server = std::make_unique<Poco::Net::TCPServer>(
         new handler_connection_factory([this](Poco::Net::StreamSocket& socket)
                                        { this->serve(socket); }),
-        pool, Poco::Net::ServerSocket(Poco::Net::SocketAddress(loopback_host, port), 128),
-        parameters);
+        pool, listen_on(port), parameters);
     m_server->start();
 }
 
--- a/tests/support/node_fixture.hpp
+++ b/tests/support/node_fixture.hpp
@@ -5,6 +5,7 @@
 #include "tests/support/fake_server.hpp"
 #include "tests/support/fake_store.hpp"
 #include "tests/support/node_process.hpp"
+#include "tests/support/port_reservation.hpp"
 
 #include <gtest/gtest.h>
 
@@ -48,13 +49,10 @@
 }
 
 /// A store, two servers of the service "shop", one of the service "other", two engines and a node.
-/// The second engine is not listed in the store at first. The ports start at `first_port`, so that
-/// test programs can run at the same time.
+/// The second engine is not listed in the store at first.
 class node_fixture : public testing::Test
 {
 protected:
-    explicit node_fixture(std::uint16_t first_port) : m_first_port(first_port) {}
-
     void SetUp() override
     {
         for (auto const* server : {&m_shop_1, &m_shop_2})
@@ -109,12 +107,13 @@
         return text;
     }
 
-    std::uint16_t port(int offset) const
+    /// Returns a port that is reserved for this test program.
+    static std::uint16_t port(int offset)
     {
-        return static_cast<std::uint16_t>(m_first_port + offset);
+        static auto const first_port = reserve_ports();
+        return static_cast<std::uint16_t>(first_port + offset);
     }
 
-    std::uint16_t m_first_port;
     fake_store m_store{port(0)};
     fake_server m_shop_1{port(11), "i-shop-1"};
     fake_server m_shop_2{port(12), "i-shop-2"};
