Tests: Search for free ports in one program at a time

14 plays of the soak in a row ended with "no 700 consecutive ports are free" within 0.4 s, while at most 7 of the 67 blocks were in use: two programs that searched in step kept locking blocks out of each other's runs. A lock file of its own now covers the search.

port_reservation_test: programs_that_start_together_all_get_their_ports failed before (4 programs with 3 blocks each, 20 rounds); 5 of 5 tests pass now.

--- a/tests/port_reservation_test.cpp
+++ b/tests/port_reservation_test.cpp
@@ -7,6 +7,9 @@
 
 #include <stdexcept>
 #include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
 
 namespace jasminepier::tests
 {
@@ -31,6 +34,41 @@
     EXPECT_TRUE(server.port() < second || server.port() >= second + port_block_size);
 }
 
+// Guards against programs that start at the same time and keep taking blocks out of each other's
+// runs.
+TEST(port_reservation, programs_that_start_together_all_get_their_ports)
+{
+    constexpr int program_count = 4;
+    for (int round = 0; round < 20; ++round)
+    {
+        std::vector<pid_t> programs;
+        for (int i = 0; i < program_count; ++i)
+        {
+            auto const pid = fork();
+            ASSERT_GE(pid, 0);
+            if (pid == 0)
+            {
+                try
+                {
+                    reserve_ports(3 * port_block_size);
+                    _exit(0);
+                }
+                catch (std::exception const&)
+                {
+                    _exit(1);
+                }
+            }
+            programs.push_back(pid);
+        }
+        for (auto const pid : programs)
+        {
+            int status = 0;
+            ASSERT_EQ(waitpid(pid, &status, 0), pid);
+            EXPECT_EQ(status, 0);
+        }
+    }
+}
+
 TEST(port_reservation, fails_if_there_are_too_few_ports)
 {
     EXPECT_THROW(reserve_ports(50000), std::runtime_error);
--- a/tests/support/port_reservation.cpp
+++ b/tests/support/port_reservation.cpp
@@ -59,15 +59,24 @@
                 sizeof address) == 0;
 }
 
+/// Returns the locked file of this name, or no descriptor if it cannot be locked.
+file_descriptor lock_file(std::string const& name, int operation)
+{
+    auto const path =
+        std::filesystem::temp_directory_path() / ("jasminepier-test-ports-" + name + ".lock");
+    file_descriptor file(open(path.c_str(), O_RDONLY | O_CREAT | O_CLOEXEC, 0644));
+    if (file.get() < 0 || flock(file.get(), operation) != 0)
+        return file_descriptor(-1);
+    return file;
+}
+
 /// Returns the locked file of the block that starts at `first`, or no descriptor if another program
 /// holds the lock or uses one of the ports.
 file_descriptor try_lock_block(int first)
 {
-    auto const path = std::filesystem::temp_directory_path() /
-                      ("jasminepier-test-ports-" + std::to_string(first) + ".lock");
-    file_descriptor file(open(path.c_str(), O_RDONLY | O_CREAT | O_CLOEXEC, 0644));
-    if (file.get() < 0 || flock(file.get(), LOCK_EX | LOCK_NB) != 0)
-        return file_descriptor(-1);
+    auto file = lock_file(std::to_string(first), LOCK_EX | LOCK_NB);
+    if (file.get() < 0)
+        return file;
     for (int port = first; port < first + port_block_size; ++port)
         if (!can_bind(port, SOCK_STREAM) || !can_bind(port, SOCK_DGRAM))
             return file_descriptor(-1);
@@ -83,6 +92,8 @@
     auto const block_count =
         static_cast<std::size_t>((count + port_block_size - 1) / port_block_size);
     std::vector<file_descriptor> locks;
+    // Programs that search at the same time would take blocks out of each other's runs.
+    auto const search_lock = lock_file("search", LOCK_EX);
     for (int first = first_reservable_port; first + port_block_size <= last_reservable_port + 1;
          first += port_block_size)
     {
