--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -584,7 +584,7 @@
         for (std::size_t number = 0; number < m_nodes.size(); ++number)
             std::ofstream(std::filesystem::path(m_options.output_folder) /
                           ("node-" + std::to_string(number) + ".log"))
-                << m_nodes[number].process->program().output();
+                << m_nodes[number].process->output();
     for (auto& server : m_servers)
         collect_arrivals(*server);
     return m_history;
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -22,6 +22,8 @@
 
 void node_process::restart()
 {
+    if (m_process)
+        m_earlier_output += m_process->output();
     m_process.reset();
     m_process = std::make_unique<process>(
         "jasminepier-node", std::vector<std::string>{},
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -37,6 +37,8 @@
     bool is_ready() const;
     /// Rewrites the settings file and appends `extra_settings` to its last table.
     void rewrite_settings(std::string const& extra_settings);
+    /// Returns the output of all runs of the program.
+    std::string output() const { return m_earlier_output + m_process->output(); }
     /// Starts the program again; kills it first if it is still running.
     void restart();
 
@@ -46,6 +48,7 @@
     std::uint16_t m_store_port;
     std::string m_settings_path;
     std::unique_ptr<process> m_process;
+    std::string m_earlier_output;
 };
 
 /// The response that a caller received.
