Soak: Play overlapping changes in a large fleet and prompts that crash engines

--overlapping-changes plays 16 nodes in three zones: an evacuation, a change of servers and a configuration within 0.4 s of each other, up to 5 nodes cut off, paused, killed or stopped around them, a series of overlapping stops, and a caller whose requests, no two alike, share a part that crashes the engine which begins to answer. Up to two of three zones are evacuated at a time.

Two checks: deadly_parts (at most three requests with the part reach servers through undisturbed nodes later than 3 s after it crashed the third) and sound_prompts (beside it at least half of the streams without the part are served). soak_checks_test has a valid and a broken history for each.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Runs the fault soak: `meta/soak.sh FIRST LAST [JOBS]` for a range of seeds, `meta/soak.sh fresh
 # COUNT [JOBS]` for random seeds, `meta/soak.sh regression [JOBS]` for all that failed before.
-# `meta/soak.sh planned FIRST LAST [JOBS]` plays planned work only.
-# Keeps the logs of a failed seed in build/soak/SEED, with planned work in build/soak/planned-SEED.
+# `meta/soak.sh planned FIRST LAST [JOBS]` plays planned work only, `meta/soak.sh overlapping FIRST
+# LAST [JOBS]` overlapping changes in a large fleet. Both also take `fresh COUNT`.
+# Keeps the logs of a failed seed in build/soak/SEED, or in planned-SEED and overlapping-SEED there.
 # SOAK_OPTIONS are further options of the driver.
 set -eu
 cd "$(dirname "$0")/.."
@@ -14,6 +15,11 @@
     directory_prefix=planned-
     shift
 fi
+if [ "${1:-}" = overlapping ]; then
+    soak_options="$soak_options --overlapping-changes"
+    directory_prefix=overlapping-
+    shift
+fi
 case ${1:-} in
 regression)
     seeds=$(sed -n 's/^\([0-9]\+\) .*/\1/p' tests/soak/regression_seeds.txt)
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -35,6 +35,11 @@
 /// Time from the end of the last fault until requests succeed again.
 constexpr milliseconds recovery_time{12000};
 constexpr milliseconds retry_window{10000};
+/// Time in which nodes learn that a prompt part has crashed this many servers.
+constexpr milliseconds crash_propagation{3000};
+constexpr std::size_t crashes_until_rejection = 3;
+/// Requests with such a part that may still reach servers afterwards.
+constexpr std::size_t late_deadly_requests = 3;
 constexpr double retry_ratio = 0.2;
 /// Retries allowed beyond `retry_ratio` in each window.
 constexpr double retry_slack = 56;
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -33,6 +33,8 @@
     zone_evacuation,
     /// Additional callers send requests.
     burst,
+    /// A caller sends requests that share a prompt part which crashes engines.
+    deadly_prompts,
 };
 
 struct planned_fault
@@ -55,6 +57,12 @@
 std::vector<planned_fault> make_planned_work(unsigned seed, std::chrono::milliseconds from,
                                              std::chrono::milliseconds to);
 
+/// Generates groups of an evacuation, a change of servers and a configuration within some tenths of
+/// a second, while nodes are cut off, killed or stopped, beside series of stops and prompts that
+/// crash engines.
+std::vector<planned_fault> make_overlapping_changes(unsigned seed, std::chrono::milliseconds from,
+                                                    std::chrono::milliseconds to);
+
 /// Returns a one-line description.
 std::string describe(planned_fault const& fault);
 
--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -58,6 +58,8 @@
     /// last event of the stream, which is 0 for requests that are not streamed.
     int first_event_number = 1;
     int last_event_number = 0;
+    /// Prompt part that crashes the engine which begins to answer; empty for sound requests.
+    std::string deadly_part;
     /// Set if the caller waits for another time than `test_settings::request_deadline`.
     std::optional<milliseconds> deadline;
     /// Set if the caller closed the connection before the end of the response.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,8 @@
 // Time after the recovery in which requests must succeed.
 constexpr milliseconds recovered_observation_time{3000};
 
+constexpr int default_large_fleet = 16;
+
 std::string milliseconds_since(time_point begin, time_point at)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(at - begin).count());
@@ -36,7 +38,8 @@
                  << milliseconds_since(begin, request.ended_at) << " status " << request.status
                  << (request.is_complete ? " whole" : " broken")
                  << (request.connect_failed ? " not_sent" : "")
-                 << (request.disconnected_at ? " left" : "") << '\n';
+                 << (request.disconnected_at ? " left" : "")
+                 << (request.deadly_part.empty() ? "" : " " + request.deadly_part) << '\n';
     std::ofstream arrivals(folder / "arrivals.txt");
     for (auto const& arrival : recorded.arrivals)
         arrivals << arrival.id << " server " << arrival.server << " arrived "
@@ -54,8 +57,10 @@
 /// Ends the program without destroying the parts that have been started.
 [[noreturn]] void exit_without_start(soak_options const& options, std::string const& reason)
 {
-    std::cerr << "cannot start with the ports from " << options.first_port << " on: " << reason
-              << std::endl;
+    std::cerr << "cannot start";
+    if (options.first_port != 0)
+        std::cerr << " with the ports from " << options.first_port << " on";
+    std::cerr << ": " << reason << std::endl;
     std::_Exit(2);
 }
 
@@ -72,12 +77,17 @@
     application.add_option("--seed", options.seed, "Seed of the faults and the callers");
     application.add_option("--seconds", seconds, "Duration in which faults begin, in seconds")
         ->check(CLI::Range(1, 600));
-    application.add_option("--nodes", options.nodes, "Number of nodes")->check(CLI::Range(1, 30));
+    auto* const node_option = application.add_option("--nodes", options.nodes, "Number of nodes")
+                                  ->check(CLI::Range(1, maximum_nodes));
     application.add_option("--callers", options.callers, "Number of callers")
         ->check(CLI::Range(1, 200));
     bool planned_work_only = false;
     application.add_flag("--planned-work", planned_work_only,
                          "Only stop and reload nodes and change the configuration, beside bursts");
+    bool overlapping_changes_only = false;
+    application.add_flag("--overlapping-changes", overlapping_changes_only,
+                         "Change several kinds of objects at the same time while nodes are cut off "
+                         "or stop and prompts crash engines, in a fleet of 16 nodes by default");
     application.add_option("--first-port", options.first_port,
                            "First of 700 consecutive ports; reserves free ones if it is not given");
     application.add_option("--hide", options.hidden_kinds,
@@ -89,8 +99,16 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     auto const plan_end = initial_delay + std::chrono::seconds(seconds);
-    auto const plan = planned_work_only ? make_planned_work(options.seed, initial_delay, plan_end)
-                                        : make_plan(options.seed, initial_delay, plan_end);
+    auto const plan =
+        (planned_work_only          ? make_planned_work
+         : overlapping_changes_only ? make_overlapping_changes
+                                    : make_plan)(options.seed, initial_delay, plan_end);
+    if (overlapping_changes_only)
+    {
+        options.has_deadly_caller = true;
+        if (node_option->empty())
+            options.nodes = default_large_fleet;
+    }
     if (planned_work_only)
     {
         options.has_varied_callers = true;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -21,6 +21,7 @@
 // Maximum pause between two requests of a caller.
 constexpr unsigned maximum_pause_milliseconds = 80;
 constexpr unsigned maximum_burst_pause_milliseconds = 8;
+constexpr unsigned maximum_deadly_pause_milliseconds = 1000;
 // Percentage of requests whose caller disconnects early.
 constexpr unsigned disconnect_percentage = 6;
 constexpr milliseconds maximum_retry_delay{1000};
@@ -62,12 +63,13 @@
 {
     while (!m_stop_requested)
     {
-        if (m_habits.burst != nullptr && !*m_habits.burst)
+        if (!may_send())
         {
             std::this_thread::sleep_for(read_timeout);
             continue;
         }
-        auto const plan = draw_request();
+        auto const plan =
+            m_habits.deadly_part_number == nullptr ? draw_request() : draw_deadly_request();
         int first_event_number = 1;
         for (int attempt = 0; attempt < maximum_caller_attempts && !m_stop_requested; ++attempt)
         {
@@ -91,12 +93,24 @@
             if (plan.event_count > 0 && first_event_number > plan.event_count)
                 break;
         }
-        auto const maximum_pause = m_habits.burst == nullptr ? maximum_pause_milliseconds
-                                                             : maximum_burst_pause_milliseconds;
-        std::this_thread::sleep_for(milliseconds(m_random() % maximum_pause));
+        std::this_thread::sleep_for(milliseconds(m_random() % maximum_pause()));
     }
 }
 
+bool soak_caller::may_send() const
+{
+    return (m_habits.burst == nullptr || *m_habits.burst) &&
+           (m_habits.deadly_part_number == nullptr || *m_habits.deadly_part_number > 0);
+}
+
+unsigned soak_caller::maximum_pause() const
+{
+    if (m_habits.deadly_part_number != nullptr)
+        return maximum_deadly_pause_milliseconds;
+    return m_habits.burst == nullptr ? maximum_pause_milliseconds
+                                     : maximum_burst_pause_milliseconds;
+}
+
 void soak_caller::refresh_addresses()
 {
     m_addresses_refreshed_at = clock::now();
@@ -163,6 +177,22 @@
     return plan;
 }
 
+soak_caller::planned_request soak_caller::draw_deadly_request()
+{
+    bool const is_resumable = m_random() % 2 == 0;
+    planned_request plan;
+    plan.kind = is_resumable ? request_kind::resumable_stream : request_kind::stream;
+    plan.method = "POST";
+    // No two requests are alike but for the part.
+    plan.path = (is_resumable ? "/question/" : "/plan/") + std::to_string(m_random()) + "/crash";
+    plan.event_count = 5;
+    plan.maximum_tokens = plan.event_count;
+    plan.deadline = test_settings::request_deadline;
+    plan.deadly_part = "dead" + std::to_string(m_habits.deadly_part_number->load());
+    m_connection.reset();
+    return plan;
+}
+
 void soak_caller::vary(planned_request& plan)
 {
     constexpr std::array deadlines{milliseconds(1500), milliseconds(3000), milliseconds(8000)};
@@ -192,6 +222,7 @@
     record.first_event_number = first_event_number;
     record.last_event_number = plan.event_count;
     record.deadline = plan.deadline;
+    record.deadly_part = plan.deadly_part;
     if (m_connection && !m_habits.keeps_connections && m_random() % 3 == 0)
         m_connection.reset();
     if (!m_connection)
@@ -205,7 +236,9 @@
         request.headers.add("Token-Usage", "200," + std::to_string(plan.maximum_tokens));
         if (plan.expected_tokens)
             request.headers.add("Length-Hint", std::to_string(*plan.expected_tokens));
-        request.headers.add("Prefix-Hash", "a:150," + record.id + ":50");
+        request.headers.add("Prefix-Hash",
+                            "a:150," + (plan.deadly_part.empty() ? "" : plan.deadly_part + ":40,") +
+                                record.id + ":50");
     }
     if (first_event_number > 1)
         request.headers.add("Last-Event-Id", std::to_string(first_event_number - 1));
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -37,6 +37,9 @@
     bool varies_requests = false;
     /// If set, sends only while the value is true, and then with short pauses.
     std::atomic<bool> const* burst = nullptr;
+    /// If set, sends only while the value is above 0, and then requests with the deadly prompt part
+    /// of this number, to any node and with longer pauses.
+    std::atomic<int> const* deadly_part_number = nullptr;
 };
 
 class soak_caller
@@ -59,12 +62,17 @@
         /// Maximum and expected number of output tokens that the request states.
         int maximum_tokens = 0;
         std::optional<int> expected_tokens;
+        std::string deadly_part;
     };
 
     void run();
     void refresh_addresses();
     int select_node();
+    /// Returns true if the caller's habits let it send now.
+    bool may_send() const;
+    unsigned maximum_pause() const;
     planned_request draw_request();
+    planned_request draw_deadly_request();
     /// Changes the length, the deadline and the estimates of a request.
     void vary(planned_request& plan);
     request_record send_request(planned_request const& plan, int first_event_number);
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -31,7 +31,10 @@
 // A thread that wakes up this late shows that the host is overloaded.
 constexpr milliseconds stall_threshold{100};
 constexpr std::array non_idempotent_services{"orders-a", "orders-b", "orders-c"};
-constexpr std::array zones{"a", "b"};
+constexpr std::array zones{"a", "b", "c"};
+// Offsets of the ports of the first node's proxies, for callers and for the store.
+constexpr int first_caller_port_offset = 10;
+constexpr int first_store_port_offset = 110;
 // Offset of the first server port. The proxy of each server listens on the port after it.
 constexpr int first_server_port_offset = 200;
 constexpr int server_port_count = 400;
@@ -81,7 +84,9 @@
 } // namespace
 
 soak_deployment::soak_deployment(soak_options options)
-    : m_options(std::move(options)), m_work_guard(boost::asio::make_work_guard(m_context)),
+    : m_options(std::move(options)),
+      m_zones(std::span(zones).first(m_options.nodes > maximum_small_fleet ? 3 : 2)),
+      m_work_guard(boost::asio::make_work_guard(m_context)),
       m_store(std::make_unique<fake_store>(m_options.first_port)),
       m_proxy_thread([this] { m_context.run(); })
 {
@@ -121,9 +126,9 @@
     m_host_monitor = std::thread([this] { record_host_stalls(); });
     publish_configuration();
     for (auto const* const service : non_idempotent_services)
-        for (auto const* const zone : zones)
+        for (auto const* const zone : m_zones)
             start_server(service, zone, false);
-    for (auto const* const zone : zones)
+    for (auto const* const zone : m_zones)
     {
         start_server("checks", zone, false);
         start_server("checks", zone, false);
@@ -139,7 +144,7 @@
     for (int number = 0; number < m_options.nodes; ++number)
     {
         auto const& ports = m_nodes[static_cast<std::size_t>(number)].process->ports();
-        addresses.push_back({offset_port(m_options.first_port, 10 + number),
+        addresses.push_back({offset_port(m_options.first_port, first_caller_port_offset + number),
                              ports.caller_host + ":" + std::to_string(ports.callers),
                              ports.caller_host, ports.addresses});
     }
@@ -151,6 +156,11 @@
             number, m_options.seed * 1000 + static_cast<unsigned>(number), addresses,
             caller_habits{m_options.has_varied_callers, m_options.has_varied_callers,
                           number < m_options.callers ? nullptr : &m_burst}));
+    if (m_options.has_deadly_caller)
+        m_callers.push_back(std::make_unique<soak_caller>(
+            static_cast<int>(m_callers.size()),
+            m_options.seed * 1000 + static_cast<unsigned>(m_callers.size()), addresses,
+            caller_habits{.deadly_part_number = &m_deadly_part_number}));
     return true;
 }
 
@@ -163,14 +173,16 @@
                      offset_port(m_options.first_port, 4),
                      "127.0.2." + address_suffix,
                      "127.0.3." + address_suffix,
-                     zones[static_cast<std::size_t>(number) % zones.size()]};
-    auto const store_port = offset_port(m_options.first_port, 50 + number);
+                     m_zones[static_cast<std::size_t>(number) % m_zones.size()]};
+    auto const store_port = offset_port(m_options.first_port, first_store_port_offset + number);
     running_node node;
     node.store_proxy =
         std::make_unique<link_proxy>(m_context, endpoint_at(loopback_host, store_port),
                                      endpoint_at(loopback_host, m_options.first_port));
     node.caller_proxy = std::make_unique<link_proxy>(
-        m_context, endpoint_at(loopback_host, offset_port(m_options.first_port, 10 + number)),
+        m_context,
+        endpoint_at(loopback_host,
+                    offset_port(m_options.first_port, first_caller_port_offset + number)),
         endpoint_at(ports.caller_host, ports.callers));
     node.peer_proxy =
         std::make_unique<link_proxy>(m_context, endpoint_at(ports.caller_host, ports.peers),
@@ -241,6 +253,35 @@
     std::erase_if(m_servers, [&](auto const& server) { return server.get() == &target; });
 }
 
+void soak_deployment::crash_server(running_server& target)
+{
+    auto const id = target.id;
+    record_disruption(id, crash_detection_time);
+    bool const was_leaving = target.is_leaving;
+    auto const start_replacement = [this, service = target.service, zone = target.zone]
+    { start_server(service, zone, true); };
+    stop_server(target);
+    // A leaving server has its replacement already.
+    if (was_leaving)
+        return;
+    schedule(crash_detection_time,
+             [this, id]
+             {
+                 m_store->remove("servers", id);
+                 m_history.servers[id].leaving_at = clock::now();
+             });
+    schedule(replacement_delay, start_replacement);
+}
+
+void soak_deployment::crash_servers_with_deadly_prompts()
+{
+    auto const has_crashed = [](auto const& server) { return server->fake->has_crashed(); };
+    for (auto found = std::find_if(m_servers.begin(), m_servers.end(), has_crashed);
+         found != m_servers.end();
+         found = std::find_if(m_servers.begin(), m_servers.end(), has_crashed))
+        crash_server(**found);
+}
+
 soak_deployment::running_server* soak_deployment::select_server(unsigned target_index)
 {
     auto& selected = m_servers[target_index % m_servers.size()];
@@ -283,6 +324,7 @@
             auto const action = m_scheduled_actions.extract(m_scheduled_actions.begin());
             action.mapped()();
         }
+        crash_servers_with_deadly_prompts();
         record_unexpected_exits();
         std::this_thread::sleep_for(poll_interval);
     }
@@ -323,6 +365,8 @@
         return evacuate_zone(fault);
     case fault_kind::burst:
         return start_burst(fault);
+    case fault_kind::deadly_prompts:
+        return start_deadly_prompts(fault);
     }
 }
 
@@ -464,16 +508,7 @@
                  });
         return;
     case fault_kind::server_crash:
-        record_disruption(id, crash_detection_time);
-        stop_server(*target);
-        schedule(crash_detection_time,
-                 [this, id]
-                 {
-                     m_store->remove("servers", id);
-                     m_history.servers[id].leaving_at = clock::now();
-                 });
-        schedule(replacement_delay, start_replacement);
-        return;
+        return crash_server(*target);
     default:
         break;
     }
@@ -525,16 +560,22 @@
 
 void soak_deployment::evacuate_zone(planned_fault const& fault)
 {
+    std::string const zone = m_zones[fault.target_index % m_zones.size()];
+    std::size_t active_count = 0;
     for (auto const& previous : m_history.evacuations)
-        if (!previous.withdrawn_at)
+    {
+        if (previous.withdrawn_at)
+            continue;
+        if (++active_count == m_zones.size() - 1 || previous.zone == zone)
             return;
-    std::string const zone = zones[fault.target_index % zones.size()];
+    }
     m_store->put("evacuations", zone, "{}");
+    auto const index = m_history.evacuations.size();
     m_history.evacuations.push_back({zone, clock::now(), {}});
     schedule(fault.duration,
-             [this, zone]
+             [this, zone, index]
              {
-                 m_history.evacuations.back().withdrawn_at = clock::now();
+                 m_history.evacuations[index].withdrawn_at = clock::now();
                  m_store->remove("evacuations", zone);
              });
 }
@@ -546,6 +587,21 @@
     schedule(fault.duration, [this] { m_burst = clock::now() < m_burst_end; });
 }
 
+void soak_deployment::start_deadly_prompts(planned_fault const& fault)
+{
+    auto const number = ++m_deadly_part_count;
+    m_deadly_part_number = number;
+    // The crashes end later than their cause.
+    m_history.last_fault_end =
+        std::max(m_history.last_fault_end, clock::now() + fault.duration + replacement_delay);
+    schedule(fault.duration,
+             [this, number]
+             {
+                 auto expected = number;
+                 m_deadly_part_number.compare_exchange_strong(expected, 0);
+             });
+}
+
 void soak_deployment::record_unexpected_exits()
 {
     for (std::size_t number = 0; number < m_nodes.size(); ++number)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,6 +24,11 @@
 /// Number of consecutive ports that a deployment uses.
 inline constexpr int port_count = 700;
 
+/// The nodes of larger fleets are in three zones instead of two.
+inline constexpr int maximum_small_fleet = 12;
+/// Limited by the ports and loopback addresses.
+inline constexpr int maximum_nodes = 90;
+
 struct soak_options
 {
     int nodes = 3;
@@ -34,6 +40,8 @@
     bool has_varied_callers = false;
     /// First of `port_count` ports.
     std::uint16_t first_port = 0;
+    /// One more caller sends prompts that crash engines, when the plan says so.
+    bool has_deadly_caller = false;
     /// Object kinds that the store hides from the nodes, to show that a check detects it.
     std::vector<std::string> hidden_kinds;
     /// Folder for the output of the nodes; empty to discard it.
@@ -81,6 +89,9 @@
     void start_server(std::string const& service, std::string const& zone, bool is_cold);
     void write_server_entry(running_server const& target, std::string const& state);
     void stop_server(running_server& target);
+    /// Ends the server without notice and starts another in its place.
+    void crash_server(running_server& target);
+    void crash_servers_with_deadly_prompts();
     void collect_arrivals(running_server const& target);
     /// Returns null if the selected server is leaving (draining or removed).
     running_server* select_server(unsigned target_index);
@@ -94,6 +105,7 @@
     void inject_store_fault(planned_fault const& fault);
     void evacuate_zone(planned_fault const& fault);
     void start_burst(planned_fault const& fault);
+    void start_deadly_prompts(planned_fault const& fault);
     void schedule(milliseconds delay, std::function<void()> action);
     void record_disruption(std::string const& subject, milliseconds duration,
                            bool is_planned = false);
@@ -101,6 +113,8 @@
     void record_host_stalls();
 
     soak_options m_options;
+    /// The first two or three zones.
+    std::span<char const* const> m_zones;
     history m_history;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work_guard;
@@ -110,6 +124,9 @@
     std::vector<running_node> m_nodes;
     std::atomic<bool> m_burst{false};
     time_point m_burst_end;
+    /// Number of the prompt part that crashes engines now, or 0.
+    std::atomic<int> m_deadly_part_number{0};
+    int m_deadly_part_count = 0;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::multimap<time_point, std::function<void()>> m_scheduled_actions;
     time_point m_store_fault_end;
--- a/tests/soak_checks_test.cpp
+++ b/tests/soak_checks_test.cpp
@@ -319,6 +319,57 @@
                      [](auto& recorded) { recorded.arrivals[0].deadline = milliseconds(9000); });
 }
 
+/// Adds a prompt part that crashes three servers, and requests with it that reach servers after the
+/// time in which nodes must learn of it.
+void add_deadly_requests(valid_history& recorded, int late_count)
+{
+    for (int i = 0; i < 3 + late_count; ++i)
+    {
+        auto const id = "d" + std::to_string(i);
+        auto const server = "engine-" + std::to_string(i);
+        auto const sent_at = 11000 + i * 100 + (i < 3 ? 0 : 4000);
+        recorded.servers[server] = {"engines", "a", start, start, {}, at(sent_at + 20)};
+        auto& request = recorded.add_request(id, request_kind::stream, sent_at);
+        request.deadly_part = "dead1";
+        request.last_event_number = 5;
+        request.status = 502;
+        recorded.add_arrival(id, server, sent_at + 10).succeeded = false;
+    }
+}
+
+// Guards against one prompt part that crashes server after server.
+TEST(soak_checks, report_prompt_parts_that_still_crash_servers_when_nodes_must_know_them)
+{
+    expect_violation("deadly_parts", [](auto& recorded) { add_deadly_requests(recorded, 4); });
+    valid_history permitted;
+    add_deadly_requests(permitted, 3);
+    EXPECT_EQ(count_violations("deadly_parts", permitted), 0U);
+    valid_history cut_off;
+    add_deadly_requests(cut_off, 4);
+    cut_off.disturb(node_subject(0), 14000, 15000);
+    EXPECT_EQ(count_violations("deadly_parts", cut_off), 0U);
+}
+
+// Guards against nodes that reject sound requests which share their first part with a deadly one.
+TEST(soak_checks, report_sound_streams_that_are_rejected_beside_a_deadly_part)
+{
+    auto const add_streams = [](valid_history& recorded, int rejected_count)
+    {
+        add_deadly_requests(recorded, 3);
+        for (int i = 0; i < 10; ++i)
+        {
+            auto& stream = recorded.add_request("s" + std::to_string(i), request_kind::stream,
+                                                14300 + i * 100);
+            stream.last_event_number = 5;
+            stream.status = i < rejected_count ? 503 : 200;
+        }
+    };
+    expect_violation("sound_prompts", [&](auto& recorded) { add_streams(recorded, 6); });
+    valid_history served;
+    add_streams(served, 2);
+    EXPECT_EQ(count_violations("sound_prompts", served), 0U);
+}
+
 TEST(soak_checks, report_missing_recovery_and_exited_processes)
 {
     expect_violation(
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -166,6 +166,14 @@
         fields.set("Attempt-Id", "another");
         return send(socket, 200, fields, "response to another request");
     }
+    if (action == "crash")
+    {
+        fields.add("Content-Type", "text/event-stream");
+        fields.add("Transfer-Encoding", "chunked");
+        send_all(socket, http::write_response_head(200, "", fields));
+        m_crashed = true;
+        return wait_while_connected(socket, std::chrono::hours(1));
+    }
     if (action == "hang")
         return wait_while_connected(socket, std::chrono::hours(1));
     if (action.starts_with("work-"))
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -22,7 +22,8 @@
 /// is complete with two more events), `comment-N` (like `closed-N`, followed by a comment line
 /// without a blank line), `stalled-N` (stops after one event and sends a comment byte now and then;
 /// a resumed stream continues to N events), `endless` (sends a body without end), `copied` (sends
-/// its response a second time when the next request arrives on the connection).
+/// its response a second time when the next request arrives on the connection), `crash` (sends the
+/// head of a response, then nothing; `has_crashed` tells the owner to end the server).
 class fake_server
 {
 public:
@@ -53,6 +54,7 @@
     void set_event_interval(std::chrono::milliseconds interval) { m_event_interval = interval; }
     /// Delays the response to a request that stops and copies a generation.
     void set_stop_delay(std::chrono::milliseconds delay) { m_stop_delay = delay; }
+    bool has_crashed() const noexcept { return m_crashed; }
     /// Makes /report return the state `draining`.
     void start_draining() { m_draining = true; }
 
@@ -98,6 +100,7 @@
     /// Requests whose generation stops here, since the last copy has been taken.
     std::set<std::string> m_handed_over_ids;
     std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_crashed{false};
     std::atomic<int> m_disconnect_count{0};
     std::atomic<int> m_copy_count{0};
     std::atomic<std::chrono::milliseconds> m_stop_delay{std::chrono::milliseconds(0)};
