Tests: Record when a request reached the host, not when a fake server read it

The thread that watches the host saw nothing, since it only samples its own wake-ups.

A fake starts a thread for each new connection.

Fakes now take the time of arrival from the kernel (TCP_INFO), and the soak starts 64 threads for each node ahead.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds slow_event_interval{90};
 constexpr milliseconds normal_event_interval{20};
 constexpr milliseconds ready_timeout{15000};
+constexpr int connection_threads_per_node = 64;
 // A thread that wakes up this late shows that the host is overloaded.
 constexpr milliseconds stall_threshold{100};
 constexpr std::array non_idempotent_services{"orders-a", "orders-b", "orders-c"};
@@ -123,6 +124,7 @@
 
 bool soak_deployment::start()
 {
+    start_connection_threads(connection_threads_per_node * m_options.nodes);
     m_host_monitor = std::thread([this] { record_host_stalls(); });
     publish_configuration();
     for (auto const* const service : non_idempotent_services)
--- a/tests/support/connection_server.cpp
+++ b/tests/support/connection_server.cpp
@@ -2,17 +2,24 @@
 
 #include "http/request_reader.hpp"
 
+#include <Poco/Event.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/ThreadPool.h>
 
+#include <algorithm>
 #include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 namespace jasminepier::tests
 {
 namespace
 {
 
+constexpr int maximum_threads = 4096;
+
 class handler_connection : public Poco::Net::TCPServerConnection
 {
 public:
@@ -52,8 +59,28 @@
     return socket;
 }
 
+Poco::ThreadPool& thread_pool()
+{
+    static Poco::ThreadPool pool(16, maximum_threads);
+    return pool;
+}
+
 } // namespace
 
+void start_connection_threads(int count)
+{
+    struct waiting_task : Poco::Runnable
+    {
+        void run() override { m_end.wait(); }
+        Poco::Event m_end{Poco::Event::EVENT_MANUALRESET};
+    } task;
+    auto& pool = thread_pool();
+    for (int i = 0; i < std::min(count, maximum_threads / 2); ++i)
+        pool.start(task);
+    task.m_end.set();
+    pool.joinAll();
+}
+
 void send_all(Poco::Net::StreamSocket& socket, std::string const& text)
 {
     std::size_t sent = 0;
@@ -68,17 +95,28 @@
     return ::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+std::chrono::milliseconds time_since_last_data(Poco::Net::StreamSocket& socket)
+{
+    // The kernel counts in ticks of several milliseconds.
+    constexpr std::chrono::milliseconds minimum{20};
+    tcp_info information{};
+    socklen_t size = sizeof information;
+    if (::getsockopt(socket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &information, &size) != 0)
+        return {};
+    std::chrono::milliseconds const elapsed(information.tcpi_last_data_recv);
+    return elapsed < minimum ? std::chrono::milliseconds(0) : elapsed;
+}
+
 connection_server::connection_server(std::uint16_t port, handler handle_connection)
     : m_port(port), m_handler(std::move(handle_connection))
 {
     auto* const parameters = new Poco::Net::TCPServerParams;
-    parameters->setMaxThreads(128);
+    parameters->setMaxThreads(512);
     parameters->setThreadIdleTime(Poco::Timespan(1, 0));
-    static Poco::ThreadPool pool(16, 512);
     m_server = std::make_unique<Poco::Net::TCPServer>(
         new handler_connection_factory([this](Poco::Net::StreamSocket& socket)
                                        { this->serve(socket); }),
-        pool, listen_on(port), parameters);
+        thread_pool(), listen_on(port), parameters);
     m_server->start();
 }
 
--- a/tests/support/connection_server.hpp
+++ b/tests/support/connection_server.hpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/TCPServer.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -44,9 +45,16 @@
     std::unique_ptr<Poco::Net::TCPServer> m_server;
 };
 
+/// Starts threads for connections ahead. On a loaded host, a new thread may start over a second
+/// late, while threads that wait wake up in time.
+void start_connection_threads(int count);
+
 /// Reads one request. Returns nothing if the peer closes the connection.
 std::optional<http::request> read_request(Poco::Net::StreamSocket& socket);
 
+/// Returns how long the last received bytes have waited on this host to be read, or 0 below 20 ms.
+std::chrono::milliseconds time_since_last_data(Poco::Net::StreamSocket& socket);
+
 /// Sends all of `text`. Throws if the connection is lost.
 void send_all(Poco::Net::StreamSocket& socket, std::string const& text);
 
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -81,6 +81,8 @@
 
 bool fake_server::respond(Poco::Net::StreamSocket& socket, http::request const& request)
 {
+    // Under load, a thread may read a request long after it has arrived.
+    auto const arrived_at = std::chrono::steady_clock::now() - time_since_last_data(socket);
     auto const path = std::string(request.path());
     if (path == "/kv-move")
         return copy_generation(socket, request), true;
@@ -103,7 +105,7 @@
         m_requests.push_back({request.target,
                               request.headers,
                               request.body,
-                              std::chrono::steady_clock::now(),
+                              arrived_at,
                               {},
                               action != "shed",
                               false});
