Node: Count the time before a request is read against its deadline

A node that was paused, or whose thread started late on an overloaded VM, took the time at which it read a request for its arrival and handed the server up to that much more time than the caller had left. Ruled out: late fakes, whose arrival times come from the kernel.

The arrival is now the time at which the request's last bytes reached the VM (TCP_INFO), if that is 20 ms or more ago.

node_process_test: deadline_counts_the_time_before_a_request_is_read (process stopped for 1.2 s, timeout 3 s): Deadline-Ms 2999 before, at most 2000 now.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace jasminepier::http
@@ -16,6 +18,8 @@
 constexpr int body_timeout_factor = 4;
 // Time for the caller to read the response before the socket is closed.
 constexpr std::chrono::milliseconds lingering_close_timeout{200};
+// The kernel counts the time since the last data in ticks of several milliseconds.
+constexpr base::milliseconds minimum_read_delay{20};
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -121,6 +125,16 @@
     return true;
 }
 
+base::milliseconds caller_connection::time_since_last_data() const
+{
+    tcp_info information{};
+    socklen_t size = sizeof information;
+    if (::getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &information, &size) != 0)
+        return {};
+    base::milliseconds const elapsed(information.tcpi_last_data_recv);
+    return elapsed < minimum_read_delay ? base::milliseconds(0) : elapsed;
+}
+
 bool caller_connection::is_disconnected() const
 {
     pollfd entry{descriptor(), POLLRDHUP, 0};
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -56,6 +56,9 @@
     /// bytes by `deadline`.
     bool send(std::string_view bytes, base::time_point deadline);
 
+    /// Returns how long ago the last bytes reached this VM, or 0 below 20 ms. They may be read
+    /// later if the process was paused or the VM is overloaded.
+    base::milliseconds time_since_last_data() const;
     /// Returns true if the caller closed its side of the connection or reset it.
     bool is_disconnected() const;
     /// Returns true if bytes of another request arrived together with the last one.
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -110,7 +110,7 @@
         if (outcome != http::read_outcome::request)
             return send_read_error(caller, outcome);
         request_context context(m_state, caller, wake, std::move(request),
-                                base::steady_clock_source{}.now());
+                                base::steady_clock_source{}.now() - caller.time_since_last_data());
         serve_request(context);
         context.log_completion();
         wake.clear();
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -158,6 +158,26 @@
     EXPECT_EQ(m_engine_2.execution_count(m_last_request_id), 1);
 }
 
+// Guards against handing servers more time than the caller has left when the process was paused, or
+// its thread was late, while the request had arrived.
+TEST_F(node_process_test, deadline_counts_the_time_before_a_request_is_read)
+{
+    start_until_ready();
+    m_node.program().send_signal(SIGSTOP);
+    auto pending = std::async(std::launch::async, [&] { return call("GET", "/check/ok"); });
+    std::this_thread::sleep_for(milliseconds(1200));
+    m_node.program().send_signal(SIGCONT);
+    EXPECT_EQ(pending.get().status, 200);
+    auto requests = m_shop_1.requests();
+    std::ranges::copy(m_shop_2.requests(), std::back_inserter(requests));
+    auto const received = std::ranges::find_if(
+        requests, [&](auto const& request)
+        { return request.headers.find("Attempt-Id").value_or("") == m_last_request_id; });
+    ASSERT_NE(received, requests.end());
+    // The route's timeout is 3 s.
+    EXPECT_LE(std::stoi(std::string(received->headers.find("Deadline-Ms").value_or(""))), 2000);
+}
+
 // Guards against waiting until the deadline for a stream that has stalled but still sends bytes.
 TEST_F(node_process_test, stalled_stream_that_sends_bytes_is_resumed)
 {
