Soak: Do not blame nodes for signals before main and for requests that outlast their deadlines

Under a load of 40 to 50 on 8 processors, planned work failed in ways that are not the node's:

A request that a server got within 0.5 s and was still at work on when its time was over no longer counts; one that was passed on later does.

--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -104,6 +104,8 @@
     time_point signalled_at;
     std::optional<time_point> exited_at;
     int exit_status = 0;
+    /// The signal came before the program could handle it, so it ended the process.
+    bool was_starting = false;
 };
 
 struct configuration_change
--- a/tests/soak_checks_test.cpp
+++ b/tests/soak_checks_test.cpp
@@ -248,6 +248,43 @@
     expect_violation("stops", [](auto& recorded) { recorded.shutdowns = {{0, at(10050), {}, 0}}; });
 }
 
+// Guards against blaming a node for a signal that came before its program could handle it, and
+// against excusing a program that does not handle it.
+TEST(soak_checks, report_programs_that_the_signal_ends)
+{
+    expect_violation("stops",
+                     [](auto& recorded) {
+                         recorded.shutdowns = {{0, at(20000), at(20010), 143}};
+                     });
+    valid_history starting;
+    starting.shutdowns = {{0, at(20000), at(20010), 143, true}};
+    EXPECT_EQ(count_violations("stops", starting), 0U);
+    expect_violation("stops",
+                     [](auto& recorded) {
+                         recorded.shutdowns = {{0, at(20000), {}, 0, true}};
+                     });
+}
+
+// Guards against blaming the nodes for requests whose servers need more time than their callers
+// have, and against excusing nodes that passed a request on too late.
+TEST(soak_checks, expect_no_recovery_of_requests_that_outlast_their_deadlines)
+{
+    auto const add_timed_out = [](valid_history& recorded, int arrived_at)
+    {
+        auto& request = recorded.add_request("r2", request_kind::idempotent, 13000);
+        request.deadline = milliseconds(1500);
+        request.ended_at = at(14502);
+        request.status = 504;
+        auto& arrival = recorded.add_arrival("r2", "s1", arrived_at);
+        arrival.ended_at = at(14505);
+        arrival.succeeded = false;
+    };
+    valid_history too_long;
+    add_timed_out(too_long, 13010);
+    EXPECT_EQ(count_violations("recovery", too_long), 0U);
+    expect_violation("recovery", [&](auto& recorded) { add_timed_out(recorded, 14000); });
+}
+
 // Guards against requests that a stopping node reads and gives up, however late after SIGTERM they
 // were sent, and against blaming it for what it could not finish.
 TEST(soak_checks, report_requests_without_an_answer)
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -91,6 +91,17 @@
     return false;
 }
 
+bool process::has_blocked(int signal) const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string name;
+    std::string value;
+    while (status >> name && std::getline(status, value))
+        if (name == "SigBlk:")
+            return (std::stoull(value, nullptr, 16) >> (signal - 1) & 1) != 0;
+    return false;
+}
+
 int process::wait_for_exit(int seconds)
 {
     auto const deadline = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -30,6 +30,9 @@
     /// killed it, or -1 after `seconds`.
     int wait_for_exit(int seconds);
     bool running();
+    /// Returns true if the program's main thread has blocked the signal, as programs do that wait
+    /// for it. False between the start of the process and the program's first statements.
+    bool has_blocked(int signal) const;
     /// Returns the standard output and standard error so far.
     std::string output() const;
 
