Tests: Read responses in one place

call_node and the soak's caller each had a loop that reads a response. Both use receive_response_part now, which tells data, the end of the connection, its loss and a timeout apart.

--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -1,7 +1,6 @@
 #include "tests/soak/soak_caller.hpp"
 
 #include "http/message.hpp"
-#include "http/response_reader.hpp"
 #include "tests/soak/checks.hpp"
 #include "tests/support/connection_server.hpp"
 #include "tests/support/node_process.hpp"
@@ -276,16 +275,7 @@
 {
     m_connection->setReceiveTimeout(to_timespan(read_timeout));
     http::response_reader reader;
-    std::array<char, 8192> bytes{};
-    auto const record_progress = [&]
-    {
-        record.body += reader.take_body();
-        record.status = reader.head().status;
-        record.has_signature = reader.head().headers.find("Server-Signature").has_value();
-        record.is_complete = reader.current_state() == http::response_reader::state::complete;
-    };
-    while (reader.current_state() == http::response_reader::state::reading_head ||
-           reader.current_state() == http::response_reader::state::reading_body)
+    while (is_reading(reader))
     {
         if (clock::now() > record.sent_at + *record.deadline + response_slack)
             return false;
@@ -295,23 +285,14 @@
             record.disconnected_at = clock::now();
             return false;
         }
-        try
-        {
-            auto const byte_count =
-                m_connection->receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-            if (byte_count <= 0)
-            {
-                reader.feed_eof();
-                record_progress();
-                return false;
-            }
-            reader.feed({bytes.data(), static_cast<std::size_t>(byte_count)});
-            record_progress();
-        }
-        catch (Poco::TimeoutException const&)
-        {
-            // No data was received within `read_timeout`.
-        }
+        auto const result = receive_response_part(*m_connection, reader);
+        record.body += reader.take_body();
+        record.status = reader.head().status;
+        record.has_signature = reader.head().headers.find("Server-Signature").has_value();
+        record.is_complete = reader.current_state() == http::response_reader::state::complete;
+        if (result == receive_result::end_of_connection ||
+            result == receive_result::lost_connection)
+            return false;
     }
     if (auto const retry_after = reader.head().headers.find("Retry-After"))
         m_retry_after = milliseconds(static_cast<int>(std::stod(std::string(*retry_after)) * 1000));
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -1,6 +1,5 @@
 #include "tests/support/node_process.hpp"
 
-#include "http/response_reader.hpp"
 #include "tests/support/connection_server.hpp"
 
 #include <array>
@@ -66,6 +65,36 @@
     }
 }
 
+receive_result receive_response_part(Poco::Net::StreamSocket& socket, http::response_reader& reader)
+{
+    std::array<char, 8192> bytes{};
+    try
+    {
+        auto const count = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (count > 0)
+        {
+            reader.feed({bytes.data(), static_cast<std::size_t>(count)});
+            return receive_result::data;
+        }
+        reader.feed_eof();
+        return receive_result::end_of_connection;
+    }
+    catch (Poco::TimeoutException const&)
+    {
+        return receive_result::timeout;
+    }
+    catch (Poco::Exception const&)
+    {
+        return receive_result::lost_connection;
+    }
+}
+
+bool is_reading(http::response_reader const& reader)
+{
+    return reader.current_state() == http::response_reader::state::reading_head ||
+           reader.current_state() == http::response_reader::state::reading_body;
+}
+
 caller_response call_node(std::uint16_t port, http::request const& request, std::string const& host)
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(host, port));
@@ -73,28 +102,9 @@
     send_all(socket, http::write_request(request));
     http::response_reader reader(request.method != "HEAD");
     caller_response response;
-    std::array<char, 8192> bytes{};
-    while (reader.current_state() == http::response_reader::state::reading_head ||
-           reader.current_state() == http::response_reader::state::reading_body)
-    {
-        int count = 0;
-        try
-        {
-            count = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-        }
-        catch (std::exception const&)
-        {
-            // After a reset, return what was received.
-            break;
-        }
-        if (count <= 0)
-        {
-            reader.feed_eof();
-            break;
-        }
-        reader.feed({bytes.data(), static_cast<std::size_t>(count)});
+    // After a reset, return what was received.
+    while (is_reading(reader) && receive_response_part(socket, reader) == receive_result::data)
         response.body += reader.take_body();
-    }
     response.status = reader.head().status;
     response.headers = reader.head().headers;
     response.is_complete = reader.current_state() == http::response_reader::state::complete;
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/message.hpp"
+#include "http/response_reader.hpp"
 #include "tests/support/connection_server.hpp"
 #include "tests/support/process.hpp"
 
@@ -61,6 +62,22 @@
     bool is_complete = false;
 };
 
+enum class receive_result
+{
+    data,
+    end_of_connection,
+    lost_connection,
+    /// Nothing arrived within the socket's receive timeout.
+    timeout,
+};
+
+/// Feeds the next bytes or the end of the connection to the reader.
+receive_result receive_response_part(Poco::Net::StreamSocket& socket,
+                                     http::response_reader& reader);
+
+/// Returns true while more bytes are needed for the response.
+bool is_reading(http::response_reader const& reader);
+
 /// Sends a request and reads the response until its end or the end of the connection.
 caller_response call_node(std::uint16_t port, http::request const& request,
                           std::string const& host = loopback_host);
