Soak: Watch whether the proxies and the callers run late

Bounds on time are not judged while the host stands still, but only a thread of its own was watched. The thread of the proxies now watches itself, and each caller notes when a read of 20 ms took 0.1 s more; both count as disruptions of the host.

--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -23,6 +23,9 @@
     bool is_planned = false;
 };
 
+/// A thread that is this late shows that the host is overloaded.
+constexpr milliseconds stall_threshold{100};
+
 enum class request_kind
 {
     /// Must not be executed more than once.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -285,7 +285,10 @@
             record.disconnected_at = clock::now();
             return false;
         }
+        auto const begin = clock::now();
         auto const result = receive_response_part(*m_connection, reader);
+        if (clock::now() > begin + read_timeout + stall_threshold)
+            m_stalls.push_back({begin, clock::now()});
         record.body += reader.take_body();
         record.status = reader.head().status;
         record.has_signature = reader.head().headers.find("Server-Signature").has_value();
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -50,6 +50,8 @@
     ~soak_caller();
     /// Stops after the current request and returns the records.
     std::vector<request_record> finish();
+    /// When the thread of this caller ran late; valid after `finish`.
+    std::vector<time_span> const& stalls() const noexcept { return m_stalls; }
 
 private:
     struct planned_request
@@ -90,6 +92,7 @@
     int m_request_count = 0;
     std::optional<milliseconds> m_retry_after;
     std::vector<request_record> m_records;
+    std::vector<time_span> m_stalls;
     std::atomic<bool> m_stop_requested{false};
     std::thread m_thread;
 };
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -3,8 +3,10 @@
 #include "tests/soak/checks.hpp"
 #include "tests/support/deployment.hpp"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <future>
 
 namespace jasminepier::tests::soak
 {
@@ -17,8 +19,6 @@
 constexpr milliseconds warm_up_time{2000};
 constexpr milliseconds ready_timeout{15000};
 constexpr int connection_threads_per_node = 64;
-// A thread that wakes up this late shows that the host is overloaded.
-constexpr milliseconds stall_threshold{100};
 constexpr std::array non_idempotent_services{"orders-a", "orders-b", "orders-c"};
 constexpr std::array zones{"a", "b", "c"};
 // Offsets of the ports of the first node's proxies, for callers and for the store.
@@ -114,6 +114,7 @@
 {
     start_connection_threads(connection_threads_per_node * m_options.nodes);
     m_host_monitor = std::thread([this] { record_host_stalls(); });
+    boost::asio::post(m_context, [this] { watch_proxy_thread(); });
     publish_configuration();
     for (auto const* const service : non_idempotent_services)
         for (auto const* const zone : m_zones)
@@ -316,14 +317,40 @@
     }
 }
 
+void soak_deployment::watch_proxy_thread()
+{
+    if (m_stop_requested)
+        return;
+    m_proxy_timer.expires_after(poll_interval);
+    m_proxy_timer.async_wait(
+        [this](boost::system::error_code const&)
+        {
+            auto const due = m_proxy_timer.expiry();
+            if (clock::now() > due + stall_threshold)
+                m_proxy_stalls.push_back({due, clock::now()});
+            watch_proxy_thread();
+        });
+}
+
 history soak_deployment::finish()
 {
     for (auto& caller : m_callers)
+    {
         for (auto& record : caller->finish())
             m_history.requests.push_back(std::move(record));
+        std::ranges::copy(caller->stalls(), std::back_inserter(m_host_stalls));
+    }
     m_callers.clear();
     m_stop_requested = true;
     m_host_monitor.join();
+    std::promise<void> watch_ended;
+    boost::asio::post(m_context,
+                      [&]
+                      {
+                          std::ranges::copy(m_proxy_stalls, std::back_inserter(m_host_stalls));
+                          watch_ended.set_value();
+                      });
+    watch_ended.get_future().wait();
     m_history.disruptions[host_subject] = m_host_stalls;
     if (!m_options.output_folder.empty())
         for (std::size_t number = 0; number < m_nodes.size(); ++number)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -111,6 +111,8 @@
                            bool is_planned = false);
     void record_unexpected_exits();
     void record_host_stalls();
+    /// Records when the thread of the proxies runs late.
+    void watch_proxy_thread();
 
     soak_options m_options;
     /// The first two or three zones.
@@ -134,6 +136,9 @@
     int m_configuration_version = 0;
     std::atomic<bool> m_stop_requested{false};
     std::vector<time_span> m_host_stalls;
+    boost::asio::steady_timer m_proxy_timer{m_context};
+    /// Used on the thread of the proxies.
+    std::vector<time_span> m_proxy_stalls;
     std::thread m_host_monitor;
 };
 
