--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -23,6 +23,9 @@
     bool is_planned = false;
 };
 
+/// A thread that is this late shows that the host is overloaded.
+constexpr milliseconds stall_threshold{100};
+
 enum class request_kind
 {
     /// Must not be executed more than once.
@@ -58,6 +61,8 @@
     /// last event of the stream, which is 0 for requests that are not streamed.
     int first_event_number = 1;
     int last_event_number = 0;
+    /// Prompt part that crashes the engine which begins to answer; empty for sound requests.
+    std::string deadly_part;
     /// Set if the caller waits for another time than `test_settings::request_deadline`.
     std::optional<milliseconds> deadline;
     /// Set if the caller closed the connection before the end of the response.
@@ -102,6 +107,8 @@
     time_point signalled_at;
     std::optional<time_point> exited_at;
     int exit_status = 0;
+    /// The signal came before the program could handle it, so it ended the process.
+    bool was_starting = false;
 };
 
 struct configuration_change
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -3,9 +3,10 @@
 #include "tests/soak/checks.hpp"
 #include "tests/support/deployment.hpp"
 
-#include <csignal>
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <future>
 
 namespace jasminepier::tests::soak
 {
@@ -15,23 +16,14 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds poll_interval{10};
-// On the platform, servers renew their store entries every 1.2 s and are removed after missing
-// three renewals.
-constexpr milliseconds crash_detection_time{1000};
-constexpr milliseconds replacement_delay{1000};
-// Servers serve a little longer than the time in which nodes must notice that they are draining.
-constexpr milliseconds drain_time = limits::drain_propagation + milliseconds(700);
 constexpr milliseconds warm_up_time{2000};
-constexpr milliseconds restart_delay{300};
-// Servers whose entries expired during a store outage register again within 2 s after it.
-constexpr milliseconds entry_restore_delay{1500};
-constexpr milliseconds slow_event_interval{90};
-constexpr milliseconds normal_event_interval{20};
 constexpr milliseconds ready_timeout{15000};
-// A thread that wakes up this late shows that the host is overloaded.
-constexpr milliseconds stall_threshold{100};
+constexpr int connection_threads_per_node = 64;
 constexpr std::array non_idempotent_services{"orders-a", "orders-b", "orders-c"};
-constexpr std::array zones{"a", "b"};
+constexpr std::array zones{"a", "b", "c"};
+// Offsets of the ports of the first node's proxies, for callers and for the store.
+constexpr int first_caller_port_offset = 10;
+constexpr int first_store_port_offset = 110;
 // Offset of the first server port. The proxy of each server listens on the port after it.
 constexpr int first_server_port_offset = 200;
 constexpr int server_port_count = 400;
@@ -81,9 +73,11 @@
 } // namespace
 
 soak_deployment::soak_deployment(soak_options options)
-    : m_options(std::move(options)), m_work_guard(boost::asio::make_work_guard(m_context)),
-      m_proxy_thread([this] { m_context.run(); }),
-      m_store(std::make_unique<fake_store>(m_options.first_port))
+    : m_options(std::move(options)),
+      m_zones(std::span(zones).first(m_options.nodes > maximum_small_fleet ? 3 : 2)),
+      m_work_guard(boost::asio::make_work_guard(m_context)),
+      m_store(std::make_unique<fake_store>(m_options.first_port)),
+      m_proxy_thread([this] { m_context.run(); })
 {
     // Replaces the peer hosts that nodes publish, so that nodes reach each other through proxies.
     m_store->set_spec_rewriter(
@@ -118,12 +112,14 @@
 
 bool soak_deployment::start()
 {
+    start_connection_threads(connection_threads_per_node * m_options.nodes);
     m_host_monitor = std::thread([this] { record_host_stalls(); });
+    boost::asio::post(m_context, [this] { watch_proxy_thread(); });
     publish_configuration();
     for (auto const* const service : non_idempotent_services)
-        for (auto const* const zone : zones)
+        for (auto const* const zone : m_zones)
             start_server(service, zone, false);
-    for (auto const* const zone : zones)
+    for (auto const* const zone : m_zones)
     {
         start_server("checks", zone, false);
         start_server("checks", zone, false);
@@ -139,7 +135,7 @@
     for (int number = 0; number < m_options.nodes; ++number)
     {
         auto const& ports = m_nodes[static_cast<std::size_t>(number)].process->ports();
-        addresses.push_back({offset_port(m_options.first_port, 10 + number),
+        addresses.push_back({offset_port(m_options.first_port, first_caller_port_offset + number),
                              ports.caller_host + ":" + std::to_string(ports.callers),
                              ports.caller_host, ports.addresses});
     }
@@ -151,6 +147,11 @@
             number, m_options.seed * 1000 + static_cast<unsigned>(number), addresses,
             caller_habits{m_options.has_varied_callers, m_options.has_varied_callers,
                           number < m_options.callers ? nullptr : &m_burst}));
+    if (m_options.has_deadly_caller)
+        m_callers.push_back(std::make_unique<soak_caller>(
+            static_cast<int>(m_callers.size()),
+            m_options.seed * 1000 + static_cast<unsigned>(m_callers.size()), addresses,
+            caller_habits{.deadly_part_number = &m_deadly_part_number}));
     return true;
 }
 
@@ -163,14 +164,16 @@
                      offset_port(m_options.first_port, 4),
                      "127.0.2." + address_suffix,
                      "127.0.3." + address_suffix,
-                     zones[static_cast<std::size_t>(number) % zones.size()]};
-    auto const store_port = offset_port(m_options.first_port, 50 + number);
+                     m_zones[static_cast<std::size_t>(number) % m_zones.size()]};
+    auto const store_port = offset_port(m_options.first_port, first_store_port_offset + number);
     running_node node;
     node.store_proxy =
         std::make_unique<link_proxy>(m_context, endpoint_at(loopback_host, store_port),
                                      endpoint_at(loopback_host, m_options.first_port));
     node.caller_proxy = std::make_unique<link_proxy>(
-        m_context, endpoint_at(loopback_host, offset_port(m_options.first_port, 10 + number)),
+        m_context,
+        endpoint_at(loopback_host,
+                    offset_port(m_options.first_port, first_caller_port_offset + number)),
         endpoint_at(ports.caller_host, ports.callers));
     node.peer_proxy =
         std::make_unique<link_proxy>(m_context, endpoint_at(ports.caller_host, ports.peers),
@@ -283,269 +286,12 @@
             auto const action = m_scheduled_actions.extract(m_scheduled_actions.begin());
             action.mapped()();
         }
+        crash_servers_with_deadly_prompts();
         record_unexpected_exits();
         std::this_thread::sleep_for(poll_interval);
     }
 }
 
-void soak_deployment::inject(planned_fault const& fault)
-{
-    auto const number = static_cast<int>(fault.target_index % m_nodes.size());
-    auto& node = m_nodes[static_cast<std::size_t>(number)];
-    switch (fault.kind)
-    {
-    case fault_kind::caller_link:
-        return inject_link_fault(*node.caller_proxy, node_subject(number), fault);
-    case fault_kind::store_link:
-        return inject_link_fault(*node.store_proxy, node_subject(number), fault);
-    case fault_kind::peer_link:
-        return inject_link_fault(*node.peer_proxy, node_subject(number), fault);
-    case fault_kind::server_link:
-    case fault_kind::server_crash:
-    case fault_kind::server_drain:
-    case fault_kind::server_removal:
-    case fault_kind::server_slowdown:
-        return inject_server_fault(fault);
-    case fault_kind::node_pause:
-    case fault_kind::node_kill:
-    case fault_kind::node_stop:
-    case fault_kind::node_reload:
-        return inject_node_fault(number, fault);
-    case fault_kind::store_refusal:
-    case fault_kind::store_silence:
-    case fault_kind::store_lost_answers:
-    case fault_kind::store_lost_history:
-    case fault_kind::store_lapsed_entries:
-        return inject_store_fault(fault);
-    case fault_kind::configuration_change:
-        return publish_configuration();
-    case fault_kind::zone_evacuation:
-        return evacuate_zone(fault);
-    case fault_kind::burst:
-        return start_burst(fault);
-    }
-}
-
-void soak_deployment::inject_link_fault(link_proxy& link, std::string const& subject,
-                                        planned_fault const& fault)
-{
-    if (link.state() != link_state::clear)
-        return;
-    record_disruption(subject, fault.duration);
-    link.set_state(fault.link);
-    if (fault.link == link_state::refusing)
-        link.reset_connections();
-    schedule(fault.duration,
-             [this, subject, proxy = &link]
-             {
-                 // The proxy may have been destroyed along with its server.
-                 for (auto const& node : m_nodes)
-                     for (auto* const proxy_of_node :
-                          {node.caller_proxy.get(), node.store_proxy.get(), node.peer_proxy.get()})
-                         if (proxy_of_node == proxy)
-                             proxy_of_node->set_state(link_state::clear);
-                 for (auto const& server : m_servers)
-                     if (server->id == subject && server->proxy.get() == proxy)
-                         server->proxy->set_state(link_state::clear);
-             });
-}
-
-void soak_deployment::inject_node_fault(int number, planned_fault const& fault)
-{
-    auto& node = m_nodes[static_cast<std::size_t>(number)];
-    // A node may be told to reload while it shuts down.
-    bool const is_shutting_down =
-        node.has_active_fault && !node.is_expected_to_run && node.process->program().running();
-    if (node.has_active_fault && !(is_shutting_down && fault.kind == fault_kind::node_reload))
-        return;
-    if (fault.kind == fault_kind::node_reload)
-    {
-        node.process->rewrite_settings("# change " + std::to_string(++node.reload_count) + "\n");
-        node.process->program().send_signal(SIGHUP);
-        return;
-    }
-    node.has_active_fault = true;
-    auto const restart = [this, number, &node]
-    {
-        m_history.process_starts[number].push_back(clock::now());
-        node.process->restart();
-        node.has_active_fault = false;
-        node.is_expected_to_run = true;
-    };
-    switch (fault.kind)
-    {
-    case fault_kind::node_pause:
-        record_disruption(node_subject(number), fault.duration);
-        node.process->program().send_signal(SIGSTOP);
-        schedule(fault.duration,
-                 [&node]
-                 {
-                     node.process->program().send_signal(SIGCONT);
-                     node.has_active_fault = false;
-                 });
-        return;
-    case fault_kind::node_kill:
-        record_disruption(node_subject(number), fault.duration);
-        node.is_expected_to_run = false;
-        node.process->program().send_signal(SIGKILL);
-        schedule(fault.duration, restart);
-        return;
-    default:
-        return shut_down_node(number);
-    }
-}
-
-void soak_deployment::shut_down_node(int number)
-{
-    auto& node = m_nodes[static_cast<std::size_t>(number)];
-    node.is_expected_to_run = false;
-    auto const shutdown_index = m_history.shutdowns.size();
-    m_history.shutdowns.push_back({number, clock::now(), {}, 0});
-    record_disruption(node_subject(number), test_settings::shutdown_grace_period + restart_delay,
-                      true);
-    auto const disruption_index = m_history.disruptions[node_subject(number)].size() - 1;
-    node.process->program().send_signal(SIGTERM);
-    // Like the platform, restart() kills a process that is still running after its grace period.
-    auto const poll_exit = std::make_shared<std::function<void()>>();
-    *poll_exit = [this, number, shutdown_index, disruption_index, poll_exit]
-    {
-        auto& stopping = m_nodes[static_cast<std::size_t>(number)];
-        auto& record = m_history.shutdowns[shutdown_index];
-        bool const grace_period_expired =
-            clock::now() > record.signalled_at + test_settings::shutdown_grace_period;
-        if (stopping.process->program().running() && !grace_period_expired)
-            return schedule(poll_interval, *poll_exit);
-        if (!grace_period_expired)
-        {
-            record.exited_at = clock::now();
-            record.exit_status = stopping.process->program().wait_for_exit(0);
-        }
-        schedule(restart_delay,
-                 [this, number, disruption_index]
-                 {
-                     auto& restarted = m_nodes[static_cast<std::size_t>(number)];
-                     m_history.disruptions[node_subject(number)][disruption_index].to =
-                         clock::now();
-                     m_history.process_starts[number].push_back(clock::now());
-                     restarted.process->restart();
-                     restarted.has_active_fault = false;
-                     restarted.is_expected_to_run = true;
-                 });
-    };
-    schedule(poll_interval, *poll_exit);
-}
-
-void soak_deployment::inject_server_fault(planned_fault const& fault)
-{
-    auto* const target = select_server(fault.target_index);
-    if (target == nullptr)
-        return;
-    auto const id = target->id;
-    auto const find_server = [this, id]() -> running_server*
-    {
-        for (auto const& server : m_servers)
-            if (server->id == id)
-                return server.get();
-        return nullptr;
-    };
-    auto const start_replacement = [this, service = target->service, zone = target->zone]
-    { start_server(service, zone, true); };
-    switch (fault.kind)
-    {
-    case fault_kind::server_link:
-        return inject_link_fault(*target->proxy, id, fault);
-    case fault_kind::server_slowdown:
-        target->fake->set_event_interval(slow_event_interval);
-        schedule(fault.duration,
-                 [find_server]
-                 {
-                     if (auto* const slowed = find_server())
-                         slowed->fake->set_event_interval(normal_event_interval);
-                 });
-        return;
-    case fault_kind::server_crash:
-        record_disruption(id, crash_detection_time);
-        stop_server(*target);
-        schedule(crash_detection_time,
-                 [this, id]
-                 {
-                     m_store->remove("servers", id);
-                     m_history.servers[id].leaving_at = clock::now();
-                 });
-        schedule(replacement_delay, start_replacement);
-        return;
-    default:
-        break;
-    }
-    target->is_leaving = true;
-    target->fake->start_draining();
-    if (fault.kind == fault_kind::server_drain)
-        write_server_entry(*target, "draining");
-    else
-        m_store->remove("servers", id);
-    m_history.servers[id].leaving_at = clock::now();
-    schedule(drain_time,
-             [this, find_server, id]
-             {
-                 m_store->remove("servers", id);
-                 if (auto* const drained = find_server())
-                     stop_server(*drained);
-             });
-    schedule(replacement_delay, start_replacement);
-}
-
-void soak_deployment::inject_store_fault(planned_fault const& fault)
-{
-    if (fault.kind == fault_kind::store_lost_history)
-        return m_store->drop_history();
-    if (clock::now() < m_store_fault_end)
-        return;
-    m_store_fault_end = clock::now() + fault.duration;
-    bool const expires_entries = fault.kind == fault_kind::store_lapsed_entries;
-    // The disruption lasts until the expired entry is restored, which happens after the outage.
-    record_disruption(store_subject,
-                      fault.duration + (expires_entries ? entry_restore_delay : milliseconds(0)));
-    m_store->set_mode(fault.kind == fault_kind::store_refusal   ? store_mode::unavailable
-                      : fault.kind == fault_kind::store_silence ? store_mode::unresponsive
-                      : expires_entries                         ? store_mode::unavailable
-                                                                : store_mode::dropping_responses);
-    schedule(fault.duration, [this] { m_store->set_mode(store_mode::serving); });
-    auto* const expired_server = select_server(fault.target_index);
-    if (!expires_entries || expired_server == nullptr)
-        return;
-    m_store->remove("servers", expired_server->id);
-    schedule(fault.duration + entry_restore_delay,
-             [this, id = expired_server->id]
-             {
-                 for (auto const& server : m_servers)
-                     if (server->id == id && !server->is_leaving)
-                         write_server_entry(*server, "ready");
-             });
-}
-
-void soak_deployment::evacuate_zone(planned_fault const& fault)
-{
-    for (auto const& previous : m_history.evacuations)
-        if (!previous.withdrawn_at)
-            return;
-    std::string const zone = zones[fault.target_index % zones.size()];
-    m_store->put("evacuations", zone, "{}");
-    m_history.evacuations.push_back({zone, clock::now(), {}});
-    schedule(fault.duration,
-             [this, zone]
-             {
-                 m_history.evacuations.back().withdrawn_at = clock::now();
-                 m_store->remove("evacuations", zone);
-             });
-}
-
-void soak_deployment::start_burst(planned_fault const& fault)
-{
-    m_burst = true;
-    m_burst_end = std::max(m_burst_end, clock::now() + fault.duration);
-    schedule(fault.duration, [this] { m_burst = clock::now() < m_burst_end; });
-}
-
 void soak_deployment::record_unexpected_exits()
 {
     for (std::size_t number = 0; number < m_nodes.size(); ++number)
@@ -571,20 +317,46 @@
     }
 }
 
+void soak_deployment::watch_proxy_thread()
+{
+    if (m_stop_requested)
+        return;
+    m_proxy_timer.expires_after(poll_interval);
+    m_proxy_timer.async_wait(
+        [this](boost::system::error_code const&)
+        {
+            auto const due = m_proxy_timer.expiry();
+            if (clock::now() > due + stall_threshold)
+                m_proxy_stalls.push_back({due, clock::now()});
+            watch_proxy_thread();
+        });
+}
+
 history soak_deployment::finish()
 {
     for (auto& caller : m_callers)
+    {
         for (auto& record : caller->finish())
             m_history.requests.push_back(std::move(record));
+        std::ranges::copy(caller->stalls(), std::back_inserter(m_host_stalls));
+    }
     m_callers.clear();
     m_stop_requested = true;
     m_host_monitor.join();
+    std::promise<void> watch_ended;
+    boost::asio::post(m_context,
+                      [&]
+                      {
+                          std::ranges::copy(m_proxy_stalls, std::back_inserter(m_host_stalls));
+                          watch_ended.set_value();
+                      });
+    watch_ended.get_future().wait();
     m_history.disruptions[host_subject] = m_host_stalls;
     if (!m_options.output_folder.empty())
         for (std::size_t number = 0; number < m_nodes.size(); ++number)
             std::ofstream(std::filesystem::path(m_options.output_folder) /
                           ("node-" + std::to_string(number) + ".log"))
-                << m_nodes[number].process->program().output();
+                << m_nodes[number].process->output();
     for (auto& server : m_servers)
         collect_arrivals(*server);
     return m_history;
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/message.hpp"
+#include "http/response_reader.hpp"
 #include "tests/support/connection_server.hpp"
 #include "tests/support/process.hpp"
 
@@ -37,6 +38,8 @@
     bool is_ready() const;
     /// Rewrites the settings file and appends `extra_settings` to its last table.
     void rewrite_settings(std::string const& extra_settings);
+    /// Returns the output of all runs of the program.
+    std::string output() const { return m_earlier_output + m_process->output(); }
     /// Starts the program again; kills it first if it is still running.
     void restart();
 
@@ -46,6 +49,7 @@
     std::uint16_t m_store_port;
     std::string m_settings_path;
     std::unique_ptr<process> m_process;
+    std::string m_earlier_output;
 };
 
 /// The response that a caller received.
@@ -58,6 +62,22 @@
     bool is_complete = false;
 };
 
+enum class receive_result
+{
+    data,
+    end_of_connection,
+    lost_connection,
+    /// Nothing arrived within the socket's receive timeout.
+    timeout,
+};
+
+/// Feeds the next bytes or the end of the connection to the reader.
+receive_result receive_response_part(Poco::Net::StreamSocket& socket,
+                                     http::response_reader& reader);
+
+/// Returns true while more bytes are needed for the response.
+bool is_reading(http::response_reader const& reader);
+
 /// Sends a request and reads the response until its end or the end of the connection.
 caller_response call_node(std::uint16_t port, http::request const& request,
                           std::string const& host = loopback_host);
