Poison requests: Keep the records that a verdict is based on

Cause: tables of fixed size that evict by age alone, whatever a verdict depends on.

Change: when the table of crashes is full, records of requests and parts that are not rejected go first; an answer stays as long as its part has crashes on record; a request's first 64 shared parts are watched.

--- a/libraries/decision/poison_request_detector.cpp
+++ b/libraries/decision/poison_request_detector.cpp
@@ -252,9 +252,7 @@
     if (time + age_resolution < found->second.time)
         found->second.time = time;
     if (m_events.size() > maximum_events)
-        m_events.erase(std::min_element(m_events.begin(), m_events.end(),
-                                        [](auto const& left, auto const& right)
-                                        { return left.second.time < right.second.time; }));
+        evict_oldest_event();
     return added;
 }
 
@@ -264,6 +262,28 @@
                   [&](auto const& entry) { return now - entry.second.time >= event_lifetime; });
 }
 
+void poison_request_detector::evict_oldest_event()
+{
+    auto oldest_rejected = m_events.end();
+    auto oldest_other = m_events.end();
+    for (auto group = m_events.begin(); group != m_events.end();)
+    {
+        auto oldest = group;
+        std::size_t crashes = 0;
+        auto entry = group;
+        for (; entry != m_events.end() && std::get<0>(entry->first) == std::get<0>(group->first);
+             ++entry, ++crashes)
+            if (entry->second.time < oldest->second.time)
+                oldest = entry;
+        auto& candidate = crashes < rejection_threshold ? oldest_other : oldest_rejected;
+        if (candidate == m_events.end() || oldest->second.time < candidate->second.time)
+            candidate = oldest;
+        group = entry;
+    }
+    // A disruption of many servers must not clear the requests and parts that are rejected.
+    m_events.erase(oldest_other != m_events.end() ? oldest_other : oldest_rejected);
+}
+
 void poison_request_detector::drop_old_answers()
 {
     if (m_answers.size() <= maximum_answered_parts)
@@ -274,8 +294,14 @@
         times.push_back(answer.last_answer);
     auto const middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
-    std::erase_if(m_answers,
-                  [&](auto const& entry) { return entry.second.last_answer <= *middle; });
+    // Without its answer, a part would be suspected again because of crashes before it.
+    auto const has_crashes = [&](std::uint64_t part)
+    {
+        auto const event = m_events.lower_bound({part, "", ""});
+        return event != m_events.end() && std::get<0>(event->first) == part;
+    };
+    std::erase_if(m_answers, [&](auto const& entry)
+                  { return entry.second.last_answer <= *middle && !has_crashes(entry.first); });
 }
 
 std::size_t poison_request_detector::count_crashes_since_answer(std::uint64_t part,
--- a/libraries/decision/poison_request_detector.hpp
+++ b/libraries/decision/poison_request_detector.hpp
@@ -99,9 +99,11 @@
     /// Crashes within this time of each other count once for a part: a disruption that ends many
     /// servers at once says nothing about the requests that they have in common.
     static constexpr base::milliseconds minimum_crash_distance{400};
-    /// Each event takes about 200 bytes. When the set is full, the oldest event is evicted.
+    /// Each event takes about 200 bytes. When the set is full, the oldest event is evicted; those
+    /// of rejected requests and parts last.
     static constexpr std::size_t maximum_events = 4096;
-    /// Parts whose last answer is remembered. When exceeded, the older half is dropped.
+    /// Parts whose last answer is remembered. When exceeded, the older half is dropped, except for
+    /// parts with crashes.
     static constexpr std::size_t maximum_answered_parts = 16384;
     /// Time between two requests with an ambiguous part that a node sends to learn the cause.
     static constexpr base::milliseconds trial_interval{2000};
@@ -168,6 +170,7 @@
 
     bool insert(crash_event const& event, base::time_point now, int transmissions = 0);
     void drop_expired(base::time_point now);
+    void evict_oldest_event();
     void drop_old_answers();
     std::size_t count_crashes_since_answer(std::uint64_t part, base::time_point now) const;
     bool is_part_rejected(std::uint64_t part, base::time_point now) const;
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -37,6 +37,9 @@
 constexpr base::milliseconds startup_retry_delay{2000};
 // Expected length of an output without an estimate, as a fraction of its stated maximum.
 constexpr double expected_output_fraction = 0.5;
+// Shared parts of a prompt that are watched for crashes. A request with more of them could push the
+// records about other requests out of their tables.
+constexpr std::size_t maximum_tracked_prompt_parts = 64;
 // Urgency of requests without a priority; the middle of the range from 0 to 9.
 constexpr int default_urgency = 5;
 
@@ -89,9 +92,11 @@
       metadata(platform::read_request_metadata(request)), arrival(arrived), deadline(arrived),
       keep_connection(request.keep_alive)
 {
-    prompt_parts.reserve(metadata.shared_prompt_parts.size());
-    for (auto const& part : metadata.shared_prompt_parts)
-        prompt_parts.push_back(decision::fingerprint_prompt_part(part));
+    auto const tracked_parts =
+        std::min(metadata.shared_prompt_parts.size(), maximum_tracked_prompt_parts);
+    prompt_parts.reserve(tracked_parts);
+    for (std::size_t i = 0; i < tracked_parts; ++i)
+        prompt_parts.push_back(decision::fingerprint_prompt_part(metadata.shared_prompt_parts[i]));
     demand.prompt_tokens = metadata.prompt_tokens;
     demand.expected_output_tokens = static_cast<std::int64_t>(
         expected_output_fraction * static_cast<double>(metadata.maximum_output_tokens));
--- a/tests/poison_request_detector_test.cpp
+++ b/tests/poison_request_detector_test.cpp
@@ -230,6 +230,37 @@
     }
 }
 
+// Guards against rejecting a part that was cleared by an answer once that answer is evicted.
+TEST(poison_prompt_part, stays_cleared_while_many_other_parts_are_answered)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const part = make_parts({"part"});
+    for (auto const* server : {"a", "b", "c"})
+        detector.record_unanswered(part, server, "", now += 1s);
+    detector.record_answered(part, now += 1s);
+    ASSERT_FALSE(find_rejected_part(detector, part, now));
+    for (std::uint64_t other = 0; other < poison_request_detector::maximum_answered_parts; ++other)
+        detector.record_answered(std::vector<std::uint64_t>{other}, now += 1ms);
+    EXPECT_FALSE(find_rejected_part(detector, part, now));
+}
+
+// Guards against forgetting a part that crashes servers because many requests run while a zone is
+// lost.
+TEST(poison_prompt_part, stays_rejected_while_many_whole_requests_are_recorded)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const deadly = make_parts({"deadly"});
+    for (auto const* server : {"a", "b", "c"})
+        detector.record_unanswered(deadly, server, "", now += 1s);
+    ASSERT_TRUE(find_rejected_part(detector, deadly, now));
+    now += 10s;
+    for (std::uint64_t request = 0; request < poison_request_detector::maximum_events; ++request)
+        detector.record({request, "s" + std::to_string(request % 100), "", 0}, now);
+    EXPECT_TRUE(find_rejected_part(detector, deadly, now));
+}
+
 // Guards against an unbounded table of answered parts.
 TEST(poison_prompt_part, forgets_the_oldest_answers_when_full)
 {
