Node: Leave room for news of crashes in reports full of loads

Cause: a number of loads stood for their size, and crashes got what was left.

Parts of zone summaries are cut to a datagram, too.

--- a/libraries/decision/poison_request_detector.cpp
+++ b/libraries/decision/poison_request_detector.cpp
@@ -151,6 +151,8 @@
     std::lock_guard lock(m_mutex);
     drop_expired(now);
     crash_report report;
+    if (limit == 0)
+        return report;
     std::set<event_key> sent;
     for (auto& [key, state] : m_events)
     {
@@ -219,6 +221,14 @@
     }
 }
 
+std::size_t poison_request_detector::count_news() const
+{
+    std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_events.begin(), m_events.end(),
+                                                  [](auto const& entry)
+                                                  { return entry.second.transmissions > 0; }));
+}
+
 std::size_t poison_request_detector::size() const
 {
     std::lock_guard lock(m_mutex);
--- a/libraries/decision/poison_request_detector.hpp
+++ b/libraries/decision/poison_request_detector.hpp
@@ -139,6 +139,8 @@
     /// Returns at most `limit` crashes and as many answers for the next report to other nodes: news
     /// of this node first, then the other events in turn.
     crash_report take_report(std::size_t limit, base::time_point now);
+    /// Returns the number of crashes that the next reports have as news.
+    std::size_t count_news() const;
     std::size_t size() const;
 
     /// Reserves `server` for one suspected request of this node. Returns false if it is already
--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -192,6 +192,25 @@
     return decode<node_report>(bytes);
 }
 
+std::size_t drop_loads_to_fit(node_report& report, std::size_t free_bytes)
+{
+    // No load takes more, so that none is removed that would have fitted.
+    constexpr std::size_t maximum_load_bytes = 48;
+    std::size_t dropped = 0;
+    while (!report.uses.empty())
+    {
+        auto const needed = encode_node_report(report).size() + free_bytes;
+        if (needed <= maximum_datagram_bytes)
+            break;
+        auto const count = std::min(
+            report.uses.size(),
+            std::max<std::size_t>(1, (needed - maximum_datagram_bytes) / maximum_load_bytes));
+        report.uses.resize(report.uses.size() - count);
+        dropped += count;
+    }
+    return dropped;
+}
+
 datagram_socket::datagram_socket(std::string const& host, std::uint16_t port)
     : m_socket(Poco::Net::SocketAddress(host, port), false)
 {
--- a/libraries/inner_protocol/datagram.hpp
+++ b/libraries/inner_protocol/datagram.hpp
@@ -29,6 +29,9 @@
 /// Encode and decode the reports of nodes on the platform, with the same limits and errors.
 std::string encode_node_report(node_report const& report);
 base::result<node_report> decode_node_report(std::string_view bytes);
+/// Removes loads from the end of the report's list until the encoded report leaves `free_bytes` of
+/// a datagram free. Returns the number of loads removed.
+std::size_t drop_loads_to_fit(node_report& report, std::size_t free_bytes);
 
 /// Returns true if a record that arrived over an RPC passes the checks for records in datagrams.
 bool is_valid_record(member_record const& record);
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -17,6 +17,8 @@
 // Keeps a report well below the maximum size of a datagram: a load takes about 20 bytes.
 constexpr std::size_t maximum_loads_per_report = 40;
 constexpr std::size_t maximum_crashes_per_report = 12;
+// Crashes that are news for which loads are left out of a report.
+constexpr std::size_t reserved_crashes_per_report = 4;
 // Expected size of a crash together with an answered part. Longer names leave out the last ones.
 constexpr std::size_t bytes_per_crash = 60;
 // Sums over a zone take more bytes, and the summary also holds addresses.
@@ -144,6 +146,10 @@
 
 bool peer_link::add_crashes(inner_protocol::node_report& report)
 {
+    auto const reserved_crashes =
+        std::min(m_state.poison_requests().count_news(), reserved_crashes_per_report);
+    if (inner_protocol::drop_loads_to_fit(report, reserved_crashes * bytes_per_crash) > 0)
+        observe_event("peer_report", "loads_left_out");
     auto const used = inner_protocol::encode_node_report(report).size();
     auto const room = inner_protocol::maximum_datagram_bytes -
                       std::min(used, inner_protocol::maximum_datagram_bytes);
@@ -169,6 +175,7 @@
         report.answered_parts.push_back(record);
         report.__isset.answered_parts = true;
     }
+    inner_protocol::drop_loads_to_fit(report, 0);
     while (!report.crashes.empty() && inner_protocol::encode_node_report(report).size() >
                                           inner_protocol::maximum_datagram_bytes)
         report.crashes.pop_back();
@@ -209,8 +216,9 @@
         });
     if (!parts.empty())
         add_crashes(parts.back());
-    for (auto const& part : parts)
+    for (auto& part : parts)
     {
+        inner_protocol::drop_loads_to_fit(part, 0);
         auto const bytes = inner_protocol::encode_node_report(part);
         for (auto const& recipient : recipients)
             m_socket.send_bytes(recipient.peer_host, recipient.peer_port, bytes);
--- a/tests/datagram_test.cpp
+++ b/tests/datagram_test.cpp
@@ -137,4 +137,40 @@
     EXPECT_EQ(decode(), node_report{});
 }
 
+// Guards against reports that are never sent, or never hold a crash, since the loads of busy
+// servers fill the datagram.
+TEST(datagram, report_full_of_loads_leaves_room_for_crashes)
+{
+    constexpr std::size_t load_count = 40;
+    constexpr std::size_t crash_bytes = 240;
+    node_report report;
+    report.node = "edge-costa-b-1";
+    report.zone = "costa-b";
+    report.caller_address = "10.1.0.19:8740";
+    report.started = 1780000000000;
+    report.evacuation_digest = 0x5c1e07a291bd3f06;
+    report.server_digest = 0x6c1e07a291bd3f06;
+    for (std::size_t i = 0; i < load_count; ++i)
+    {
+        server_use use;
+        use.server = static_cast<std::int32_t>(0x40000000U + i * 7919U);
+        use.running = 24;
+        use.reserved_tokens = 90000;
+        use.unread_prompt_tokens = 90000;
+        use.recent_attempts = 40000;
+        use.recent_failures = 40000;
+        use.movable_runs = 20;
+        report.uses.push_back(use);
+    }
+    ASSERT_GT(encode_node_report(report).size(), maximum_datagram_bytes);
+    auto const first_load = report.uses.front();
+    auto const dropped = drop_loads_to_fit(report, crash_bytes);
+    EXPECT_LE(encode_node_report(report).size() + crash_bytes, maximum_datagram_bytes);
+    EXPECT_EQ(report.uses.size(), load_count - dropped);
+    EXPECT_EQ(report.uses.front(), first_load);
+    // No more are left out than needed.
+    report.uses.push_back(first_load);
+    EXPECT_GT(encode_node_report(report).size() + crash_bytes, maximum_datagram_bytes);
+}
+
 } // namespace jasminepier::inner_protocol
--- a/tests/poison_request_detector_test.cpp
+++ b/tests/poison_request_detector_test.cpp
@@ -261,6 +261,18 @@
     EXPECT_TRUE(find_rejected_part(detector, deadly, now));
 }
 
+// Guards against a node that sends report after report because none has room for its crashes.
+TEST(poison_request_detector, report_without_room_does_not_ask_for_another_one)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    detector.record({7, "a", "1", 0}, now);
+    auto requested = 0;
+    for (int report = 0; report < 100; ++report)
+        requested += detector.take_report(0, now += 100ms).has_more_news ? 1 : 0;
+    EXPECT_LT(requested, 10);
+}
+
 // Guards against an unbounded table of answered parts.
 TEST(poison_prompt_part, forgets_the_oldest_answers_when_full)
 {
