Node: Wait at a stop until slow callers have taken their responses

What callers saw: a node whose last request ended early exited although a caller that reads slowly had not taken its response yet; the rest lay in the node's kernel and is lost if the machine stops with the process. Cause: a request counted as ended when its bytes had been handed to the kernel, and the connection closed 200 ms later.

Change: closing a connection waits until the caller's machine has acknowledged the response (SIOCOUTQ), at most 5 s without progress, and the request counts as active meanwhile, so the shutdown waits for it up to its end. Connections that idle at the signal with unacknowledged bytes count, too. Sending gives up after 5 s without progress instead of 5 s after the first byte, at the caller's deadline at the latest.

That the 5 s from the first byte cut a caller was not shown by a run: on loopback the kernel takes a whole plain response.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace jasminepier::http
@@ -16,8 +18,41 @@
 constexpr int body_timeout_factor = 4;
 // Time for the caller to read the response before the socket is closed.
 constexpr std::chrono::milliseconds lingering_close_timeout{200};
+// Interval at which the bytes are counted that the caller has not taken yet.
+constexpr std::chrono::milliseconds acknowledgement_poll_interval{20};
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Watches a caller take the bytes of a response. The socket can stay unwritable for a long time
+/// although the caller reads, so acknowledged bytes count as progress.
+class stall_detector
+{
+public:
+    stall_detector(send_limits const& limits, std::size_t unacknowledged_bytes)
+        : m_limits(limits), m_unacknowledged_bytes(unacknowledged_bytes)
+    {
+    }
+    /// Returns true if the caller has taken nothing for too long, or the response took too long.
+    bool exceeds_limits(std::size_t unacknowledged_bytes)
+    {
+        auto const now = base::steady_clock_source{}.now();
+        if (unacknowledged_bytes < m_unacknowledged_bytes)
+        {
+            m_unacknowledged_bytes = unacknowledged_bytes;
+            m_last_progress = now;
+        }
+        return now >= deadline();
+    }
+    base::time_point deadline() const
+    {
+        return std::min<base::time_point>(m_last_progress + m_limits.stall, m_limits.end);
+    }
+
+private:
+    send_limits m_limits;
+    std::size_t m_unacknowledged_bytes;
+    base::time_point m_last_progress = base::steady_clock_source{}.now();
+};
+
 } // namespace
 
 caller_connection::caller_connection(Poco::Net::StreamSocket const& socket,
@@ -67,7 +102,8 @@
         {
             body_started = true;
             deadline = clock.now() + timeouts.header * body_timeout_factor;
-            if (m_reader.consume_expect_continue() && !send(continue_response, deadline))
+            if (m_reader.consume_expect_continue() &&
+                !send(continue_response, {timeouts.header, deadline}))
                 return read_outcome::closed;
         }
         poll_set.clear();
@@ -98,9 +134,9 @@
     }
 }
 
-bool caller_connection::send(std::string_view bytes, base::time_point deadline)
+bool caller_connection::send(std::string_view bytes, send_limits const& limits)
 {
-    base::steady_clock_source const clock;
+    stall_detector stall(limits, unacknowledged_bytes());
     wait_set poll_set;
     while (!bytes.empty())
     {
@@ -108,40 +144,60 @@
         if (written > 0)
         {
             bytes.remove_prefix(static_cast<std::size_t>(written));
+            stall = stall_detector(limits, unacknowledged_bytes());
             continue;
         }
-        if (errno != EAGAIN && errno != EWOULDBLOCK)
-            return false;
-        if (clock.now() >= deadline)
+        bool const failed = errno != EAGAIN && errno != EWOULDBLOCK;
+        if (failed || stall.exceeds_limits(unacknowledged_bytes()))
+        {
+            m_send_failed = true;
             return false;
+        }
         poll_set.clear();
         poll_set.add(descriptor(), POLLOUT);
-        poll_set.wait(deadline);
+        poll_set.wait(stall.deadline());
     }
     return true;
 }
 
+std::size_t caller_connection::unacknowledged_bytes() const
+{
+    int count = 0;
+    return ::ioctl(descriptor(), SIOCOUTQ, &count) == 0 ? static_cast<std::size_t>(count) : 0;
+}
+
 bool caller_connection::is_disconnected() const
 {
     pollfd entry{descriptor(), POLLRDHUP, 0};
     return ::poll(&entry, 1, 0) > 0;
 }
 
-void caller_connection::close_gracefully()
+void caller_connection::close_gracefully(send_limits const& limits)
 {
     ::shutdown(descriptor(), SHUT_WR);
     base::steady_clock_source const clock;
-    auto const deadline = clock.now() + lingering_close_timeout;
+    auto const linger_end = clock.now() + lingering_close_timeout;
+    stall_detector stall(limits, unacknowledged_bytes());
+    bool caller_has_closed = false;
     wait_set poll_set;
     std::array<char, 16384> bytes;
-    while (clock.now() < deadline)
+    while (true)
     {
+        auto const remaining = m_send_failed ? 0 : unacknowledged_bytes();
+        if (remaining == 0 && (caller_has_closed || clock.now() >= linger_end))
+            break;
+        if (remaining > 0 && stall.exceeds_limits(remaining))
+            break;
         poll_set.clear();
-        poll_set.add(descriptor(), POLLIN);
-        poll_set.wait(deadline);
-        if (::recv(descriptor(), bytes.data(), bytes.size(), 0) == 0 ||
-            (poll_set.ready(0) & (POLLERR | POLLHUP)) != 0)
+        // A socket that both sides have shut down is always ready.
+        poll_set.add(caller_has_closed ? -1 : descriptor(), POLLIN);
+        poll_set.wait(remaining == 0 ? linger_end : clock.now() + acknowledgement_poll_interval);
+        if (poll_set.ready(0) == 0 && !caller_has_closed)
+            continue;
+        auto const received = ::recv(descriptor(), bytes.data(), bytes.size(), 0);
+        if (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
             break;
+        caller_has_closed = received == 0;
     }
     m_socket.close();
 }
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -24,6 +24,15 @@
     std::chrono::milliseconds after_interruption{0};
 };
 
+/// Limits of sending a response.
+struct send_limits
+{
+    /// Maximum time in which the caller takes no byte.
+    std::chrono::milliseconds stall{5000};
+    /// End of the response in any case.
+    base::time_point end;
+};
+
 enum class read_outcome
 {
     request,
@@ -52,9 +61,9 @@
     read_outcome read_request(request& result, read_timeouts timeouts, wakeup& interruption,
                               std::function<bool()> const& may_start);
 
-    /// Sends all bytes. Returns false if the connection fails or the caller has not accepted all
-    /// bytes by `deadline`.
-    bool send(std::string_view bytes, base::time_point deadline);
+    /// Hands all bytes to the kernel. Returns false if the connection fails or the caller has not
+    /// taken enough of them within the limits.
+    bool send(std::string_view bytes, send_limits const& limits);
 
     /// Returns true if the caller closed its side of the connection or reset it.
     bool is_disconnected() const;
@@ -63,16 +72,21 @@
     {
         return m_reader.current_state() != request_reader::state::idle;
     }
+    /// Returns the number of sent bytes that the caller's machine has not acknowledged. They are
+    /// lost if this machine stops.
+    std::size_t unacknowledged_bytes() const;
     int descriptor() const noexcept;
-    /// Shuts down the sending side and briefly discards received bytes before closing. Closing a
-    /// socket with unread bytes resets the connection, and the caller could lose the response.
-    void close_gracefully();
+    /// Shuts down the sending side, and discards received bytes until the caller has taken the
+    /// response and for a short time after it. Closing a socket with unread bytes resets the
+    /// connection, and the caller could lose the response.
+    void close_gracefully(send_limits const& limits);
     std::string peer_address() const { return m_peer_address; }
 
 private:
     Poco::Net::StreamSocket m_socket;
     request_reader m_reader;
     std::string m_peer_address;
+    bool m_send_failed = false;
 };
 
 } // namespace jasminepier::http
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "services/node/attempt_limits.hpp"
 #include "services/node/plain_relay.hpp"
 #include "services/node/stream_relay.hpp"
 
@@ -108,6 +109,14 @@
                                     active.set(true);
                                     return !m_state.reading_stopped();
                                 });
+        if (outcome == http::read_outcome::interrupted && caller.unacknowledged_bytes() > 0)
+        {
+            // The shutdown began before the caller had taken the last response.
+            active.set(true);
+            return caller.close_gracefully(
+                {caller_send_timeout,
+                 base::steady_clock_source{}.now() + m_state.settings()->shutdown_grace_period});
+        }
         if (outcome != http::read_outcome::request)
             return send_read_error(caller, outcome);
         request_context context(m_state, caller, wake, std::move(request),
@@ -116,7 +125,7 @@
         context.log_completion();
         wake.clear();
         if (!context.keep_connection)
-            return caller.close_gracefully();
+            return caller.close_gracefully(context.send_limits());
     }
 }
 
@@ -132,10 +141,10 @@
     http::header_list fields;
     fields.add("Content-Length", "0");
     fields.add("Connection", "close");
-    base::steady_clock_source const clock;
-    if (caller.send(http::write_response_head(error_response.http_status, "", fields),
-                    clock.now() + std::chrono::seconds(1)))
-        caller.close_gracefully();
+    constexpr std::chrono::seconds timeout{1};
+    http::send_limits const send_limits{timeout, base::steady_clock_source{}.now() + timeout};
+    if (caller.send(http::write_response_head(error_response.http_status, "", fields), send_limits))
+        caller.close_gracefully(send_limits);
 }
 
 void caller_session::serve_request(request_context& context)
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -108,6 +108,13 @@
                     base::milliseconds(0));
 }
 
+http::send_limits request_context::send_limits() const
+{
+    return {caller_send_timeout,
+            std::max<base::time_point>(deadline,
+                                       base::steady_clock_source{}.now() + caller_send_timeout)};
+}
+
 std::optional<server_attempt>
 request_context::try_acquire_server(serving::server_selection& selection)
 {
@@ -336,7 +343,7 @@
     auto text = http::write_response_head(error_response.http_status, "", fields);
     if (request.method != "HEAD")
         text += body;
-    if (!caller.send(text, base::steady_clock_source{}.now() + caller_send_timeout))
+    if (!caller.send(text, send_limits()))
         keep_connection = false;
 }
 
@@ -359,7 +366,7 @@
     if (!status_has_no_body && request.method != "HEAD")
         text += response.body;
     outcome = response.status / 100 == 2 ? request_outcome::served : request_outcome::server_error;
-    if (!caller.send(text, base::steady_clock_source{}.now() + caller_send_timeout))
+    if (!caller.send(text, send_limits()))
     {
         keep_connection = false;
         outcome = request_outcome::caller_left;
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -83,6 +83,9 @@
     {
         return state.shutdown().response_deadline(deadline);
     }
+    /// Returns the limits for sending the response or a part of it: a caller that goes on reading
+    /// has until `deadline`.
+    http::send_limits send_limits() const;
     /// Waits for the first configuration, for a part of the caller's timeout. Returns false if none
     /// has arrived.
     bool wait_for_configuration();
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -114,14 +114,14 @@
         fields.add("Connection", "close");
     return m_context.caller.send(
         http::write_response_head(m_response_head->status, m_response_head->reason, fields),
-        now() + caller_send_timeout);
+        m_context.send_limits());
 }
 
 bool stream_relay::send_last_chunk()
 {
     auto const comments = m_event_splitter.remainder();
     return m_context.caller.send((comments.empty() ? "" : encode_chunk(comments)) + "0\r\n\r\n",
-                                 now() + caller_send_timeout);
+                                 m_context.send_limits());
 }
 
 bool stream_relay::forward_events(std::string_view bytes)
@@ -155,7 +155,7 @@
     }
     if (!m_head_sent && !send_head())
         return false;
-    return m_context.caller.send(encode_chunk(out), now() + caller_send_timeout);
+    return m_context.caller.send(encode_chunk(out), m_context.send_limits());
 }
 
 std::optional<stream_relay::stream_outcome> stream_relay::process_received()
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -239,6 +239,65 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+/// A caller that reads slowly. Its kernel holds little that it has not read.
+class slow_reader
+{
+public:
+    explicit slow_reader(std::uint16_t port) : m_socket(Poco::Net::SocketAddress::IPv4)
+    {
+        m_socket.setReceiveBufferSize(16384);
+        m_socket.connect(Poco::Net::SocketAddress(loopback_host, port));
+        m_socket.setReceiveTimeout(Poco::Timespan(5, 0));
+    }
+    void send(http::request const& request) { send_all(m_socket, http::write_request(request)); }
+    /// Reads `bytes_per_step` every 50 ms while `condition()` returns true and the response goes
+    /// on.
+    template <class Condition>
+    void read_while(std::size_t bytes_per_step, Condition&& condition)
+    {
+        std::string bytes(bytes_per_step, '\0');
+        while (condition())
+        {
+            auto next = std::chrono::steady_clock::now() + milliseconds(50);
+            for (std::size_t read = 0; read < bytes_per_step;)
+            {
+                auto const count =
+                    m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes_per_step - read));
+                if (count <= 0)
+                    return;
+                read += static_cast<std::size_t>(count);
+                m_received += static_cast<std::size_t>(count);
+            }
+            std::this_thread::sleep_until(next);
+        }
+    }
+    /// Returns the number of bytes of the response that have reached this machine.
+    std::size_t arrived_bytes() const
+    {
+        return m_received + static_cast<std::size_t>(m_socket.available());
+    }
+
+private:
+    Poco::Net::StreamSocket m_socket;
+    std::size_t m_received = 0;
+};
+
+// Guards against a node that ends early although a caller has not yet taken its response, which is
+// lost if the machine stops with the process.
+TEST_F(node_shutdown_test, node_runs_until_slow_readers_have_their_responses)
+{
+    start_until_ready();
+    constexpr std::size_t body_bytes = 600U * 1024U;
+    slow_reader reader(m_node.ports().callers);
+    reader.send(make_request("GET", "/check/large-600", "r-large"));
+    // 128 KB a second, so that the response takes 4.8 s.
+    reader.read_while(6400, [&] { return reader.arrived_bytes() < 30000; });
+    shut_down();
+    reader.read_while(6400, [&] { return m_node.program().running(); });
+    EXPECT_GT(reader.arrived_bytes(), body_bytes);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against requests that are read just before the process ends and get no response. A node
 // without a long request ends before its grace period does; with one, it ends with it.
 class node_shutdown_load_test : public node_shutdown_test, public testing::WithParamInterface<bool>
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -172,6 +172,9 @@
         return wait_while_connected(socket,
                                     std::chrono::milliseconds(std::stoi(action.substr(5)))) &&
                send(socket, 200, fields, "response to " + id);
+    if (action.starts_with("large-"))
+        return send(socket, 200, fields,
+                    std::string(std::stoul(action.substr(6)) * std::size_t{1024}, 'b'));
     if (action.starts_with("unavailable-"))
         return wait_while_connected(socket,
                                     std::chrono::milliseconds(std::stoi(action.substr(12)))) &&
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -14,15 +14,16 @@
 /// A fake server of the platform. The last segment of a request's path selects its behaviour: `ok`,
 /// `error`, `cut` (closes the connection without a response), `shed` (rejects the request with
 /// 503), `foreign` (sends the response to another request), `hang`, `work-N` (responds after N ms),
-/// `unavailable-N` (responds with 503 after N ms, although it ran the request), `stream-N` (streams
-/// N events), `broken-N` (closes the connection after N events without the terminating chunk),
-/// `closed-N` (streams N events without a length and ends with the connection), `closed`, `reset`
-/// (a plain response without a length, whole or reset in the middle), `partial-FRAMING-N` (N events
-/// and a part of the next one; FRAMING is `closed`, `chunked`, `sized` or `reset`; a resumed stream
-/// is complete with two more events), `comment-N` (like `closed-N`, followed by a comment line
-/// without a blank line), `stalled-N` (stops after one event and sends a comment byte now and then;
-/// a resumed stream continues to N events), `endless` (sends a body without end), `copied` (sends
-/// its response a second time when the next request arrives on the connection).
+/// `large-N` (responds with N KiB), `unavailable-N` (responds with 503 after N ms, although it ran
+/// the request), `stream-N` (streams N events), `broken-N` (closes the connection after N events
+/// without the terminating chunk), `closed-N` (streams N events without a length and ends with the
+/// connection), `closed`, `reset` (a plain response without a length, whole or reset in the
+/// middle), `partial-FRAMING-N` (N events and a part of the next one; FRAMING is `closed`,
+/// `chunked`, `sized` or `reset`; a resumed stream is complete with two more events), `comment-N`
+/// (like `closed-N`, followed by a comment line without a blank line), `stalled-N` (stops after one
+/// event and sends a comment byte now and then; a resumed stream continues to N events), `endless`
+/// (sends a body without end), `copied` (sends its response a second time when the next request
+/// arrives on the connection).
 class fake_server
 {
 public:
