--- a/tests/node_poison_test.cpp
+++ b/tests/node_poison_test.cpp
@@ -115,6 +115,39 @@
     EXPECT_EQ(count_runs("/plan/broken-1"), 6);
 }
 
+// Guards against taking a stream without a length for a complete one if its server crashed before
+// the first event.
+TEST_F(node_poison_test, counts_a_stream_without_length_that_ends_before_its_first_event)
+{
+    start_until_ready();
+    crash_servers_until_rejected("/plan/closed-0");
+    EXPECT_LE(count_runs("/plan/closed-0"), permitted_runs);
+}
+
+// Guards against taking a comment, which servers send to keep a connection open, for an answer.
+TEST_F(node_poison_test, counts_a_stream_that_ends_after_a_comment)
+{
+    start_until_ready();
+    crash_servers_until_rejected("/plan/greeting");
+    EXPECT_LE(count_runs("/plan/greeting"), permitted_runs);
+}
+
+// Guards against taking the rejection of an invalid request for an answer.
+TEST_F(node_poison_test, rejection_of_an_invalid_request_does_not_clear_its_parts)
+{
+    start_until_ready();
+    auto const callers = m_node.ports().callers;
+    int rejected = 0;
+    for (int i = 0; i < 12 && rejected == 0; ++i)
+    {
+        rejected += send_prompt(callers, "/plan/broken-0", "aa:40,dead:10").status == 503 ? 1 : 0;
+        std::this_thread::sleep_for(crash_interval);
+        send_prompt(callers, "/open/status-400", "aa:40,dead:10");
+    }
+    EXPECT_GT(rejected, 0);
+    EXPECT_LE(count_runs("/plan/broken-0"), permitted_runs);
+}
+
 // Guards against nodes that let the part crash more servers because they saw none of the crashes.
 TEST_F(node_poison_test, shares_crashes_with_other_nodes_within_the_contact_time)
 {
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -203,6 +203,18 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+// Guards against forwarding the other statuses that promise that a request has not run.
+TEST_F(node_shutdown_test, statuses_that_promise_no_execution_are_not_forwarded_after_a_run)
+{
+    start_until_ready();
+    for (auto const* path :
+         {"/order/status-429", "/order/status-408", "/plan/status-429", "/plan/status-408"})
+    {
+        EXPECT_EQ(call("POST", path).status, 502) << path;
+        EXPECT_EQ(run_count(), 1) << path;
+    }
+}
+
 // Guards against callers that keep an idle connection to a stopping node and send the next request
 // there.
 TEST_F(node_shutdown_test, idle_connections_close_when_the_shutdown_begins)
@@ -239,6 +251,28 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+// Guards against pipelined requests that arrive while the first one runs and are discarded when the
+// connection closes.
+TEST_F(node_shutdown_test, request_that_arrived_behind_a_running_one_is_answered)
+{
+    start_until_ready();
+    Poco::Net::StreamSocket caller(Poco::Net::SocketAddress(loopback_host, m_node.ports().callers));
+    caller.setReceiveTimeout(Poco::Timespan(10, 0));
+    auto request = make_request("GET", "/check/work-600", "r-first");
+    auto second_request = make_request("GET", "/check/ok", "r-second");
+    for (auto* pipelined : {&request, &second_request})
+        pipelined->headers.set("Deadline-Ms", "3000");
+    send_all(caller, http::write_request(request));
+    std::this_thread::sleep_for(milliseconds(100));
+    send_all(caller, http::write_request(second_request));
+    std::this_thread::sleep_for(milliseconds(100));
+    shut_down();
+    auto const received = receive_all(caller);
+    EXPECT_NE(received.find("response to r-first"), std::string::npos);
+    EXPECT_NE(received.find("response to r-second"), std::string::npos);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against requests that are read just before the process ends and get no response. A node
 // without a long request ends before its grace period does; with one, it ends with it.
 class node_shutdown_load_test : public node_shutdown_test, public testing::WithParamInterface<bool>
--- a/tests/poison_request_detector_test.cpp
+++ b/tests/poison_request_detector_test.cpp
@@ -230,6 +230,82 @@
     }
 }
 
+// Guards against rejecting a part that was cleared by an answer once that answer is evicted.
+TEST(poison_prompt_part, stays_cleared_while_many_other_parts_are_answered)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const part = make_parts({"part"});
+    for (auto const* server : {"a", "b", "c"})
+        detector.record_unanswered(part, server, "", now += 1s);
+    detector.record_answered(part, now += 1s);
+    ASSERT_FALSE(find_rejected_part(detector, part, now));
+    for (std::uint64_t other = 0; other < poison_request_detector::maximum_answered_parts; ++other)
+        detector.record_answered(std::vector<std::uint64_t>{other}, now += 1ms);
+    EXPECT_FALSE(find_rejected_part(detector, part, now));
+}
+
+// Guards against rejecting a sound part without a trial because two deadly parts, neither of which
+// was there in all crashes, were used beside it.
+TEST(poison_prompt_part, is_not_rejected_for_the_crashes_of_two_other_parts)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    detector.record_answered(make_parts({"system"}), now);
+    auto server = 0;
+    auto const crash = [&](std::string_view deadly)
+    {
+        detector.record_unanswered(make_parts({"system", deadly}), std::to_string(server++), "",
+                                   now += 1s);
+    };
+    for (auto const* deadly : {"deadly-1", "deadly-2", "deadly-1", "deadly-2", "deadly-1"})
+        crash(deadly);
+    EXPECT_TRUE(find_rejected_part(detector, make_parts({"other", "deadly-1"}), now));
+    EXPECT_FALSE(find_rejected_part(detector, make_parts({"system", "own"}), now));
+}
+
+// Guards against rejecting a sound part without a trial because one of its crashes had another
+// cause than those that a rejected part explains.
+TEST(poison_prompt_part, is_not_rejected_if_another_part_explains_most_of_its_crashes)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    detector.record_unanswered(make_parts({"system", "own"}), "s0", "", now += 1s);
+    detector.record_unanswered(make_parts({"system", "deadly"}), "s1", "", now += 1s);
+    detector.record_unanswered(make_parts({"system", "deadly"}), "s2", "", now += 1s);
+    detector.record_unanswered(make_parts({"other", "deadly"}), "s3", "", now += 1s);
+    ASSERT_TRUE(find_rejected_part(detector, make_parts({"deadly"}), now));
+    EXPECT_FALSE(find_rejected_part(detector, make_parts({"system", "own"}), now));
+}
+
+// Guards against forgetting a part that crashes servers because many requests run while a zone is
+// lost.
+TEST(poison_prompt_part, stays_rejected_while_many_whole_requests_are_recorded)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    auto const deadly = make_parts({"deadly"});
+    for (auto const* server : {"a", "b", "c"})
+        detector.record_unanswered(deadly, server, "", now += 1s);
+    ASSERT_TRUE(find_rejected_part(detector, deadly, now));
+    now += 10s;
+    for (std::uint64_t request = 0; request < poison_request_detector::maximum_events; ++request)
+        detector.record({request, "s" + std::to_string(request % 100), "", 0}, now);
+    EXPECT_TRUE(find_rejected_part(detector, deadly, now));
+}
+
+// Guards against a node that sends report after report because none has room for its crashes.
+TEST(poison_request_detector, report_without_room_does_not_ask_for_another_one)
+{
+    base::time_point now{10000s};
+    poison_request_detector detector;
+    detector.record({7, "a", "1", 0}, now);
+    auto requested = 0;
+    for (int report = 0; report < 100; ++report)
+        requested += detector.take_report(0, now += 100ms).has_more_news ? 1 : 0;
+    EXPECT_LT(requested, 10);
+}
+
 // Guards against an unbounded table of answered parts.
 TEST(poison_prompt_part, forgets_the_oldest_answers_when_full)
 {
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -204,6 +204,14 @@
         return stream(socket, request, std::stoi(action.substr(8)), true), true;
     if (action.starts_with("stalled-"))
         return stall(socket, request), false;
+    if (action.starts_with("status-"))
+        return send(socket, std::stoi(action.substr(7)), fields, "failed");
+    if (action == "greeting")
+    {
+        fields.add("Transfer-Encoding", "chunked");
+        send_all(socket, http::write_response_head(200, "", fields) + encode_chunk(": \n\n"));
+        return false;
+    }
     if (action.starts_with("broken-"))
         stream(socket, request, std::stoi(action.substr(7)), false);
     return false;
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -22,7 +22,9 @@
 /// is complete with two more events), `comment-N` (like `closed-N`, followed by a comment line
 /// without a blank line), `stalled-N` (stops after one event and sends a comment byte now and then;
 /// a resumed stream continues to N events), `endless` (sends a body without end), `copied` (sends
-/// its response a second time when the next request arrives on the connection).
+/// its response a second time when the next request arrives on the connection), `status-N`
+/// (responds with status N after it ran the request), `greeting` (closes the connection after a
+/// comment, before the first event).
 class fake_server
 {
 public:
