Node: Break off streams without a length that end before their first event

Callers of streams got a complete, empty 200 if the server sent the head of a response without a length and ended its connection: that is how such a server looks when it crashes as it begins to answer. The crash was not recorded either, so a part of a prompt that does this could crash server after server.

Cause: the orderly end of the connection completes a response without a length, and nothing asked whether the stream had begun. A length or a last chunk says that an empty stream is complete; the end of a connection does not. Ruled out: taking every empty stream for a failed one, since a server may say that its stream has no events.

The stream is broken off now (502 if nothing was sent), and the response's beginning is evidence against the prompt's parts. An event that the caller had already, sent again by the server that resumes the stream, counts as received. A stream that crashed its server in this way is not resumed, as before for other framings.

node_stream_test: stream_may_end_with_its_connection_after_an_event expected 200 for `closed-0`. That expectation was the fault. The test asks for 502 and a single run now, and for a complete empty 200 if a last chunk ends the stream.

--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -54,7 +54,7 @@
     m_event_splitter = {};
     m_head_validated = false;
     m_error_body.clear();
-    m_any_event_sent = false;
+    m_any_event_received = false;
     ++m_context.attempts;
     // Continuing a generation from its copy doesn't execute the request again.
     if (!m_is_continuation)
@@ -124,11 +124,23 @@
                                  now() + caller_send_timeout);
 }
 
+void stream_relay::record_first_event()
+{
+    m_any_event_received = true;
+    m_attempt->record_first_event();
+    m_context.record_answered();
+    m_attempt->set_can_hand_over(
+        m_context.service->engine && m_context.service->engine->can_move_generations &&
+        m_context.route->idempotency == serving::request_idempotency::non_idempotent);
+}
+
 bool stream_relay::forward_events(std::string_view bytes)
 {
     std::string out;
     for (auto& event : m_event_splitter.feed(bytes))
     {
+        if (!m_any_event_received)
+            record_first_event();
         auto const number = serving::parse_event_number(event.id);
         // A server that resumes the stream may repeat events that the caller already has.
         if (number && m_last_event_number && *number <= *m_last_event_number)
@@ -144,15 +156,6 @@
     }
     if (out.empty())
         return true;
-    if (!m_any_event_sent)
-    {
-        m_any_event_sent = true;
-        m_attempt->record_first_event();
-        m_context.record_answered();
-        m_attempt->set_can_hand_over(
-            m_context.service->engine && m_context.service->engine->can_move_generations &&
-            m_context.route->idempotency == serving::request_idempotency::non_idempotent);
-    }
     if (!m_head_sent && !send_head())
         return false;
     return m_context.caller.send(encode_chunk(out), now() + caller_send_timeout);
@@ -184,8 +187,10 @@
     // The stream of a stopped generation ends like a complete one if it has no length.
     bool const stopped = m_exchange->ended_with_connection() && m_handover &&
                          m_handover->may_have_stopped_generation();
+    // A server that crashes as it begins to answer closes its connection in order, too.
+    bool const empty = m_exchange->ended_with_connection() && !m_any_event_received;
     bool const broken_off =
-        !m_exchange->complete() || m_event_splitter.has_partial_event() || stopped;
+        !m_exchange->complete() || m_event_splitter.has_partial_event() || stopped || empty;
     return broken_off ? stream_outcome::broken : stream_outcome::complete;
 }
 
@@ -272,7 +277,7 @@
         m_attempt->end(m_attempt->is_server_leaving() ? attempt_outcome::inconclusive
                                                       : attempt_outcome::failed);
         m_context.record_crash(m_attempt->server());
-        if (!m_any_event_sent && !m_is_continuation && m_exchange->closed_by_peer())
+        if (!m_any_event_received && !m_is_continuation && m_exchange->closed_by_peer())
             m_context.record_unanswered(m_attempt->server(), m_exchange->head_received());
         break;
     case stream_outcome::error_response:
@@ -283,7 +288,8 @@
         m_attempt->end(attempt_outcome::inconclusive);
         return;
     case stream_outcome::deadline_exceeded:
-        m_attempt->end(m_any_event_sent ? attempt_outcome::inconclusive : attempt_outcome::failed);
+        m_attempt->end(m_any_event_received ? attempt_outcome::inconclusive
+                                            : attempt_outcome::failed);
         break;
     }
     m_context.excluded_servers.push_back(m_attempt->server().id);
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -32,8 +32,8 @@
         complete,
         /// The server certainly did not run the request.
         not_run,
-        /// The connection failed, the stream ended inside an event, or the response belongs to
-        /// another request or is not genuine.
+        /// The connection failed, the stream ended inside an event or, without a length, before
+        /// its first one, or the response belongs to another request or is not genuine.
         broken,
         /// The server responded with an error.
         error_response,
@@ -48,6 +48,8 @@
     /// Handles received data. Returns the outcome if the stream has ended.
     std::optional<stream_outcome> process_received();
     std::optional<stream_outcome> validate_head();
+    /// Records that the current attempt's server has begun to answer.
+    void record_first_event();
     bool forward_events(std::string_view bytes);
     bool send_head();
     /// Sends comments that follow the last event, and the end of the response.
@@ -75,7 +77,8 @@
     /// Head of the first server's response, used for the response to the caller.
     std::optional<http::response> m_response_head;
     bool m_head_sent = false;
-    bool m_any_event_sent = false;
+    /// The current attempt's server has sent an event, which the caller may have had already.
+    bool m_any_event_received = false;
     std::string m_last_event_id;
     std::optional<std::int64_t> m_last_event_number;
     /// Time of the last event that the caller did not have yet, or the start of the attempt.
--- a/tests/node_stream_test.cpp
+++ b/tests/node_stream_test.cpp
@@ -51,10 +51,12 @@
         auto const response = call("POST", route + "closed-4");
         EXPECT_TRUE(response.is_complete);
         EXPECT_EQ(response.body, make_events(1, 4));
-        auto const empty = call("POST", route + "closed-0");
+        auto const empty = call("POST", route + "stream-0");
         EXPECT_EQ(empty.status, 200);
         EXPECT_TRUE(empty.is_complete);
         EXPECT_EQ(empty.body, "");
+        EXPECT_EQ(call("POST", route + "closed-0").status, 502);
+        EXPECT_EQ(run_count(), 1);
         auto const commented = call("POST", route + "comment-2");
         EXPECT_TRUE(commented.is_complete);
         EXPECT_EQ(commented.body, make_events(1, 2) + ": end\n");
