Node: Don't take a comment for the first event of a stream

A server that sent a comment, as servers do to keep a connection open, and then crashed cleared the parts of the prompt at all nodes, so a part could crash server after server.

Cause: the splitter returns comments and blank lines between events like events, and the relay recorded the answer when it had any bytes to forward. Ruled out: withholding comments until an event follows, since callers and servers use them against timeouts; they are passed on as before.

The splitter says whether an event has a field line, and only such an event counts as an answer.

--- a/libraries/serving/event_stream_splitter.cpp
+++ b/libraries/serving/event_stream_splitter.cpp
@@ -48,6 +48,14 @@
     return !line.empty() && line.front() != ':';
 }
 
+bool has_field(std::string_view text)
+{
+    while (auto const line = take_line(text))
+        if (is_field(*line))
+            return true;
+    return is_field(text);
+}
+
 } // namespace
 
 std::vector<server_sent_event> event_stream_splitter::feed(std::string_view bytes)
@@ -63,7 +71,7 @@
         if (end == std::string_view::npos)
             break;
         auto const event = remaining.substr(0, end);
-        events.push_back({std::string(event), parse_event_id(event)});
+        events.push_back({std::string(event), parse_event_id(event), has_field(event)});
         remaining.remove_prefix(end);
     }
     m_pending.erase(0, m_pending.size() - remaining.size());
@@ -72,11 +80,7 @@
 
 bool event_stream_splitter::has_partial_event() const
 {
-    std::string_view rest = m_pending;
-    while (auto const line = take_line(rest))
-        if (is_field(*line))
-            return true;
-    return is_field(rest);
+    return has_field(m_pending);
 }
 
 std::optional<std::int64_t> parse_event_number(std::string_view id)
--- a/libraries/serving/event_stream_splitter.hpp
+++ b/libraries/serving/event_stream_splitter.hpp
@@ -17,6 +17,8 @@
     std::string bytes;
     /// Empty if the event has no id.
     std::string id;
+    /// False for comments and blank lines, which are no event.
+    bool has_fields = false;
 };
 
 /// Splits a stream into complete events. If a server fails in the middle of an event, the partial
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -139,7 +139,7 @@
     std::string out;
     for (auto& event : m_event_splitter.feed(bytes))
     {
-        if (!m_any_event_received)
+        if (event.has_fields && !m_any_event_received)
             record_first_event();
         auto const number = serving::parse_event_number(event.id);
         // A server that resumes the stream may repeat events that the caller already has.
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -278,5 +278,24 @@
     }
 }
 
+// Guards against taking comments and blank lines, which keep a connection open, for events.
+TEST(event_stream_splitter, events_have_fields_and_comments_have_none)
+{
+    for (auto const* comment : {"\n", ": \n\n", ":keepalive\r\n\r\n", ": a\r: b\r\r"})
+    {
+        serving::event_stream_splitter splitter;
+        auto const items = splitter.feed(comment);
+        ASSERT_EQ(items.size(), 1U) << comment;
+        EXPECT_FALSE(items[0].has_fields) << comment;
+    }
+    for (auto const* event : {"data: a\n\n", "data\r\n\r\n", ": a\nid: 1\n\n"})
+    {
+        serving::event_stream_splitter splitter;
+        auto const events = splitter.feed(event);
+        ASSERT_EQ(events.size(), 1U) << event;
+        EXPECT_TRUE(events[0].has_fields) << event;
+    }
+}
+
 } // namespace
 } // namespace jasminepier::http
