Node: Clear prompt parts for successful plain responses only

A request whose part crashes servers was sent on and on if other requests with the part were rejected by servers as invalid: each rejection cleared the part.

Cause: the plain relay recorded an answer for any response below 500. A rejection is no evidence that a server has processed the prompt.

Looked for elsewhere: the relay of streams checks the status and the signature before it takes events; `jasminepier-entry` counts tokens only, and its plain calls have no prompt.

--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -144,7 +144,9 @@
         return attempt_result::error_response;
     }
     current.attempt.end(attempt_outcome::succeeded);
-    m_context.record_answered();
+    // A server may reject a request as invalid without running it.
+    if (head.status / 100 == 2)
+        m_context.record_answered();
     m_context.last_server = server.id;
     m_context.send_response(response);
     return attempt_result::delivered;
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -106,7 +106,7 @@
     /// had sent a response head, so it was this request whose answer it was beginning. Otherwise
     /// the loss counts only if the server refuses a new connection.
     void record_unanswered(serving::selected_server const& server, bool response_begun);
-    /// Records that a server has begun to answer.
+    /// Records that a server has begun to answer with a success.
     void record_answered();
     /// Fails if a part of the prompt crashes servers.
     base::result<void> check_prompt_parts();
