Node, Entry: Withhold all statuses that promise no execution after a run

Callers of orders and of streams that may run once only got a server's 408 or 429 although the server had run the request; these statuses promise that it has not. `jasminepier-entry` forwarded a service's 408, 421, 429 and 503 as well, with a header that said otherwise.

Cause: each relay had a list of its own (503 in one, 503 and 429 in the other), and the entry had none. `http::promises_no_execution` is the only list now, and both relays and the entry's plain calls ask it. A response of a server that says in its header that it did not run the request is handled as before. The caller gets 502, which promises nothing; the status of the server is not turned into a success. An idempotent request is tried again within its limits, as after a 503 before.

Ruled out: forwarding these responses for idempotent requests, since the promise would be as false there.

--- a/services/entry/idempotent_calls.cpp
+++ b/services/entry/idempotent_calls.cpp
@@ -1,6 +1,7 @@
 #include "services/entry/idempotent_calls.hpp"
 
 #include "base/log.hpp"
+#include "http/status.hpp"
 #include "services/entry/entry_metrics.hpp"
 
 #include <algorithm>
@@ -125,7 +126,8 @@
     // The call has a result or its deadline has passed, so this result is discarded.
     if (race->ended)
         return;
-    if (response && response->status < first_server_error_status)
+    if (response && response->status < first_server_error_status &&
+        !http::promises_no_execution(response->status))
     {
         race->response = response;
         race->end();
--- a/services/entry/plain_handler.cpp
+++ b/services/entry/plain_handler.cpp
@@ -1,5 +1,6 @@
 #include "services/entry/plain_handler.hpp"
 
+#include "http/status.hpp"
 #include "services/entry/entry_metrics.hpp"
 
 namespace jasminepier::entry
@@ -62,6 +63,10 @@
                                                                  : configuration::work_kind::action,
                     "");
     BOOST_LEAF_AUTO(received, execute(call));
+    // A service that responds has been sent the call and may have run it.
+    if (http::promises_no_execution(received.status))
+        return base::fail(base::error_kind::server_failed,
+                          "the service responded with status " + std::to_string(received.status));
     send_service_response(received, response);
     return {};
 }
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -1,6 +1,7 @@
 #include "services/node/plain_relay.hpp"
 
 #include "base/log.hpp"
+#include "http/status.hpp"
 #include "platform/headers.hpp"
 #include "services/node/attempt_limits.hpp"
 #include "services/node/node_metrics.hpp"
@@ -136,7 +137,7 @@
                                  std::chrono::seconds(*metadata.keep_alive_seconds))
                            : std::nullopt,
                        now());
-    if (head.status / 100 == 5)
+    if (head.status / 100 == 5 || http::promises_no_execution(head.status))
     {
         log_failure("server_error");
         current.attempt.end(attempt_outcome::failed);
@@ -215,9 +216,9 @@
 
 base::result<void> plain_relay::respond_after_failure()
 {
-    // Forwarding status 503 would promise that the request did not run.
-    if (m_error_response && m_error_response->status == 503)
-        return base::fail(error_kind::server_failed, "the server responded with status 503");
+    if (m_error_response && http::promises_no_execution(m_error_response->status))
+        return base::fail(error_kind::server_failed,
+                          "the response would promise that the request did not run");
     if (!m_error_response)
         return base::fail(error_kind::server_failed, "the server failed to complete the request");
     m_context.send_response(*m_error_response);
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -1,6 +1,7 @@
 #include "services/node/stream_relay.hpp"
 
 #include "base/log.hpp"
+#include "http/status.hpp"
 #include "platform/headers.hpp"
 #include "services/node/attempt_limits.hpp"
 #include "services/node/node_metrics.hpp"
@@ -391,7 +392,7 @@
         if (not_run && m_context.possible_executions == 0)
             return fail_or_abort(error_kind::server_unreachable, "no server accepted the request");
         if (outcome == stream_outcome::error_response && !m_head_sent &&
-            m_exchange->head().status != 503 && m_exchange->head().status != 429)
+            !http::promises_no_execution(m_exchange->head().status))
         {
             http::response response = m_exchange->head();
             response.body = m_error_body;
--- a/stand_ins/service/main.cpp
+++ b/stand_ins/service/main.cpp
@@ -1,7 +1,8 @@
 /// A stand-in plain service that counts executions. `GET /stand-in/count` returns the number of
 /// executions per path and body. `POST /stand-in/faults` sets faults: {"delay_milliseconds":N}
 /// delays every response, {"drop_answers":N} executes the next N requests but closes the connection
-/// without a response, and {"hold_answers":true} withholds all responses until it is set to false.
+/// without a response, {"hold_answers":true} withholds all responses until it is set to false, and
+/// {"status":N} executes requests and responds with status N.
 #include "base/hash.hpp"
 #include "base/process_signals.hpp"
 #include "base/settings.hpp"
@@ -28,6 +29,7 @@
     std::atomic<int> delay_milliseconds{0};
     std::atomic<int> drop_answers{0};
     std::atomic<bool> hold_answers{false};
+    std::atomic<int> status{200};
 };
 
 void execute(service_state& state, http_request& request, http_response& response)
@@ -46,7 +48,7 @@
         throw std::runtime_error("response dropped by a fault");
     auto response_body = make_object("accepted", true);
     response_body->set("path", request.getURI());
-    send_json(response, 200, response_body);
+    send_json(response, state.status, response_body);
 }
 
 void handle_request(service_state& state, http_request& request, http_response& response)
@@ -75,6 +77,7 @@
             faults->optValue("delay_milliseconds", state.delay_milliseconds.load());
         state.drop_answers = faults->optValue("drop_answers", state.drop_answers.load());
         state.hold_answers = faults->optValue("hold_answers", state.hold_answers.load());
+        state.status = faults->optValue("status", state.status.load());
         return send_json(response, 200, new Poco::JSON::Object);
     }
     execute(state, request, response);
--- a/tests/at_most_once_process_test.cpp
+++ b/tests/at_most_once_process_test.cpp
@@ -213,4 +213,27 @@
         EXPECT_EQ(test_deployment.call(entry_one, "GET", "/v1/services/shop/stock").status, 200);
 }
 
+// Guards against forwarding a status that promises that a call has not run although the service ran
+// it.
+TEST(at_most_once, status_that_promises_no_execution_is_not_forwarded_after_a_run)
+{
+    two_node_deployment test_deployment("127.0.14.8");
+    for (int const status : {408, 421, 429, 503})
+    {
+        SCOPED_TRACE(status);
+        auto const body = "oak-" + std::to_string(status);
+        test_deployment.call(shop_port, "POST", "/stand-in/faults",
+                             "{\"status\":" + std::to_string(status) + "}");
+        for (auto const port : {entry_one, entry_two})
+        {
+            auto const response = test_deployment.send_order(port, body, body);
+            EXPECT_EQ(response.status, 502);
+            EXPECT_TRUE(has_error(response, "server_failed", "unknown"));
+        }
+        EXPECT_EQ(execution_count(test_deployment, body), 1);
+        EXPECT_EQ(test_deployment.call(entry_one, "GET", "/v1/services/shop/stock?" + body).status,
+                  502);
+    }
+}
+
 } // namespace jasminepier::tests
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -1,7 +1,9 @@
 /// Tests the parsers of requests, responses and event streams with valid and invalid input.
+#include "base/error.hpp"
 #include "http/message.hpp"
 #include "http/request_reader.hpp"
 #include "http/response_reader.hpp"
+#include "http/status.hpp"
 #include "serving/event_stream_splitter.hpp"
 
 #include <gtest/gtest.h>
@@ -297,5 +299,18 @@
     }
 }
 
+// Guards against an error that may have been executed and has a status that denies it.
+TEST(status, promises_no_execution_only_for_errors_that_have_not_run)
+{
+    for (auto const& row : base::error_response_table())
+        EXPECT_TRUE(!promises_no_execution(row.http_status) ||
+                    row.execution == base::execution_status::not_run)
+            << row.code;
+    for (int const status : {408, 421, 429, 503})
+        EXPECT_TRUE(promises_no_execution(status)) << status;
+    for (int const status : {200, 400, 404, 409, 422, 500, 502, 504})
+        EXPECT_FALSE(promises_no_execution(status)) << status;
+}
+
 } // namespace
 } // namespace jasminepier::http
