Node: Answer requests that arrived behind a running one when a shutdown closes their connection

A caller that sent its second request on a connection while the first one ran lost the second one at a planned stop: the first response announced the end of the connection, and the second request was read and thrown away as the connection closed.

Cause: only the reader's buffer was asked for another request. Nobody reads the connection while a request runs, so one that arrives later is in the kernel.

Ruled out: closing without reading, which resets the connection and can destroy the response before it. A request that crosses a response with `Connection: close` is still discarded.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -127,6 +127,14 @@
     return ::poll(&entry, 1, 0) > 0;
 }
 
+bool caller_connection::has_pipelined_request() const noexcept
+{
+    if (m_reader.current_state() != request_reader::state::idle)
+        return true;
+    char byte = 0;
+    return ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void caller_connection::close_gracefully()
 {
     ::shutdown(descriptor(), SHUT_WR);
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -58,11 +58,8 @@
 
     /// Returns true if the caller closed its side of the connection or reset it.
     bool is_disconnected() const;
-    /// Returns true if bytes of another request arrived together with the last one.
-    bool has_pipelined_request() const noexcept
-    {
-        return m_reader.current_state() != request_reader::state::idle;
-    }
+    /// Returns true if bytes of another request have arrived, with the last one or behind it.
+    bool has_pipelined_request() const noexcept;
     int descriptor() const noexcept;
     /// Shuts down the sending side and briefly discards received bytes before closing. Closing a
     /// socket with unread bytes resets the connection, and the caller could lose the response.
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -115,8 +115,8 @@
     void send_local_error(base::error const& failure);
     /// Forwards a server's complete response.
     void send_response(http::response const& response);
-    /// Ends the connection with this response if the process is shutting down. Requests that the
-    /// caller has pipelined behind this one are still answered.
+    /// Ends the connection with this response if the process is shutting down. Requests that have
+    /// arrived behind this one are still answered.
     void close_connection_during_shutdown();
     void log_completion() const;
 
