Node, Entry: Write prompt parts in the same way in all logs

Operators who searched all logs for one part (`grep part=P`) found the lines of one program only: the node wrote it in hexadecimal, the entry in decimal. The entry also wrote `prompt_part_tried` twice for one trial, since the parts are checked before and after a server is selected.

Both programs use `decision::format_prompt_part`, and the entry writes the line when the trial begins. No test counts the entry's lines; decision_parts_test checks the format.

Tests with processes were not run with this change at the time of this commit.

--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "decision/prompt_part_format.hpp"
 #include "services/entry/entry_metrics.hpp"
 
 #include <thread>
@@ -307,7 +308,7 @@
     for (auto const part : suspects)
         base::log_line(base::log_level::warning, "prompt_part_suspected")
             .field("request_id", m_job.requirements.request_id)
-            .field("part", part)
+            .field("part", decision::format_prompt_part(part))
             .field("server", m_server.name);
 }
 
@@ -320,7 +321,7 @@
     for (auto const part : cleared)
         base::log_line(base::log_level::info, "prompt_part_cleared")
             .field("request_id", m_job.requirements.request_id)
-            .field("part", part);
+            .field("part", decision::format_prompt_part(part));
 }
 
 std::optional<base::error> completion_transport::check_prompt_parts()
@@ -329,14 +330,17 @@
     auto const judgement = m_serving.poison_requests().judge_parts(m_job.prompt_parts, now);
     if (judgement.verdict == decision::part_verdict::clean)
         return std::nullopt;
-    if (judgement.verdict == decision::part_verdict::ambiguous)
-        m_is_trial = m_is_trial || m_serving.poison_requests().try_begin_trial(judgement.part, now);
-    bool const is_trial = judgement.verdict == decision::part_verdict::ambiguous && m_is_trial;
+    bool const ambiguous = judgement.verdict == decision::part_verdict::ambiguous;
+    if (ambiguous && m_is_trial)
+        return std::nullopt;
+    bool const begins_trial =
+        ambiguous && m_serving.poison_requests().try_begin_trial(judgement.part, now);
+    m_is_trial = m_is_trial || begins_trial;
     base::log_line(base::log_level::warning,
-                   is_trial ? "prompt_part_tried" : "prompt_part_rejected")
+                   begins_trial ? "prompt_part_tried" : "prompt_part_rejected")
         .field("request_id", m_job.requirements.request_id)
-        .field("part", judgement.part);
-    if (is_trial)
+        .field("part", decision::format_prompt_part(judgement.part));
+    if (begins_trial)
         return std::nullopt;
     return base::error{base::error_kind::no_server, "a message of the prompt crashes servers"};
 }
--- a/services/node/request_prompt_parts.cpp
+++ b/services/node/request_prompt_parts.cpp
@@ -1,12 +1,12 @@
 /// Crashes of servers that are traced to parts of the prompt.
 #include "base/log.hpp"
+#include "decision/prompt_part_format.hpp"
 #include "services/node/node_metrics.hpp"
 #include "services/node/request_context.hpp"
 
 #include <Poco/Net/NetException.h>
 
 #include <algorithm>
-#include <cstdio>
 
 namespace jasminepier::node
 {
@@ -37,13 +37,6 @@
     }
 }
 
-std::string format_fingerprint(std::uint64_t fingerprint)
-{
-    char text[20];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(fingerprint));
-    return text;
-}
-
 } // namespace
 
 void request_context::record_unanswered(serving::selected_server const& server, bool response_begun)
@@ -71,7 +64,7 @@
         observe_event("prompt_part", "suspected");
         base::log_line(base::log_level::warning, "prompt_part_suspected")
             .field("request_id", metadata.request_id)
-            .field("part", format_fingerprint(part))
+            .field("part", decision::format_prompt_part(part))
             .field("server", server.id)
             .field("evidence", response_begun ? "response_begun" : "connection_refused");
     }
@@ -86,7 +79,7 @@
         observe_event("prompt_part", "cleared");
         base::log_line(base::log_level::info, "prompt_part_cleared")
             .field("request_id", metadata.request_id)
-            .field("part", format_fingerprint(part));
+            .field("part", decision::format_prompt_part(part));
     }
     if (!cleared.empty())
         state.report_due().signal();
@@ -106,7 +99,7 @@
         observe_event("prompt_part", "tried");
         base::log_line(base::log_level::info, "prompt_part_tried")
             .field("request_id", metadata.request_id)
-            .field("part", format_fingerprint(judgement.part));
+            .field("part", decision::format_prompt_part(judgement.part));
     }
     return m_is_trial;
 }
@@ -121,7 +114,7 @@
     observe_event("prompt_part", "rejected");
     base::log_line line(base::log_level::warning, "prompt_part_rejected");
     line.field("request_id", metadata.request_id)
-        .field("part", format_fingerprint(judgement.part))
+        .field("part", decision::format_prompt_part(judgement.part))
         .field("ambiguous", judgement.verdict == decision::part_verdict::ambiguous ? 1 : 0);
     if (position != prompt_parts.end())
         line.field("part_id", metadata.shared_prompt_parts[static_cast<std::size_t>(
--- a/tests/decision_parts_test.cpp
+++ b/tests/decision_parts_test.cpp
@@ -1,6 +1,7 @@
 #include "decision/admission_queue.hpp"
 #include "decision/cold_start.hpp"
 #include "decision/length_estimator.hpp"
+#include "decision/prompt_part_format.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -175,5 +176,13 @@
     EXPECT_FALSE(state.is_cold());
 }
 
+// Guards against programs that write the same part in different ways.
+TEST(prompt_part_format, has_sixteen_hexadecimal_digits)
+{
+    EXPECT_EQ(format_prompt_part(0), "0000000000000000");
+    EXPECT_EQ(format_prompt_part(0xdead), "000000000000dead");
+    EXPECT_EQ(format_prompt_part(~std::uint64_t{0}), "ffffffffffffffff");
+}
+
 } // namespace
 } // namespace jasminepier::decision
