--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -70,11 +70,8 @@
     base::milliseconds time_since_last_data() const;
     /// Returns true if the caller closed its side of the connection or reset it.
     bool is_disconnected() const;
-    /// Returns true if bytes of another request arrived together with the last one.
-    bool has_pipelined_request() const noexcept
-    {
-        return m_reader.current_state() != request_reader::state::idle;
-    }
+    /// Returns true if bytes of another request have arrived, with the last one or behind it.
+    bool has_pipelined_request() const noexcept;
     /// Returns the number of sent bytes that the caller's machine has not acknowledged. They are
     /// lost if this machine stops.
     std::size_t unacknowledged_bytes() const;
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -109,7 +109,7 @@
     /// had sent a response head, so it was this request whose answer it was beginning. Otherwise
     /// the loss counts only if the server refuses a new connection.
     void record_unanswered(serving::selected_server const& server, bool response_begun);
-    /// Records that a server has begun to answer.
+    /// Records that a server has begun to answer with a success.
     void record_answered();
     /// Fails if a part of the prompt crashes servers.
     base::result<void> check_prompt_parts();
@@ -118,8 +118,8 @@
     void send_local_error(base::error const& failure);
     /// Forwards a server's complete response.
     void send_response(http::response const& response);
-    /// Ends the connection with this response if the process is shutting down. Requests that the
-    /// caller has pipelined behind this one are still answered.
+    /// Ends the connection with this response if the process is shutting down. Requests that have
+    /// arrived behind this one are still answered.
     void close_connection_during_shutdown();
     void log_completion() const;
 
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -1,7 +1,9 @@
 /// Tests the parsers of requests, responses and event streams with valid and invalid input.
+#include "base/error.hpp"
 #include "http/message.hpp"
 #include "http/request_reader.hpp"
 #include "http/response_reader.hpp"
+#include "http/status.hpp"
 #include "serving/event_stream_splitter.hpp"
 
 #include <gtest/gtest.h>
@@ -278,5 +280,37 @@
     }
 }
 
+// Guards against taking comments and blank lines, which keep a connection open, for events.
+TEST(event_stream_splitter, events_have_fields_and_comments_have_none)
+{
+    for (auto const* comment : {"\n", ": \n\n", ":keepalive\r\n\r\n", ": a\r: b\r\r"})
+    {
+        serving::event_stream_splitter splitter;
+        auto const items = splitter.feed(comment);
+        ASSERT_EQ(items.size(), 1U) << comment;
+        EXPECT_FALSE(items[0].has_fields) << comment;
+    }
+    for (auto const* event : {"data: a\n\n", "data\r\n\r\n", ": a\nid: 1\n\n"})
+    {
+        serving::event_stream_splitter splitter;
+        auto const events = splitter.feed(event);
+        ASSERT_EQ(events.size(), 1U) << event;
+        EXPECT_TRUE(events[0].has_fields) << event;
+    }
+}
+
+// Guards against an error that may have been executed and has a status that denies it.
+TEST(status, promises_no_execution_only_for_errors_that_have_not_run)
+{
+    for (auto const& row : base::error_response_table())
+        EXPECT_TRUE(!promises_no_execution(row.http_status) ||
+                    row.execution == base::execution_status::not_run)
+            << row.code;
+    for (int const status : {408, 421, 429, 503})
+        EXPECT_TRUE(promises_no_execution(status)) << status;
+    for (int const status : {200, 400, 404, 409, 422, 500, 502, 504})
+        EXPECT_FALSE(promises_no_execution(status)) << status;
+}
+
 } // namespace
 } // namespace jasminepier::http
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -24,7 +24,8 @@
 /// event and sends a comment byte now and then; a resumed stream continues to N events), `endless`
 /// (sends a body without end), `copied` (sends its response a second time when the next request
 /// arrives on the connection), `crash` (sends the head of a response, then nothing; `has_crashed`
-/// tells the owner to end the server).
+/// tells the owner to end the server), `status-N` (responds with status N after it ran the
+/// request), `greeting` (closes the connection after a comment, before the first event).
 class fake_server
 {
 public:
