Inner protocol: Limit the time and size of whole RPC messages

What could happen: a peer whose response brings a byte now and then holds the thread that pulls objects, so that the node asks no other peer; Thrift's socket limits the time of each read only. The stated maximum of 64 MiB a message was enforced nowhere; Thrift's default of 16,384,000 bytes applied.

Change: call_socket limits the time until a response is complete, and both ends accept frames and messages of up to 16 MiB.

--- a/libraries/inner_protocol/rpc.cpp
+++ b/libraries/inner_protocol/rpc.cpp
@@ -5,6 +5,30 @@
 namespace jasminepier::inner_protocol
 {
 namespace transport = apache::thrift::transport;
+namespace
+{
+
+// All objects of the largest fleet planned for take less than 2 MiB.
+constexpr int maximum_message_bytes = 16 * 1024 * 1024;
+
+class framed_transport_factory : public transport::TTransportFactory
+{
+public:
+    std::shared_ptr<transport::TTransport>
+    getTransport(std::shared_ptr<transport::TTransport> connection) override
+    {
+        return std::make_shared<transport::TFramedTransport>(std::move(connection),
+                                                             make_message_limits());
+    }
+};
+
+} // namespace
+
+std::shared_ptr<apache::thrift::TConfiguration> make_message_limits()
+{
+    return std::make_shared<apache::thrift::TConfiguration>(maximum_message_bytes,
+                                                            maximum_message_bytes);
+}
 
 rpc_server::rpc_server(std::shared_ptr<apache::thrift::TProcessor> const& processor,
                        std::string const& host, int port)
@@ -12,7 +36,7 @@
     auto socket = std::make_shared<transport::TServerSocket>(host, port);
     socket->setKeepAlive(true);
     m_server = std::make_unique<apache::thrift::server::TThreadedServer>(
-        processor, socket, std::make_shared<transport::TFramedTransportFactory>(),
+        processor, socket, std::make_shared<framed_transport_factory>(),
         std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>());
     m_thread = std::thread(
         [this]
--- a/libraries/inner_protocol/rpc.hpp
+++ b/libraries/inner_protocol/rpc.hpp
@@ -4,12 +4,12 @@
 #include "base/error.hpp"
 #include "control_node.h"
 #include "entry_node.h"
+#include "inner_protocol/call_socket.hpp"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
-#include <thrift/transport/TSocket.h>
 
 #include <chrono>
 #include <memory>
@@ -19,8 +19,8 @@
 namespace jasminepier::inner_protocol
 {
 
-/// Maximum size of a message accepted from a peer.
-inline constexpr int maximum_message_bytes = 64 << 20;
+/// Returns the limits on a message from a peer.
+std::shared_ptr<apache::thrift::TConfiguration> make_message_limits();
 
 /// A client that connects on first use and reconnects after a failure. Not thread-safe.
 template <class Client>
@@ -33,13 +33,14 @@
     }
 
     /// Returns `function(Client&)`. Fails with server_unreachable if the peer can't be reached, the
-    /// call fails, or no response arrives within the timeout.
+    /// call fails, or no complete response arrives within the timeout.
     template <class Call>
     auto call(Call&& function) -> base::result<std::invoke_result_t<Call, Client&>>
     {
         try
         {
             connect();
+            m_socket->set_deadline(base::steady_clock_source{}.now() + m_timeout);
             return function(*m_client);
         }
         catch (std::exception const& failure)
@@ -56,12 +57,12 @@
     {
         if (m_client)
             return;
-        auto socket = std::make_shared<apache::thrift::transport::TSocket>(m_host, m_port);
+        m_socket = std::make_shared<call_socket>(m_host, m_port);
         auto const timeout = static_cast<int>(m_timeout.count());
-        socket->setConnTimeout(timeout);
-        socket->setRecvTimeout(timeout);
-        socket->setSendTimeout(timeout);
-        m_transport = std::make_shared<apache::thrift::transport::TFramedTransport>(socket);
+        m_socket->setConnTimeout(timeout);
+        m_socket->setSendTimeout(timeout);
+        m_transport = std::make_shared<apache::thrift::transport::TFramedTransport>(
+            m_socket, make_message_limits());
         m_transport->open();
         m_client = std::make_unique<Client>(
             std::make_shared<apache::thrift::protocol::TCompactProtocol>(m_transport));
@@ -70,6 +71,7 @@
     std::string m_host;
     int m_port;
     std::chrono::milliseconds m_timeout;
+    std::shared_ptr<call_socket> m_socket;
     std::shared_ptr<apache::thrift::transport::TTransport> m_transport;
     std::unique_ptr<Client> m_client;
 };
