--- a/tests/rpc_test.cpp
+++ b/tests/rpc_test.cpp
@@ -1,6 +1,7 @@
 /// The RPC client against a peer that sends bytes without end.
 #include "inner_protocol/rpc.hpp"
 #include "tests/support/connection_server.hpp"
+#include "tests/support/port_reservation.hpp"
 
 #include <gtest/gtest.h>
 
@@ -16,7 +17,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t peer_port = 24495;
+std::uint16_t peer_port()
+{
+    static auto const port = reserve_ports();
+    return port;
+}
+
 constexpr milliseconds call_timeout{400};
 // The peer gives up then, so that a client without a limit fails the test instead of hanging.
 constexpr milliseconds maximum_response_time{3000};
@@ -26,7 +32,7 @@
 milliseconds time_until_failure(std::string const& frame_header)
 {
     connection_server const peer(
-        peer_port,
+        peer_port(),
         [&](Poco::Net::StreamSocket& socket)
         {
             std::array<char, 4096> bytes{};
@@ -39,8 +45,8 @@
                 std::this_thread::sleep_for(milliseconds(20));
             }
         });
-    inner_protocol::rpc_client<inner_protocol::control_nodeClient> client(loopback_host, peer_port,
-                                                                          call_timeout);
+    inner_protocol::rpc_client<inner_protocol::control_nodeClient> client(
+        loopback_host, peer_port(), call_timeout);
     auto const start = std::chrono::steady_clock::now();
     auto const response = client.call(
         [](inner_protocol::control_nodeClient& control)
--- a/tests/store_connection_test.cpp
+++ b/tests/store_connection_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/store_dialect.hpp"
 #include "store/http_object_store.hpp"
 #include "tests/support/connection_server.hpp"
+#include "tests/support/port_reservation.hpp"
 
 #include <gtest/gtest.h>
 
@@ -17,7 +18,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t store_port = 24490;
+std::uint16_t store_port()
+{
+    static auto const port = reserve_ports();
+    return port;
+}
+
 constexpr milliseconds call_timeout{400};
 // The fake store gives up then, so that a client without limits fails a test instead of hanging.
 constexpr milliseconds maximum_response_time{4000};
@@ -30,7 +36,7 @@
 public:
     endless_store(std::string first_part, std::string repeated_part, milliseconds pause)
         : m_first_part(std::move(first_part)), m_repeated_part(std::move(repeated_part)),
-          m_pause(pause), m_server(store_port, [this](auto& socket) { serve(socket); })
+          m_pause(pause), m_server(store_port(), [this](auto& socket) { serve(socket); })
     {
     }
 
@@ -65,7 +71,7 @@
 {
     store::http_object_store_settings settings;
     settings.host = loopback_host;
-    settings.port = store_port;
+    settings.port = store_port();
     settings.call_timeout = call_timeout;
     settings.watch_margin = call_timeout;
     return settings;
@@ -143,7 +149,7 @@
     constexpr std::size_t parts = 60;
     auto const length = head.size() + parts * part_bytes + 2;
     connection_server const store(
-        store_port,
+        store_port(),
         [&](Poco::Net::StreamSocket& socket)
         {
             if (!read_request(socket))
