Decision: Try rejected prompt parts again

Callers saw: nothing yet. A part that is rejected by mistake (three crashes at different times with no answer in between) stayed rejected for an hour, since nothing with it may run and so nothing can clear it. For a prompt that a whole customer shares, that customer is out of service.

Change: a rejected part is half-open 60 s after its last crash; each failed trial doubles the delay, up to 480 s. The delay follows from the crash records that the nodes share anyway. One process of the fleet begins the trial: they take turns of 5 s in rendezvous order, of which the first 2.5 s are open, and announce the trial in six reports (new optional field, ignored by older nodes). In large fleets the zones take turns. A trial is sent once, neither resumed nor hedged. Trials of ambiguous parts are announced as well, so that not every node sends its own. At most 1024 trials are remembered. The lines prompt_part_tried and prompt_part_rejected tell the verdict and the time until the next trial.

The test of trials was not run against code without them, which lacks the functions that it calls.

The test of ambiguous parts calls the new function with the same expectations; the network in memory moved to tests/support.

--- a/libraries/base/ordered_mutex.hpp
+++ b/libraries/base/ordered_mutex.hpp
@@ -20,6 +20,7 @@
     connection_pool,
     server_table,
     poison_request_detector,
+    live_nodes,
     retry_budgets,
     hedge_policy,
     claim_table,
--- a/libraries/decision/poison_request_detector.cpp
+++ b/libraries/decision/poison_request_detector.cpp
@@ -113,28 +113,6 @@
     drop_old_answers();
 }
 
-part_judgement poison_request_detector::judge_parts(std::span<std::uint64_t const> parts,
-                                                    base::time_point now) const
-{
-    std::lock_guard lock(m_mutex);
-    part_judgement judgement;
-    for (auto const part : parts)
-    {
-        auto const verdict = judge_part(part, parts, now);
-        if (verdict > judgement.verdict)
-            judgement = {verdict, part};
-    }
-    return judgement;
-}
-
-bool poison_request_detector::try_begin_trial(std::uint64_t part, base::time_point now)
-{
-    std::lock_guard lock(m_mutex);
-    std::erase_if(m_trials,
-                  [&](auto const& entry) { return now - entry.second >= trial_interval; });
-    return m_trials.try_emplace(part, now).second;
-}
-
 std::vector<crash_event> poison_request_detector::events(base::time_point now)
 {
     std::lock_guard lock(m_mutex);
@@ -178,6 +156,7 @@
         ++position;
     }
     add_answers(report, limit, now);
+    add_trials(report, limit, now);
     return report;
 }
 
@@ -278,81 +257,6 @@
                   [&](auto const& entry) { return entry.second.last_answer <= *middle; });
 }
 
-std::size_t poison_request_detector::count_crashes_since_answer(std::uint64_t part,
-                                                                base::time_point now) const
-{
-    auto const answer = m_answers.find(part);
-    std::vector<base::time_point> times;
-    for (auto found = m_events.lower_bound({part, "", ""});
-         found != m_events.end() && std::get<0>(found->first) == part; ++found)
-    {
-        auto const time = found->second.time;
-        bool const answered_since = answer != m_answers.end() && time <= answer->second.last_answer;
-        if (!answered_since && now - time < event_lifetime)
-            times.push_back(time);
-    }
-    std::sort(times.begin(), times.end());
-    std::size_t count = 0;
-    std::optional<base::time_point> last_counted;
-    for (auto const time : times)
-    {
-        if (last_counted && time < *last_counted + minimum_crash_distance)
-            continue;
-        last_counted = time;
-        ++count;
-    }
-    return count;
-}
-
-bool poison_request_detector::is_part_rejected(std::uint64_t part, base::time_point now) const
-{
-    auto const threshold = m_answers.contains(part) ? answered_part_threshold : rejection_threshold;
-    return count_crashes_since_answer(part, now) >= threshold;
-}
-
-std::set<std::pair<std::string, std::string>>
-poison_request_detector::crash_sites(std::uint64_t part, base::time_point now) const
-{
-    auto const answer = m_answers.find(part);
-    std::set<std::pair<std::string, std::string>> sites;
-    for (auto found = m_events.lower_bound({part, "", ""});
-         found != m_events.end() && std::get<0>(found->first) == part; ++found)
-    {
-        auto const time = found->second.time;
-        bool const answered_since = answer != m_answers.end() && time <= answer->second.last_answer;
-        if (!answered_since && now - time < event_lifetime)
-            sites.emplace(std::get<1>(found->first), std::get<2>(found->first));
-    }
-    return sites;
-}
-
-part_verdict poison_request_detector::judge_part(std::uint64_t part,
-                                                 std::span<std::uint64_t const> parts,
-                                                 base::time_point now) const
-{
-    if (!is_part_rejected(part, now))
-        return part_verdict::clean;
-    auto const sites = crash_sites(part, now);
-    std::map<std::uint64_t, std::size_t> common_sites;
-    for (auto const& [key, state] : m_events)
-    {
-        auto const& [other, server, instance] = key;
-        if (std::find(parts.begin(), parts.end(), other) == parts.end() &&
-            sites.contains({server, instance}))
-            ++common_sites[other];
-    }
-    auto verdict = part_verdict::rejected;
-    for (auto const& [other, count] : common_sites)
-    {
-        if (count < sites.size() || !is_part_rejected(other, now))
-            continue;
-        if (crash_sites(other, now).size() > sites.size())
-            return part_verdict::clean;
-        verdict = part_verdict::ambiguous;
-    }
-    return verdict;
-}
-
 crash_event poison_request_detector::make_event(event_key const& key, base::time_point time,
                                                 base::time_point now)
 {
--- a/libraries/decision/poison_request_detector.hpp
+++ b/libraries/decision/poison_request_detector.hpp
@@ -3,6 +3,7 @@
 
 #include "base/clock.hpp"
 #include "base/ordered_mutex.hpp"
+#include "decision/trial_schedule.hpp"
 
 #include <cstdint>
 #include <map>
@@ -42,11 +43,20 @@
     std::int64_t age_milliseconds = 0;
 };
 
+/// A node has sent a request with this part to learn whether it still crashes servers.
+struct tried_part
+{
+    std::uint64_t part = 0;
+    /// Rounded up.
+    std::int64_t age_milliseconds = 0;
+};
+
 /// What one message to the other nodes says about crashes.
 struct crash_report
 {
     std::vector<crash_event> crashes;
     std::vector<answered_part> answered_parts;
+    std::vector<tried_part> tried_parts;
     /// The report has news of this node that it has sent less than `news_transmissions` times.
     bool has_news = false;
     /// The next report has news as well.
@@ -75,6 +85,8 @@
 {
     part_verdict verdict = part_verdict::clean;
     std::uint64_t part = 0;
+    /// Time after which a request with the part may run, if it is not clean.
+    base::milliseconds retry_after{0};
 };
 
 /// Returns the fingerprint of a prompt part, which differs from those of whole requests.
@@ -86,7 +98,9 @@
 /// Whole requests are counted for every crash during which they ran. Prompt parts are shared by
 /// many requests, so they are judged by what followed: the crashes since a server last began to
 /// answer a request with the part. A part that crashes servers never gets that far, while a part
-/// that only happened to run there soon does.
+/// that only happened to run there soon does. A rejected part is half-open from time to time: one
+/// request of the whole fleet is sent as a trial (see trial_schedule.hpp). Its answer clears the
+/// part, and its crash doubles the time until the next trial.
 class poison_request_detector
 {
 public:
@@ -103,8 +117,16 @@
     static constexpr std::size_t maximum_events = 4096;
     /// Parts whose last answer is remembered. When exceeded, the older half is dropped.
     static constexpr std::size_t maximum_answered_parts = 16384;
-    /// Time between two requests with an ambiguous part that a node sends to learn the cause.
+    /// Time between two requests with an ambiguous part that are sent to learn the cause.
     static constexpr base::milliseconds trial_interval{2000};
+    /// Parts whose last trial is remembered. No further trials begin while there are as many.
+    static constexpr std::size_t maximum_trials = 1024;
+    /// Reports in which a node announces a trial. More than for other news, since each node that
+    /// misses it may begin a trial of its own.
+    static constexpr int trial_transmissions = 6;
+    /// While requests that were running during the last crash may still be answered, callers are
+    /// told to retry after `trial_interval`.
+    static constexpr base::milliseconds settling_time{5000};
     /// Reports in which a node repeats its own news, in case datagrams are lost.
     static constexpr int news_transmissions = 3;
 
@@ -129,8 +151,17 @@
     /// Judges a request by its parts. A part is not rejected if all crashes with it are explained
     /// by another rejected part, which the request does not have and which crashed more servers.
     part_judgement judge_parts(std::span<std::uint64_t const> parts, base::time_point now) const;
-    /// Returns true if this node may send a request with an ambiguous part now.
-    bool try_begin_trial(std::uint64_t part, base::time_point now);
+    /// Returns the part that determines which node tries these parts, if a trial is due: of those
+    /// that are not clean, the one with the lowest fingerprint.
+    std::optional<std::uint64_t> find_due_trial(std::span<std::uint64_t const> parts,
+                                                base::time_point now) const;
+    /// Returns true if this node may send a request with these parts now, although they are not
+    /// clean. `position` is that of this node for the part that `find_due_trial` returned; only
+    /// rejected parts are bound to a turn.
+    bool try_begin_trial(std::span<std::uint64_t const> parts, fleet_position position,
+                         base::time_point now);
+    /// Applies the trials that another node has announced.
+    void merge_tried(std::span<tried_part const> parts, base::time_point now);
 
     /// Returns the events that have not expired.
     std::vector<crash_event> events(base::time_point now);
@@ -166,10 +197,28 @@
         bool is_local_news = false;
     };
 
+    struct trial_state
+    {
+        base::time_point time{};
+        /// Reports in which this node still has to announce its trial.
+        int transmissions = 0;
+    };
+
     bool insert(crash_event const& event, base::time_point now, int transmissions = 0);
     void drop_expired(base::time_point now);
     void drop_old_answers();
+    /// Returns the sorted times of the crashes since the part's last answer. Those that are close
+    /// together appear once.
+    std::vector<base::time_point> crash_times_since_answer(std::uint64_t part,
+                                                           base::time_point now) const;
     std::size_t count_crashes_since_answer(std::uint64_t part, base::time_point now) const;
+    std::size_t rejection_threshold_of(std::uint64_t part) const;
+    /// Returns when a part with this verdict may be tried next.
+    base::time_point next_trial(std::uint64_t part, part_verdict verdict,
+                                base::time_point now) const;
+    /// Returns the parts that are not clean, in order, with their verdicts.
+    std::map<std::uint64_t, part_verdict> find_unclean(std::span<std::uint64_t const> parts,
+                                                       base::time_point now) const;
     bool is_part_rejected(std::uint64_t part, base::time_point now) const;
     /// Returns the server and instance of each crash since the part's last answer.
     std::set<std::pair<std::string, std::string>> crash_sites(std::uint64_t part,
@@ -179,11 +228,12 @@
     static crash_event make_event(event_key const& key, base::time_point time,
                                   base::time_point now);
     void add_answers(crash_report& report, std::size_t limit, base::time_point now);
+    void add_trials(crash_report& report, std::size_t limit, base::time_point now);
 
     mutable base::ordered_mutex<base::lock_level::poison_request_detector> m_mutex;
     std::map<event_key, event_state> m_events;
-    /// Last trial of each ambiguous part.
-    std::map<std::uint64_t, base::time_point> m_trials;
+    /// Last trial of each part that is not clean.
+    std::map<std::uint64_t, trial_state> m_trials;
     std::unordered_map<std::uint64_t, answer_state> m_answers;
     std::set<std::string> m_reserved_servers;
     /// Last event that was sent in turn.
--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -85,6 +85,11 @@
     return answered.age_milliseconds >= 0;
 }
 
+bool is_valid(tried_part const& tried)
+{
+    return tried.age_milliseconds >= 0;
+}
+
 bool is_valid(gossip_datagram const& message)
 {
     auto const is_valid_element = [](auto const& element) { return is_valid(element); };
@@ -125,7 +130,9 @@
            std::all_of(report.crashes.begin(), report.crashes.end(),
                        [](auto const& crash) { return is_valid(crash); }) &&
            std::all_of(report.answered_parts.begin(), report.answered_parts.end(),
-                       [](auto const& answered) { return is_valid(answered); });
+                       [](auto const& answered) { return is_valid(answered); }) &&
+           std::all_of(report.tried_parts.begin(), report.tried_parts.end(),
+                       [](auto const& tried) { return is_valid(tried); });
 }
 
 template <class Message>
--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -59,6 +59,13 @@
   2: i32 age_milliseconds,
 }
 
+// The sender has sent a request with this rejected prompt part to learn whether it still crashes
+// servers.
+struct tried_part {
+  1: i64 part,
+  2: i32 age_milliseconds,
+}
+
 enum datagram_kind { ping = 0, acknowledgement = 1, ping_request = 2, notice = 3 }
 
 struct gossip_datagram {
@@ -178,6 +185,7 @@
   11: list<server_use> uses,
   12: list<crash_record> crashes,
   25: optional list<answered_part> answered_parts,
+  26: optional list<tried_part> tried_parts,
   // Only in reports to other zones: one part of the loads of all nodes of the zone.
   16: i32 summary_part,
   17: i32 summary_parts,          // 0 if the report is not a summary
--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -225,6 +225,26 @@
     return names;
 }
 
+decision::fleet_position node_directory::find_trial_position(std::uint64_t part,
+                                                             base::time_point now) const
+{
+    auto const names = live_node_names(now);
+    auto const in_zone = decision::find_trial_position(part, m_self.name, names);
+    if (!is_large_fleet())
+        return in_zone;
+    std::vector<std::string> zones;
+    std::size_t largest_zone = names.size();
+    for (auto const& [zone, record] : m_zones)
+    {
+        if (now >= record.received + report_timeout)
+            continue;
+        zones.push_back(zone);
+        largest_zone = std::max(largest_zone, record.summary.live_nodes);
+    }
+    return decision::combine_positions(decision::find_trial_position(part, m_self.zone, zones),
+                                       in_zone, largest_zone);
+}
+
 std::vector<std::string> node_directory::caller_addresses(std::size_t limit,
                                                           base::time_point now) const
 {
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "decision/trial_schedule.hpp"
 #include "serving/node_entry.hpp"
 
 #include <algorithm>
@@ -145,6 +146,9 @@
     /// Sorted names of the nodes that are alive and report to this node, including this node. In a
     /// large fleet, nodes of other zones are left out.
     std::vector<std::string> live_node_names(base::time_point now) const;
+    /// Returns this node's place among the live nodes for trials of a prompt part. Zones that
+    /// haven't sent a summary recently are left out.
+    decision::fleet_position find_trial_position(std::uint64_t part, base::time_point now) const;
     /// Number of all nodes that may be alive. Zones that stopped reporting count as they were,
     /// since they may only be cut off.
     std::size_t fleet_size(base::time_point now) const;
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -79,6 +79,8 @@
     // Another node may have reported a crash while this request waited for a server.
     if (auto refusal = check_prompt_parts())
         return start_failure{attempt_failure::not_connected, std::move(refusal), ""};
+    // A trial is sent once.
+    m_trial_verdict = decision::part_verdict::clean;
     auto const load = m_state.load(m_server.name);
     m_instance = load ? load->instance : "";
     m_generation_id = base::random_id();
@@ -323,21 +325,34 @@
             .field("part", part);
 }
 
+bool completion_transport::try_begin_trial(decision::part_judgement const& judgement,
+                                           base::time_point now)
+{
+    auto& detector = m_serving.poison_requests();
+    auto const deciding_part = detector.find_due_trial(m_job.prompt_parts, now);
+    if (!deciding_part ||
+        !detector.try_begin_trial(m_job.prompt_parts, m_serving.find_trial_position(*deciding_part),
+                                  now))
+        return false;
+    m_trial_verdict = judgement.verdict;
+    base::log_line(base::log_level::info, "prompt_part_tried")
+        .field("request_id", m_job.requirements.request_id)
+        .field("part", judgement.part)
+        .field("ambiguous", judgement.verdict == decision::part_verdict::ambiguous ? 1 : 0);
+    return true;
+}
+
 std::optional<base::error> completion_transport::check_prompt_parts()
 {
     auto const now = base::steady_clock_source{}.now();
     auto const judgement = m_serving.poison_requests().judge_parts(m_job.prompt_parts, now);
-    if (judgement.verdict == decision::part_verdict::clean)
+    if (judgement.verdict <= m_trial_verdict || try_begin_trial(judgement, now))
         return std::nullopt;
-    if (judgement.verdict == decision::part_verdict::ambiguous)
-        m_is_trial = m_is_trial || m_serving.poison_requests().try_begin_trial(judgement.part, now);
-    bool const is_trial = judgement.verdict == decision::part_verdict::ambiguous && m_is_trial;
-    base::log_line(base::log_level::warning,
-                   is_trial ? "prompt_part_tried" : "prompt_part_rejected")
+    base::log_line(base::log_level::warning, "prompt_part_rejected")
         .field("request_id", m_job.requirements.request_id)
-        .field("part", judgement.part);
-    if (is_trial)
-        return std::nullopt;
+        .field("part", judgement.part)
+        .field("ambiguous", judgement.verdict == decision::part_verdict::ambiguous ? 1 : 0)
+        .field("retry_after_ms", judgement.retry_after.count());
     return base::error{base::error_kind::no_server, "a message of the prompt crashes servers"};
 }
 
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -87,8 +87,11 @@
     void record_crash();
     /// Records that the engine generates the response.
     void record_answered();
-    /// Returns an error if a message of the prompt crashes servers.
+    /// Returns an error if a message of the prompt crashes servers and this request is no trial of
+    /// it.
     std::optional<base::error> check_prompt_parts();
+    /// Returns true if this request becomes a trial of its messages.
+    bool try_begin_trial(decision::part_judgement const& judgement, base::time_point now);
     bool port_is_closed() const;
     void finish_attempt(attempt_outcome outcome);
 
@@ -117,8 +120,8 @@
     bool m_answered = false;
     /// Last crash of an engine before it answered this request.
     std::optional<base::time_point> m_last_unanswered_crash;
-    /// This request may run although one of its messages is ambiguous.
-    bool m_is_trial = false;
+    /// This request may run although it has messages up to this verdict, once.
+    decision::part_verdict m_trial_verdict = decision::part_verdict::clean;
     std::chrono::steady_clock::time_point m_last_read = std::chrono::steady_clock::now();
     bool m_was_paused = false;
 };
--- a/services/entry/control_link.cpp
+++ b/services/entry/control_link.cpp
@@ -42,6 +42,20 @@
     serving.poison_requests().merge(events, now());
 }
 
+void set_live_nodes(serving_state& serving,
+                    std::vector<inner_protocol::member_record> const& members)
+{
+    // The first record is that of this node.
+    if (members.empty())
+        return;
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (auto const& member : members)
+        if (member.state < inner_protocol::member_state::leaving)
+            names.push_back(member.node_id);
+    serving.set_live_nodes(members.front().node_id, std::move(names));
+}
+
 } // namespace
 
 control_link::control_link(entry_state& state, serving_state& serving, std::string host,
@@ -91,6 +105,7 @@
 {
     m_state.apply(update);
     merge_crash_records(m_serving, update.crashes);
+    set_live_nodes(m_serving, update.members);
     std::lock_guard lock(m_mutex);
     // The control process has every change up to `update.revision`. The highest version received
     // would not show gaps below it. After a restart, the control process may be behind this
--- a/services/entry/serving_state.hpp
+++ b/services/entry/serving_state.hpp
@@ -1,12 +1,16 @@
 /// Shutdown phase, retry budgets and other state shared by the workers of an entry process.
 #pragma once
 
+#include "base/ordered_mutex.hpp"
 #include "decision/poison_request_detector.hpp"
 #include "decision/retry_policy.hpp"
 #include "decision/shutdown_admission.hpp"
 
 #include <atomic>
 #include <chrono>
+#include <mutex>
+#include <string>
+#include <vector>
 
 namespace jasminepier::entry
 {
@@ -39,6 +43,19 @@
     decision::retry_budgets& budgets() noexcept { return m_budgets; }
     decision::poison_request_detector& poison_requests() noexcept { return m_poison_requests; }
 
+    void set_live_nodes(std::string self, std::vector<std::string> names)
+    {
+        std::lock_guard lock(m_live_nodes_mutex);
+        m_self = std::move(self);
+        m_live_nodes = std::move(names);
+    }
+    /// Returns this node's place among the live nodes for trials of a prompt part.
+    decision::fleet_position find_trial_position(std::uint64_t part) const
+    {
+        std::lock_guard lock(m_live_nodes_mutex);
+        return decision::find_trial_position(part, m_self, m_live_nodes);
+    }
+
     shutdown_phase phase() const noexcept { return m_phase; }
     void set_phase(shutdown_phase phase) noexcept { m_phase = phase; }
     /// Limits the requests that are started and the time that they take once a shutdown with a
@@ -53,6 +70,9 @@
     serving_settings m_settings;
     decision::retry_budgets m_budgets;
     decision::poison_request_detector m_poison_requests;
+    mutable base::ordered_mutex<base::lock_level::live_nodes> m_live_nodes_mutex;
+    std::string m_self;
+    std::vector<std::string> m_live_nodes;
     decision::shutdown_admission m_shutdown;
     std::atomic<shutdown_phase> m_phase = shutdown_phase::serving;
     std::atomic<int> m_active_requests = 0;
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -17,7 +17,8 @@
 // Keeps a report well below the maximum size of a datagram: a load takes about 20 bytes.
 constexpr std::size_t maximum_loads_per_report = 40;
 constexpr std::size_t maximum_crashes_per_report = 12;
-// Expected size of a crash together with an answered part. Longer names leave out the last ones.
+// Expected size of a crash together with an answered part and a tried one, which is rare. Longer
+// names leave out the last ones.
 constexpr std::size_t bytes_per_crash = 60;
 // Sums over a zone take more bytes, and the summary also holds addresses.
 constexpr std::size_t maximum_loads_per_summary = 30;
@@ -169,6 +170,14 @@
         report.answered_parts.push_back(record);
         report.__isset.answered_parts = true;
     }
+    for (auto const& tried : known.tried_parts)
+    {
+        inner_protocol::tried_part record;
+        record.part = static_cast<std::int64_t>(tried.part);
+        record.age_milliseconds = static_cast<std::int32_t>(tried.age_milliseconds);
+        report.tried_parts.push_back(record);
+        report.__isset.tried_parts = true;
+    }
     while (!report.crashes.empty() && inner_protocol::encode_node_report(report).size() >
                                           inner_protocol::maximum_datagram_bytes)
         report.crashes.pop_back();
@@ -396,6 +405,11 @@
             {static_cast<std::uint64_t>(record.part), record.age_milliseconds});
     if (!answered_parts.empty())
         m_state.poison_requests().merge_answered(answered_parts, now);
+    std::vector<decision::tried_part> tried_parts;
+    for (auto const& record : report.tried_parts)
+        tried_parts.push_back({static_cast<std::uint64_t>(record.part), record.age_milliseconds});
+    if (!tried_parts.empty())
+        m_state.poison_requests().merge_tried(tried_parts, now);
 }
 
 } // namespace jasminepier::node
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -142,6 +142,9 @@
                 selection.server->id, demand, now, [attempt_wakeup] { attempt_wakeup->signal(); });
             return server_attempt(state, *selection.server, attempt_id);
         });
+    // A trial is sent once.
+    if (attempt)
+        m_trial_verdict = decision::part_verdict::clean;
     if (attempt && service->engine)
         attempt->share_load();
     if (attempt)
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -126,13 +126,15 @@
     template <class Condition>
     bool wait_until(base::time_point wait_deadline, Condition&& done);
     std::optional<server_attempt> try_acquire_server(serving::server_selection& selection);
-    /// Returns false if a part of the prompt crashes servers.
+    /// Returns false if a part of the prompt crashes servers and this request is no trial of it.
     bool prompt_parts_may_run();
+    /// Returns true if this request becomes a trial of its parts.
+    bool try_begin_trial(decision::part_judgement const& judgement, base::time_point now);
     void log_selected_server(serving::selected_server const& server,
                              std::string_view purpose) const;
 
-    /// This request may run although it has a part that is ambiguous.
-    bool m_is_trial = false;
+    /// This request may run although it has parts up to this verdict, once.
+    decision::part_verdict m_trial_verdict = decision::part_verdict::clean;
 };
 
 } // namespace jasminepier::node
--- a/services/node/request_prompt_parts.cpp
+++ b/services/node/request_prompt_parts.cpp
@@ -92,23 +92,33 @@
         state.report_due().signal();
 }
 
+bool request_context::try_begin_trial(decision::part_judgement const& judgement,
+                                      base::time_point now)
+{
+    auto& detector = state.poison_requests();
+    auto const deciding_part = detector.find_due_trial(prompt_parts, now);
+    if (!deciding_part)
+        return false;
+    auto const position =
+        state.with([&](node_state::tables& tables)
+                   { return tables.nodes.find_trial_position(*deciding_part, now); });
+    if (!detector.try_begin_trial(prompt_parts, position, now))
+        return false;
+    m_trial_verdict = judgement.verdict;
+    state.report_due().signal();
+    observe_event("prompt_part", "tried");
+    base::log_line(base::log_level::info, "prompt_part_tried")
+        .field("request_id", metadata.request_id)
+        .field("part", format_fingerprint(judgement.part))
+        .field("ambiguous", judgement.verdict == decision::part_verdict::ambiguous ? 1 : 0);
+    return true;
+}
+
 bool request_context::prompt_parts_may_run()
 {
     auto const now = base::steady_clock_source{}.now();
     auto const judgement = state.poison_requests().judge_parts(prompt_parts, now);
-    if (judgement.verdict != decision::part_verdict::ambiguous)
-        return judgement.verdict == decision::part_verdict::clean;
-    if (m_is_trial)
-        return true;
-    m_is_trial = state.poison_requests().try_begin_trial(judgement.part, now);
-    if (m_is_trial)
-    {
-        observe_event("prompt_part", "tried");
-        base::log_line(base::log_level::info, "prompt_part_tried")
-            .field("request_id", metadata.request_id)
-            .field("part", format_fingerprint(judgement.part));
-    }
-    return m_is_trial;
+    return judgement.verdict <= m_trial_verdict || try_begin_trial(judgement, now);
 }
 
 base::result<void> request_context::check_prompt_parts()
@@ -122,7 +132,8 @@
     base::log_line line(base::log_level::warning, "prompt_part_rejected");
     line.field("request_id", metadata.request_id)
         .field("part", format_fingerprint(judgement.part))
-        .field("ambiguous", judgement.verdict == decision::part_verdict::ambiguous ? 1 : 0);
+        .field("ambiguous", judgement.verdict == decision::part_verdict::ambiguous ? 1 : 0)
+        .field("retry_after_ms", judgement.retry_after.count());
     if (position != prompt_parts.end())
         line.field("part_id", metadata.shared_prompt_parts[static_cast<std::size_t>(
                                   position - prompt_parts.begin())]);
--- a/tests/poison_request_detector_test.cpp
+++ b/tests/poison_request_detector_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/poison_request_detector.hpp"
+#include "tests/support/report_network.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -85,23 +85,6 @@
               poison_verdict::suspected);
 }
 
-std::vector<std::uint64_t> make_parts(std::initializer_list<std::string_view> names)
-{
-    std::vector<std::uint64_t> parts;
-    for (auto const name : names)
-        parts.push_back(fingerprint_prompt_part(name));
-    return parts;
-}
-
-std::optional<std::uint64_t> find_rejected_part(poison_request_detector const& detector,
-                                                std::vector<std::uint64_t> const& parts,
-                                                base::time_point now)
-{
-    auto const judgement = detector.judge_parts(parts, now);
-    return judgement.verdict == part_verdict::rejected ? std::optional(judgement.part)
-                                                       : std::nullopt;
-}
-
 // Guards against rejecting a sound part that no server has answered yet and that was there in every
 // crash of the deadly part.
 TEST(poison_prompt_part, is_told_from_its_constant_companion_by_a_trial)
@@ -115,10 +98,10 @@
         detector.record_unanswered(both, "s" + std::to_string(crash), "", now += 1s);
     EXPECT_EQ(detector.judge_parts(both, now).verdict, part_verdict::rejected);
     EXPECT_EQ(detector.judge_parts(companion, now).verdict, part_verdict::ambiguous);
-    EXPECT_TRUE(detector.try_begin_trial(companion.front(), now));
-    EXPECT_FALSE(detector.try_begin_trial(companion.front(), now));
+    EXPECT_TRUE(detector.try_begin_trial(companion, {}, now));
+    EXPECT_FALSE(detector.try_begin_trial(companion, {}, now));
     EXPECT_TRUE(
-        detector.try_begin_trial(companion.front(), now + poison_request_detector::trial_interval));
+        detector.try_begin_trial(companion, {}, now + poison_request_detector::trial_interval));
     auto crashed = std::make_unique<poison_request_detector>();
     crashed->merge(detector.events(now), now);
     // The trial is answered.
@@ -245,70 +228,6 @@
     EXPECT_FALSE(find_rejected_part(detector, newest, now));
 }
 
-/// Detectors in memory that exchange reports like the nodes of a fleet: news is sent at once and
-/// relayed to one node of each other zone, everything else in turn.
-class report_network
-{
-public:
-    report_network(std::size_t nodes, std::size_t zones, double loss)
-        : m_detectors(nodes), m_zones(zones), m_loss(loss)
-    {
-    }
-
-    poison_request_detector& node(std::size_t index) { return m_detectors[index]; }
-
-    void exchange(base::time_point now)
-    {
-        for (std::size_t sender = 0; sender < m_detectors.size(); ++sender)
-        {
-            auto const report = m_detectors[sender].take_report(crashes_per_report, now);
-            deliver_in_zone(report, sender, sender % m_zones, now);
-            for (std::size_t zone = 0; zone < m_zones && report.has_news; ++zone)
-            {
-                auto const relay = zone + m_zones * (random() % (m_detectors.size() / m_zones));
-                if (zone == sender % m_zones || is_lost())
-                    continue;
-                apply(report, relay, now);
-                deliver_in_zone(report, relay, zone, now);
-            }
-        }
-    }
-
-    std::size_t count_nodes_that_reject(std::vector<std::uint64_t> const& parts,
-                                        base::time_point now) const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(m_detectors.begin(), m_detectors.end(),
-                          [&](auto const& detector)
-                          { return find_rejected_part(detector, parts, now).has_value(); }));
-    }
-
-private:
-    static constexpr std::size_t crashes_per_report = 4;
-
-    std::uint32_t random() { return static_cast<std::uint32_t>(m_random()); }
-    bool is_lost() { return std::bernoulli_distribution(m_loss)(m_random); }
-
-    void apply(crash_report const& report, std::size_t receiver, base::time_point now)
-    {
-        m_detectors[receiver].merge(report.crashes, now);
-        m_detectors[receiver].merge_answered(report.answered_parts, now);
-    }
-
-    void deliver_in_zone(crash_report const& report, std::size_t sender, std::size_t zone,
-                         base::time_point now)
-    {
-        for (auto receiver = zone; receiver < m_detectors.size(); receiver += m_zones)
-            if (receiver != sender && !is_lost())
-                apply(report, receiver, now);
-    }
-
-    std::vector<poison_request_detector> m_detectors;
-    std::size_t m_zones;
-    double m_loss;
-    std::mt19937 m_random{20261204};
-};
-
 // Guards against a crash that some nodes never learn of because reports only ever held the first
 // four events of an hour, and never left their zone in a large fleet.
 TEST(poison_prompt_part, crashes_and_answers_reach_all_nodes_within_two_seconds)
