--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -287,7 +287,7 @@
 TEST_F(node_shutdown_test, node_runs_until_slow_readers_have_their_responses)
 {
     start_until_ready();
-    constexpr std::size_t body_bytes = 600U * 1024U;
+    constexpr std::size_t body_bytes = 614400;
     slow_reader reader(m_node.ports().callers);
     reader.send(make_request("GET", "/check/large-600", "r-large"));
     // 128 KB a second, so that the response takes 4.8 s.
@@ -345,6 +345,7 @@
     shut_down();
     constexpr int sender_count = 6;
     std::vector<std::future<result>> senders;
+    senders.reserve(sender_count);
     for (int sender = 0; sender < sender_count; ++sender)
         senders.push_back(
             std::async(std::launch::async, [this, sender] { return send_orders(sender); }));
