--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -2,7 +2,7 @@
 # Runs the fault soak: `meta/soak.sh FIRST LAST [JOBS]` for a range of seeds, `meta/soak.sh fresh
 # COUNT [JOBS]` for random seeds, `meta/soak.sh regression [JOBS]` for all that failed before.
 # `meta/soak.sh planned FIRST LAST [JOBS]` plays planned work only, `meta/soak.sh overlapping FIRST
-# LAST [JOBS]` overlapping changes in a large fleet. Both also take `fresh COUNT`.
+# LAST [JOBS]` overlapping changes in a large fleet. Both also take `fresh COUNT` and `regression`.
 # Keeps the logs of a failed seed in build/soak/SEED, or in planned-SEED and overlapping-SEED there.
 # SOAK_OPTIONS are further options of the driver.
 set -eu
@@ -10,19 +10,22 @@
 build=${BUILD_DIRECTORY:-build}
 soak_options=${SOAK_OPTIONS:-}
 directory_prefix=
+mode=
 if [ "${1:-}" = planned ]; then
     soak_options="$soak_options --planned-work"
     directory_prefix=planned-
+    mode="planned "
     shift
 fi
 if [ "${1:-}" = overlapping ]; then
     soak_options="$soak_options --overlapping-changes"
     directory_prefix=overlapping-
+    mode="overlapping "
     shift
 fi
 case ${1:-} in
 regression)
-    seeds=$(sed -n 's/^\([0-9]\+\) .*/\1/p' tests/soak/regression_seeds.txt)
+    seeds=$(sed -n "s/^$mode\([0-9]\+\) .*/\1/p" tests/soak/regression_seeds.txt)
     jobs=${2:-2}
     ;;
 fresh)
