Node: Blame the parts of a stream whose server closed it in order before its first event

Cause: the relay asks whether the server closed the connection before the response was complete, and a response without a length is complete then. The relay asks for that end as well. It covers a stream without a length that ends inside its first event, too.

--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -278,7 +278,9 @@
         m_attempt->end(m_attempt->is_server_leaving() ? attempt_outcome::inconclusive
                                                       : attempt_outcome::failed);
         m_context.record_crash(m_attempt->server());
-        if (!m_any_event_received && !m_is_continuation && m_exchange->closed_by_peer())
+        // Without a length, a response counts as complete when the server closes the connection.
+        if (!m_any_event_received && !m_is_continuation &&
+            (m_exchange->closed_by_peer() || m_exchange->ended_with_connection()))
             m_context.record_unanswered(m_attempt->server(), m_exchange->head_received());
         break;
     case stream_outcome::error_response:
