Node directory: Don't pull a configuration that the store does not have

Peers of earlier versions were treated so already.

Change: a revision up to which a read of the store has shown that there is no newer configuration is not asked for at any peer.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -309,11 +309,11 @@
     return find_live_nodes(now,
                            [&](node_state_report const& state)
                            {
-                               bool const may_be_evacuation =
-                                   !state.separates_revisions() &&
-                                   (state.configuration_revision <= checked_revision ||
-                                    exhausted.contains(state.entry.name));
-                               return state.configuration_revision > revision && !may_be_evacuation;
+                               bool const may_be_evacuation = !state.separates_revisions() &&
+                                                              exhausted.contains(state.entry.name);
+                               return state.configuration_revision >
+                                          std::max(revision, checked_revision) &&
+                                      !may_be_evacuation;
                            });
 }
 
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -183,10 +183,11 @@
     /// Live peers that have an object newer than `revision`.
     std::vector<node_entry> peers_with_newer_objects(std::int64_t revision,
                                                      base::time_point now) const;
-    /// Live peers whose configuration is newer than `revision`. The newest revision of all objects
-    /// doesn't show this, since other objects reach the nodes earlier than configurations.
-    /// A peer that reports one revision for configuration and evacuations counts only if that is
-    /// above `checked_revision`, too, and the peer is not in `exhausted`.
+    /// Live peers whose configuration is newer than `revision` and than `checked_revision`, up to
+    /// which the store has shown that there is no newer one. The newest revision of all objects
+    /// doesn't show this, since other objects reach the nodes earlier than configurations. A peer
+    /// that reports one revision for configuration and evacuations counts only if it is not in
+    /// `exhausted`, too.
     std::vector<node_entry>
     peers_with_newer_configuration(std::int64_t revision, base::time_point now,
                                    std::int64_t checked_revision = 0,
--- a/tests/object_catch_up_test.cpp
+++ b/tests/object_catch_up_test.cpp
@@ -240,5 +240,27 @@
     EXPECT_EQ(caught_up.front().asked_peers, std::vector<std::string>{"n1"});
 }
 
+// Guards against pulling at every check from a peer that reports a revision which the store does
+// not have, for example because its data was restored.
+TEST_F(object_catch_up_test, does_not_pull_again_what_the_store_does_not_have)
+{
+    hold("evacuations", "z1", 50);
+    report("old", 50, 0, 0, start);
+    ASSERT_TRUE(plan_pull(start));
+    auto now = start + revision_lag::store_read_delay;
+    ASSERT_TRUE(m_catch_up.store_read_due("config", now));
+    m_catch_up.record_store_read_start("config", now);
+    m_objects.record_complete("config", 60);
+    m_catch_up.record_store_read_success("config");
+    auto pulls = 0;
+    for (int check = 0; check < 50; ++check)
+    {
+        now += object_catch_up::check_interval;
+        report("old", 50, 0, 0, now);
+        pulls += plan_pull(now) ? 1 : 0;
+    }
+    EXPECT_EQ(pulls, 0);
+}
+
 } // namespace
 } // namespace jasminepier::serving
