Tests: Tell a program that has exited from one whose memory is being released

Trace: in a watch of 45 s at that load, at least twelve nodes that had called exit had a main thread that was a zombie and one thread in the kernel's exit_mmap (unlink_file_vma_batch_process, waiting for the lock of a file that hundreds of processes map), for 0.3 to 1.9 s. Ruled out: the flush of the log, whose last line was written, and a thread of the program.

Change: wait_for_exit allows 60 s for the status once the main thread has ended; until then the bound is the same. The exit status is checked as before.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -102,12 +103,28 @@
     return false;
 }
 
+bool process::main_thread_has_ended() const
+{
+    std::ifstream stat("/proc/" + std::to_string(m_pid) + "/stat");
+    std::string const text{std::istreambuf_iterator<char>(stat), {}};
+    // The state follows the program's name, which is in parentheses.
+    auto const name_end = text.rfind(") ");
+    return name_end != std::string::npos && text.compare(name_end + 2, 1, "Z") == 0;
+}
+
 int process::wait_for_exit(int seconds)
 {
+    // An overloaded host may take seconds to release the memory of a program that has exited. Its
+    // status cannot be read until then.
+    constexpr std::chrono::seconds release_timeout{60};
     auto const deadline = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    std::optional<std::chrono::steady_clock::time_point> ended_at;
     while (running())
     {
-        if (std::chrono::steady_clock::now() > deadline)
+        auto const now = std::chrono::steady_clock::now();
+        if (!ended_at && main_thread_has_ended())
+            ended_at = now;
+        if (now > (ended_at ? *ended_at + release_timeout : deadline))
             return -1;
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -27,7 +27,7 @@
     pid_t pid() const noexcept { return m_pid; }
     void send_signal(int signal) const;
     /// Waits until the process exits. Returns its exit status, 128 + the number of the signal that
-    /// killed it, or -1 after `seconds`.
+    /// killed it, or -1 if it has not exited after `seconds`.
     int wait_for_exit(int seconds);
     bool running();
     /// Returns true if the program's main thread has blocked the signal, as programs do that wait
@@ -37,6 +37,8 @@
     std::string output() const;
 
 private:
+    bool main_thread_has_ended() const;
+
     pid_t m_pid = -1;
     int m_status = -1;
     bool m_has_exited = false;
