--- a/libraries/decision/poison_request_detector.hpp
+++ b/libraries/decision/poison_request_detector.hpp
@@ -138,7 +138,7 @@
     poison_verdict classify(std::uint64_t fingerprint, base::time_point now);
 
     /// Records the crash of a server that had begun no answer to a request with these parts. If a
-    /// part is rejected already, the crash is its doing and the other parts are not suspected.
+    /// part is rejected already, the crash is attributed to it and the others are not suspected.
     /// Returns the parts that are suspected because of this crash.
     std::vector<std::uint64_t> record_unanswered(std::span<std::uint64_t const> parts,
                                                  std::string const& server,
--- a/libraries/serving/object_catch_up.cpp
+++ b/libraries/serving/object_catch_up.cpp
@@ -8,7 +8,7 @@
 {
 
 // Servers announce their removal 1.5 to 2 s ahead, so changes are still useful half a second late.
-constexpr int checks_per_object_check = 2;
+constexpr int checks_per_comparison = 2;
 // Published changes take a moment to arrive.
 constexpr base::milliseconds object_grace_period{200};
 
@@ -171,7 +171,7 @@
         m_configuration.lag.record_asked_peer(pull->peer.name);
         return pull;
     }
-    bool const check_objects = m_check_count++ % checks_per_object_check == 0;
+    bool const check_objects = m_check_count++ % checks_per_comparison == 0;
     if (!check_objects)
         return std::nullopt;
     for (auto const kind : {compared_kind::evacuations, compared_kind::servers})
--- a/libraries/serving/response_time_bound.hpp
+++ b/libraries/serving/response_time_bound.hpp
@@ -16,7 +16,7 @@
                                             request_metadata const& metadata, base::time_point now,
                                             base::time_point deadline)
 {
-    // Several times the durations at a full engine.
+    // Longer than at a full engine.
     constexpr std::int64_t prompt_tokens_per_millisecond = 4;
     constexpr base::milliseconds time_per_output_token{50};
     if (!matched_route.streaming || metadata.maximum_output_tokens <= 0)
