Node: Log the request limits that servers state in their responses

A server that is short of capacity states in its responses how many requests a second it accepts from all nodes together.

Adds the field to the metadata of responses, a table of the latest statement about each server and the line server_limit. Nothing is decided by it yet.

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -409,6 +409,7 @@
     m_peer_loads.remove_if(
         [&](load_source const& source, peer_load_table::source_report const& report)
         { return source.is_zone_summary() && now >= report.received + zone_summary_timeout; });
+    m_rate_limits.expire(now);
     std::erase_if(m_server_health,
                   [&](auto const& item) { return !m_directory.servers().contains(item.first); });
     return changed;
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "serving/peer_load_table.hpp"
 #include "serving/server_directory.hpp"
 #include "serving/server_load.hpp"
+#include "serving/server_rate_limits.hpp"
 
 #include <deque>
 #include <functional>
@@ -186,6 +187,14 @@
     void end_attempt(attempt_id id, attempt_outcome outcome, base::time_point now);
     /// Records an outcome without ending an attempt.
     void record_outcome(std::string const& server, attempt_outcome outcome, base::time_point now);
+    /// Records the requests per second that the server accepts from all nodes together, as stated
+    /// in a response; nothing if the response states no limit. Returns true if the limit has
+    /// changed.
+    bool record_rate_limit(std::string const& server, std::optional<double> requests_per_second,
+                           base::time_point now)
+    {
+        return m_rate_limits.record(hash_server(server), {requests_per_second, now});
+    }
     /// True if the server drains or was removed.
     bool is_leaving(std::string const& server) const;
     /// Calls `on_leaving` of every attempt whose server drains or was removed.
@@ -287,6 +296,7 @@
     std::unordered_map<std::string, usage> m_local_usage;
     std::unordered_map<std::string, server_health> m_server_health;
     peer_load_table m_peer_loads;
+    server_rate_limits m_rate_limits;
     std::map<std::string, node_retry_budget> m_retry_budgets;
     std::map<std::string, std::multiset<int>> m_waiting;
 };
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -113,6 +113,8 @@
     auto const metadata = platform::read_response_metadata(head);
     bool const response_matches =
         metadata.request_id == m_context.metadata.request_id && !metadata.encoded;
+    if (response_matches)
+        m_context.record_server_state(server, metadata);
     if (response_matches && metadata.declined)
     {
         log_failure("declined");
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -310,6 +310,26 @@
     return metadata_to_forward;
 }
 
+void request_context::record_server_state(serving::selected_server const& server,
+                                          serving::response_metadata const& response)
+{
+    // The address belongs to another server now.
+    if (response.wrong_server)
+        return;
+    auto const now = base::steady_clock_source{}.now();
+    auto const limit = response.request_rate_limit;
+    bool const limit_changed =
+        state.with([&](node_state::tables& tables)
+                   { return tables.dispatcher.record_rate_limit(server.id, limit, now); });
+    if (!limit_changed)
+        return;
+    observe_event("server_limit", limit ? "stated" : "lifted");
+    base::log_line(base::log_level::info, "server_limit")
+        .field("request_id", metadata.request_id)
+        .field("server", server.id)
+        .field("requests_per_second", limit ? *limit : -1.0);
+}
+
 void request_context::record_crash(serving::selected_server const& server)
 {
     auto const now = base::steady_clock_source{}.now();
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -103,6 +103,9 @@
     /// Returns the metadata to send to `server` along with the request.
     serving::forwarded_metadata
     make_forwarded_metadata(serving::selected_server const& server) const;
+    /// Takes over what a response to this request says about its server.
+    void record_server_state(serving::selected_server const& server,
+                             serving::response_metadata const& response);
     /// Records that the server failed while it ran the request, for poison request detection.
     void record_crash(serving::selected_server const& server);
     /// Records that the server closed the connection before it answered. With `response_begun`, it
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -94,6 +94,8 @@
     m_head_validated = true;
     bool const response_matches =
         metadata.request_id == m_context.metadata.request_id && !metadata.encoded;
+    if (response_matches)
+        m_context.record_server_state(m_attempt->server(), metadata);
     if (response_matches && metadata.declined)
         return stream_outcome::not_run;
     if (!response_matches || (head.status / 100 == 2 && !metadata.has_signature))
