--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -71,6 +71,21 @@
     }
 }
 
+void fake_server::set_extra_fields(http::header_list fields)
+{
+    std::lock_guard lock(m_mutex);
+    m_extra_fields = std::move(fields);
+}
+
+http::header_list fake_server::make_fields(std::string const& id) const
+{
+    std::lock_guard lock(m_mutex);
+    auto fields = m_extra_fields;
+    fields.add("Attempt-Id", id);
+    fields.add("Server-Signature", "signed-by-" + m_id);
+    return fields;
+}
+
 bool fake_server::send(Poco::Net::StreamSocket& socket, int status, http::header_list fields,
                        std::string const& body)
 {
@@ -151,9 +166,7 @@
                           std::string const& action)
 {
     auto const id = std::string(request.headers.find("Attempt-Id").value_or(""));
-    http::header_list fields;
-    fields.add("Attempt-Id", id);
-    fields.add("Server-Signature", "signed-by-" + m_id);
+    auto fields = make_fields(id);
     if (action == "ok" || action == "copied")
         return send(socket, 200, fields, "response to " + id);
     if (action == "error")
@@ -252,9 +265,7 @@
     for (int number = 1; number <= events; ++number)
         body += "id: " + std::to_string(number) + "\ndata: piece\n\n";
     body += rest;
-    http::header_list fields;
-    fields.add("Attempt-Id", std::string(request.headers.find("Attempt-Id").value_or("")));
-    fields.add("Server-Signature", "signed-by-" + m_id);
+    auto fields = make_fields(std::string(request.headers.find("Attempt-Id").value_or("")));
     fields.add("Content-Type", "text/event-stream");
     if (body_framing == framing::sized)
         fields.add("Content-Length", std::to_string(body.size()));
@@ -274,9 +285,7 @@
     bool const chunked = body_framing == framing::chunked;
     auto const id = std::string(request.headers.find("Attempt-Id").value_or(""));
     auto const last = std::string(request.headers.find("Last-Event-Id").value_or(""));
-    http::header_list fields;
-    fields.add("Attempt-Id", id);
-    fields.add("Server-Signature", "signed-by-" + m_id);
+    auto fields = make_fields(id);
     fields.add("Content-Type", "text/event-stream");
     if (chunked)
         fields.add("Transfer-Encoding", "chunked");
@@ -301,9 +310,7 @@
 
 void fake_server::stall(Poco::Net::StreamSocket& socket, http::request const& request)
 {
-    http::header_list fields;
-    fields.add("Attempt-Id", std::string(request.headers.find("Attempt-Id").value_or("")));
-    fields.add("Server-Signature", "signed-by-" + m_id);
+    auto fields = make_fields(std::string(request.headers.find("Attempt-Id").value_or("")));
     fields.add("Content-Type", "text/event-stream");
     fields.add("Transfer-Encoding", "chunked");
     send_all(socket,
@@ -314,9 +321,7 @@
 
 void fake_server::send_without_end(Poco::Net::StreamSocket& socket, http::request const& request)
 {
-    http::header_list fields;
-    fields.add("Attempt-Id", std::string(request.headers.find("Attempt-Id").value_or("")));
-    fields.add("Server-Signature", "signed-by-" + m_id);
+    auto fields = make_fields(std::string(request.headers.find("Attempt-Id").value_or("")));
     fields.add("Transfer-Encoding", "chunked");
     send_all(socket, http::write_response_head(200, "", fields));
     auto const chunk = "10000\r\n" + std::string(0x10000, 'b') + "\r\n";
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -57,6 +57,8 @@
     /// Delays the response to a request that stops and copies a generation.
     void set_stop_delay(std::chrono::milliseconds delay) { m_stop_delay = delay; }
     bool has_crashed() const noexcept { return m_crashed; }
+    /// Adds these header fields to every response.
+    void set_extra_fields(http::header_list fields);
     /// Makes /report return the state `draining`.
     void start_draining() { m_draining = true; }
 
@@ -92,12 +94,15 @@
     void send_partial_stream(Poco::Net::StreamSocket& socket, http::request const& request,
                              int events, std::string const& rest, framing body_framing);
     void copy_generation(Poco::Net::StreamSocket& socket, http::request const& request);
+    /// Returns the fields of a response of this server, with its signature.
+    http::header_list make_fields(std::string const& id) const;
     bool send(Poco::Net::StreamSocket& socket, int status, http::header_list fields,
               std::string const& body);
 
     std::string m_id;
     mutable std::mutex m_mutex;
     std::vector<received_request> m_requests;
+    http::header_list m_extra_fields;
     std::map<std::string, int> m_execution_counts;
     /// Requests whose generation stops here, since the last copy has been taken.
     std::set<std::string> m_handed_over_ids;
