Serving: Divide the request limits that servers state among the nodes

Cause: no node read the limit. server_limit lines of all eight nodes show that each knew it within 2.4 s and that it decided nothing.

Change: the latest statement about each server counts, whichever node got it. Nodes report their own statements with their age. What a server accepts in 4 s, and half of what the platform tolerates beyond it, is divided among the nodes by rendezvous hash, as for cold servers; in large fleets among those of its zone. Requests that find only such servers wait if their turn comes in time and are otherwise rejected at once, with the time of their turn as Retry-After.

This works because the shares add up to the number whatever the fleet's size, without an exchange of counts: 67 nodes that try every 50 ms stay within it in every window (dispatcher_test).

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -62,10 +62,12 @@
         return 0;
     case exclusion_reason::cold:
         return 1;
-    case exclusion_reason::unreachable:
+    case exclusion_reason::rate_limited:
         return 2;
-    default:
+    case exclusion_reason::unreachable:
         return 3;
+    default:
+        return 4;
     }
 }
 
@@ -85,6 +87,8 @@
         return "unreachable";
     case exclusion_reason::cold:
         return "cold";
+    case exclusion_reason::rate_limited:
+        return "rate_limited";
     case exclusion_reason::full:
         return "full";
     case exclusion_reason::already_tried:
@@ -97,7 +101,7 @@
 
 void dispatcher::set_configuration(std::shared_ptr<fleet_configuration const> configuration)
 {
-    m_cold_allowances.clear();
+    m_cold_shares.clear();
     m_configuration = std::move(configuration);
 }
 
@@ -124,7 +128,8 @@
     if (view == m_fleet)
         return;
     m_fleet = std::move(view);
-    m_cold_allowances.clear();
+    m_cold_shares.clear();
+    m_rate_limit_shares.clear();
     // The summaries of the other zones contain the loads of their nodes.
     if (m_fleet.reports_within_zone)
         m_peer_loads.remove_if(
@@ -153,17 +158,50 @@
     return load;
 }
 
-int dispatcher::cold_allowance(server_entry const& server, int fleet_allowance) const
+int dispatcher::find_share(request_shares& shares, server_entry const& server,
+                           int fleet_requests) const
 {
-    // Only the nodes that report to each other can divide an allowance. A fleet that reports within
-    // zones leaves each cold server to the nodes of its zone.
+    // Only the nodes that report to each other can divide a number of requests. A fleet that
+    // reports within zones leaves each such server to the nodes of its zone.
     if (m_fleet.reports_within_zone && server.zone != m_settings.zone)
         return 0;
-    auto const [found, added] = m_cold_allowances.try_emplace(server.id, 0);
-    if (added)
-        found->second = decision::count_local_slots(server.id, m_fleet.reporting_nodes,
-                                                    m_settings.node, fleet_allowance);
-    return found->second;
+    auto const [found, added] = shares.try_emplace(server.id);
+    auto& share = found->second;
+    if (added || share.fleet_requests != fleet_requests)
+        share = {fleet_requests, decision::count_local_slots(server.id, m_fleet.reporting_nodes,
+                                                             m_settings.node, fleet_requests)};
+    return share.local_requests;
+}
+
+int dispatcher::rate_limit_share(listed_server const& server, double requests_per_second) const
+{
+    return find_share(m_rate_limit_shares, server.entry,
+                      server_rate_limits::count_permitted_requests(requests_per_second));
+}
+
+std::optional<base::time_point>
+dispatcher::find_next_permitted_start(listed_server const& server) const
+{
+    auto const limit = m_rate_limits.find_limit(server.hash);
+    if (!limit)
+        return base::time_point{};
+    auto const health = m_server_health.find(server.entry.id);
+    static std::deque<base::time_point> const no_attempts;
+    return server_rate_limits::find_next_start(
+        health == m_server_health.end() ? no_attempts : health->second.recent_attempt_times,
+        rate_limit_share(server, *limit));
+}
+
+base::milliseconds dispatcher::estimate_rate_limit_delay(std::string_view service,
+                                                         base::time_point first_start, int share,
+                                                         base::time_point now) const
+{
+    auto const first_delay = std::chrono::ceil<base::milliseconds>(first_start - now);
+    auto const waiting = m_waiting.find(std::string(service));
+    if (waiting == m_waiting.end())
+        return first_delay;
+    return first_delay + static_cast<int>(waiting->second.size()) *
+                             base::milliseconds(server_rate_limits::window) / std::max(share, 1);
 }
 
 bool dispatcher::below_cold_rate_limit(listed_server const& server, service const& target_service,
@@ -171,8 +209,8 @@
 {
     if (now >= server.cold_until || target_service.cold_requests_per_second <= 0)
         return true;
-    auto const local_allowance =
-        cold_allowance(server.entry, static_cast<int>(target_service.cold_requests_per_second));
+    auto const local_allowance = find_share(
+        m_cold_shares, server.entry, static_cast<int>(target_service.cold_requests_per_second));
     auto const health = m_server_health.find(server.entry.id);
     if (health == m_server_health.end())
         return local_allowance > 0;
@@ -202,6 +240,8 @@
         return exclusion_reason::unreachable;
     if (!below_cold_rate_limit(server, target_service, now))
         return exclusion_reason::cold;
+    if (auto const next_start = find_next_permitted_start(server); !next_start || now < *next_start)
+        return exclusion_reason::rate_limited;
     if (!target_service.engine)
         return load.total.running >= server.entry.slots * maximum_plain_requests_per_slot
                    ? exclusion_reason::full
@@ -263,6 +303,8 @@
     double attempts = 0;
     double failures = 0;
     bool any_evacuated = false;
+    std::optional<base::time_point> next_permitted_start;
+    int rate_limit_shares = 0;
     for (auto const& [id, server] : m_directory.servers())
     {
         if (server.entry.service != query.service)
@@ -272,6 +314,12 @@
         failures += load.failures;
         auto const reason = find_exclusion_reason(server, *target_service, load, query, now);
         any_evacuated = any_evacuated || reason == exclusion_reason::zone_evacuated;
+        if (reason == exclusion_reason::rate_limited)
+        {
+            rate_limit_shares += rate_limit_share(server, *m_rate_limits.find_limit(server.hash));
+            if (auto const start = find_next_permitted_start(server))
+                next_permitted_start = std::min(*start, next_permitted_start.value_or(*start));
+        }
         if (reason == exclusion_reason::none)
             candidates.push_back({&server, load});
         else if (recovery_rank(reason) < recovery_rank(result.reason))
@@ -280,6 +328,9 @@
     if (candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated &&
         m_directory.may_miss_servers(now))
         result.reason = exclusion_reason::unlisted;
+    if (next_permitted_start && result.reason == exclusion_reason::rate_limited)
+        result.delay =
+            estimate_rate_limit_delay(query.service, *next_permitted_start, rate_limit_shares, now);
     auto const mean_failure_rate = attempts > 0 ? failures / attempts : 0;
     std::uniform_real_distribution<double> noise(0, score_noise);
     double best_score = std::numeric_limits<double>::max();
@@ -318,7 +369,8 @@
     local_usage.unread_prompt_tokens += demand.prompt_tokens;
     m_attempts.emplace(id, attempt_record{server, demand, false, false, std::move(on_leaving)});
     auto& recent_attempt_times = m_server_health[server].recent_attempt_times;
-    while (!recent_attempt_times.empty() && recent_attempt_times.front() <= now - cold_rate_window)
+    while (!recent_attempt_times.empty() &&
+           recent_attempt_times.front() <= now - server_rate_limits::window)
         recent_attempt_times.pop_front();
     recent_attempt_times.push_back(now);
     return id;
@@ -453,10 +505,16 @@
         }
         if (auto const found = handover_candidates.find(id); found != handover_candidates.end())
             load.handover_candidates = found->second;
+        // Only what this node has heard itself: a statement that is passed on from node to node
+        // would seem younger with each report.
+        if (auto const* const limit = m_rate_limits.find(server.hash);
+            limit != nullptr && !limit->from_peer)
+            load.rate_limit = {limit->requests_per_second,
+                               std::chrono::duration_cast<base::milliseconds>(now - limit->stated)};
         bool const draining_or_removed =
             server.phase == server_phase::draining || server.phase == server_phase::removed;
         load.leaving = draining_or_removed && now < server.phase_since + leaving_report_duration;
-        if (load.running > 0 || load.recent_attempts > 0 || load.leaving)
+        if (load.running > 0 || load.recent_attempts > 0 || load.leaving || load.rate_limit)
             loads.push_back(load);
     }
     return loads;
@@ -468,6 +526,9 @@
     m_peer_loads.merge(source, loads, now);
     for (auto const& load : loads)
     {
+        if (load.rate_limit)
+            m_rate_limits.record(load.server, {load.rate_limit->requests_per_second,
+                                               now - load.rate_limit->age, true});
         if (!load.leaving)
             continue;
         for (auto const& [id, server] : m_directory.servers())
@@ -496,7 +557,7 @@
 std::vector<server_load> dispatcher::zone_loads(base::time_point now) const
 {
     std::map<server_hash, server_load> sums;
-    auto const add = [&](server_load const& load)
+    auto const add = [&](server_load const& load, base::milliseconds report_age)
     {
         auto& sum = sums[load.server];
         sum.server = load.server;
@@ -509,12 +570,22 @@
         // `unreachable` stays unset: a fault between this zone and the server says nothing about
         // the paths from other zones.
         sum.leaving = sum.leaving || load.leaving;
+        bool const has_newer_limit =
+            load.rate_limit &&
+            (!sum.rate_limit || load.rate_limit->age + report_age < sum.rate_limit->age);
+        if (has_newer_limit)
+            sum.rate_limit = {load.rate_limit->requests_per_second,
+                              load.rate_limit->age + report_age};
     };
     for (auto const& load : local_loads(now))
-        add(load);
+        add(load, base::milliseconds(0));
     for (auto const& [source, report] : m_peer_loads.reports())
+    {
+        auto const age = std::chrono::duration_cast<base::milliseconds>(now - report.received);
         if (!source.is_zone_summary())
-            std::for_each(report.loads.begin(), report.loads.end(), add);
+            for (auto const& load : report.loads)
+                add(load, age);
+    }
     std::vector<server_load> loads;
     loads.reserve(sums.size());
     for (auto const& [hash, load] : sums)
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -44,6 +44,8 @@
     unreachable,
     /// The server was started recently and has reached its limit of requests per second.
     cold,
+    /// This node's share of the rate that the server accepts is used up.
+    rate_limited,
     /// Every slot or all KV cache memory is in use.
     full,
     /// The request has already failed on this server.
@@ -93,11 +95,15 @@
     std::optional<selected_server> server;
     /// The reason that passes soonest among all servers of the service.
     exclusion_reason reason = exclusion_reason::none;
-    /// `full`, `cold` and `unlisted` pass without an operator.
+    /// With `rate_limited`, the time until a server accepts this request after those that wait now;
+    /// nothing if this node has no share of any server's limit.
+    std::optional<base::milliseconds> delay = std::nullopt;
+    /// `full`, `cold`, `rate_limited` and `unlisted` pass without an operator.
     bool worth_waiting() const noexcept
     {
         return reason == exclusion_reason::full || reason == exclusion_reason::cold ||
-               reason == exclusion_reason::unlisted;
+               reason == exclusion_reason::unlisted ||
+               (reason == exclusion_reason::rate_limited && delay);
     }
 };
 
@@ -255,7 +261,7 @@
         outcome_history outcomes;
         base::time_point unreachable_until{};
         int consecutive_connect_failures = 0;
-        /// Start times of the attempts of the last second, for the rate limit of cold servers.
+        /// Start times of the attempts of the last few seconds, in order, for limits of their rate.
         std::deque<base::time_point> recent_attempt_times;
     };
     /// Load of all nodes on one server.
@@ -269,8 +275,23 @@
 
     base::milliseconds estimate_copy_duration(std::string const& server, std::int64_t tokens) const;
     combined_load combine_loads(listed_server const& server, base::time_point now) const;
-    /// Requests per second that this node may send to a cold server.
-    int cold_allowance(server_entry const& server, int fleet_allowance) const;
+    /// This node's share of a number of requests that all nodes together may send to a server.
+    struct request_share
+    {
+        int fleet_requests = 0;
+        int local_requests = 0;
+    };
+    /// Shares for the current view of the fleet, by server id.
+    using request_shares = std::unordered_map<std::string, request_share>;
+
+    int find_share(request_shares& shares, server_entry const& server, int fleet_requests) const;
+    int rate_limit_share(listed_server const& server, double requests_per_second) const;
+    /// Returns when this node may send another request to the server without exceeding its share of
+    /// the rate that the server accepts; nothing if it has no share.
+    std::optional<base::time_point> find_next_permitted_start(listed_server const& server) const;
+    base::milliseconds estimate_rate_limit_delay(std::string_view service,
+                                                 base::time_point first_start, int share,
+                                                 base::time_point now) const;
     /// True if the generations of `source` are copied from the server before those of this node.
     bool copies_before_this_node(listed_server const& server, load_source const& source) const;
     exclusion_reason find_exclusion_reason(listed_server const& server,
@@ -289,8 +310,8 @@
     server_directory m_directory;
     std::set<std::string> m_evacuated_zones;
     fleet_view m_fleet;
-    /// Results of `cold_allowance` for the current view of the fleet, by server id.
-    mutable std::unordered_map<std::string, int> m_cold_allowances;
+    mutable request_shares m_cold_shares;
+    mutable request_shares m_rate_limit_shares;
     std::unordered_map<attempt_id, attempt_record> m_attempts;
     attempt_id m_next_attempt_id = 1;
     std::unordered_map<std::string, usage> m_local_usage;
--- a/libraries/serving/server_load.hpp
+++ b/libraries/serving/server_load.hpp
@@ -1,9 +1,11 @@
 /// Load reports that nodes send each other about their servers.
 #pragma once
 
+#include "base/clock.hpp"
 #include "base/hash.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace jasminepier::serving
@@ -17,6 +19,15 @@
     return static_cast<server_hash>(base::stable_hash(id));
 }
 
+/// What a response said about the rate of requests that its server accepts.
+struct rate_limit_report
+{
+    /// Requests per second from all nodes together; empty if the server accepts any rate.
+    std::optional<double> requests_per_second;
+    /// Time since the response arrived at the node that reports it.
+    base::milliseconds age{0};
+};
+
 /// Load that one node puts on one server, and the node's view of the server.
 struct server_load
 {
@@ -35,6 +46,8 @@
     bool leaving = false;
     /// Running generations that will be handed over when the server leaves.
     std::int32_t handover_candidates = 0;
+    /// Set if no other node is known to have heard of the server's limit later.
+    std::optional<rate_limit_report> rate_limit;
 };
 
 } // namespace jasminepier::serving
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -6,6 +6,7 @@
 #include "services/node/object_updates.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <thread>
 
 namespace jasminepier::node
@@ -25,6 +26,11 @@
 // Sums over a zone take more bytes, and the summary also holds addresses.
 constexpr std::size_t maximum_loads_per_summary = 30;
 
+// Reports carry limits of requests in thousandths of a request per second.
+constexpr double rate_limit_scale = 1000;
+constexpr double maximum_reported_rate_limit = 1e6;
+constexpr std::int32_t no_rate_limit = -1;
+
 inner_protocol::server_use to_message(serving::server_load const& load)
 {
     inner_protocol::server_use use;
@@ -37,6 +43,15 @@
     use.unreachable = load.unreachable;
     use.leaving = load.leaving;
     use.movable_runs = load.handover_candidates;
+    if (load.rate_limit)
+    {
+        auto const limit = load.rate_limit->requests_per_second;
+        use.__set_rate_limit(
+            limit ? static_cast<std::int32_t>(std::lround(
+                        std::min(*limit, maximum_reported_rate_limit) * rate_limit_scale))
+                  : no_rate_limit);
+        use.rate_limit_age_milliseconds = static_cast<std::int32_t>(load.rate_limit->age.count());
+    }
     return use;
 }
 
@@ -44,7 +59,8 @@
 std::vector<inner_protocol::server_use> to_messages(std::vector<serving::server_load> loads)
 {
     std::stable_partition(loads.begin(), loads.end(),
-                          [](auto const& load) { return load.running > 0 || load.leaving; });
+                          [](auto const& load)
+                          { return load.running > 0 || load.leaving || load.rate_limit; });
     if (loads.size() > maximum_loads_per_report)
     {
         observe_event("peer_report", "loads_left_out");
@@ -69,6 +85,13 @@
     load.unreachable = use.unreachable;
     load.leaving = use.leaving;
     load.handover_candidates = use.movable_runs;
+    if (use.__isset.rate_limit)
+    {
+        load.rate_limit.emplace();
+        if (use.rate_limit >= 0)
+            load.rate_limit->requests_per_second = use.rate_limit / rate_limit_scale;
+        load.rate_limit->age = base::milliseconds(std::max(use.rate_limit_age_milliseconds, 0));
+    }
     return load;
 }
 
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -225,7 +225,8 @@
         std::chrono::duration_cast<base::milliseconds>(wait_fraction * route->latency_objective);
     auto const queue_deadline = std::min(wait_start + maximum_wait, deadline);
     std::optional<server_attempt> attempt;
-    if (selection.worth_waiting())
+    bool const can_wait = selection.worth_waiting() && selection.delay <= maximum_wait;
+    if (can_wait)
     {
         state.with(
             [&](node_state::tables& tables)
@@ -260,7 +261,9 @@
         .field("obstacle", serving::to_string(selection.reason))
         .field("waited_ms", wait_time.count());
     bool const rejected_for_load =
-        selection.worth_waiting() && selection.reason != serving::exclusion_reason::unlisted;
+        selection.reason == serving::exclusion_reason::rate_limited ||
+        (selection.worth_waiting() && selection.reason != serving::exclusion_reason::unlisted);
+    m_retry_delay = selection.delay;
     return base::fail(rejected_for_load ? error_kind::overloaded : error_kind::no_server,
                       "no server has a free slot for the request");
 }
@@ -323,6 +326,7 @@
                    { return tables.dispatcher.record_rate_limit(server.id, limit, now); });
     if (!limit_changed)
         return;
+    state.report_due().signal();
     observe_event("server_limit", limit ? "stated" : "lifted");
     base::log_line(base::log_level::info, "server_limit")
         .field("request_id", metadata.request_id)
@@ -364,7 +368,8 @@
     fields.add("Content-Type", "application/json");
     fields.add("Content-Length", std::to_string(body.size()));
     if (error_response.http_status == 429 || error_response.http_status == 503)
-        fields.add("Retry-After", format_seconds(retry_after(failure.kind)));
+        fields.add("Retry-After",
+                   format_seconds(m_retry_delay.value_or(retry_after(failure.kind))));
     close_connection_during_shutdown();
     if (!keep_connection)
         fields.add("Connection", "close");
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -89,8 +89,9 @@
     /// Waits for the first configuration, for a part of the caller's timeout. Returns false if none
     /// has arrived.
     bool wait_for_configuration();
-    /// Selects a server and begins an attempt there. While all servers are full or cold, waits in
-    /// the queue up to a fraction of the latency objective. Fails with `overloaded` if they remain
+    /// Selects a server and begins an attempt there. While all servers are full, cold or at their
+    /// rate limit, waits in the queue up to a fraction of the latency objective, unless the rate
+    /// limits certainly last longer. Fails with `overloaded` if they remain
     /// so, with `no_server` if waiting would not help, and with `node_stopping` if this process may
     /// exit before the response has ended.
     base::result<server_attempt> acquire_server();
@@ -139,6 +140,8 @@
     void log_selected_server(serving::selected_server const& server,
                              std::string_view purpose) const;
 
+    /// When a caller may come back after a rejection, if this node knows.
+    std::optional<base::milliseconds> m_retry_delay;
     /// This request may run although it has parts up to this verdict, once.
     decision::part_verdict m_trial_verdict = decision::part_verdict::clean;
 };
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -266,6 +266,98 @@
     EXPECT_GT(sent_requests, 30);
 }
 
+// Guards against a server that gets many times the rate that it states, because each node sends at
+// that rate or learns of it only from its own requests.
+TEST_F(dispatcher_test, all_nodes_together_respect_the_rate_limit_that_a_server_states)
+{
+    std::vector<std::string> names;
+    names.reserve(67);
+    for (int i = 0; i < 67; ++i)
+        names.push_back("n" + std::to_string(i));
+    std::vector<dispatcher> nodes;
+    for (auto const& name : names)
+    {
+        nodes.push_back(make_dispatcher(name, "shop", 1));
+        nodes.back().set_fleet_view({names, names.size(), false});
+    }
+    constexpr double limit = 3.6;
+    constexpr int permitted_per_window = 20;
+    EXPECT_TRUE(nodes.front().record_rate_limit("s0", limit, start));
+    auto const report = nodes.front().local_loads(start);
+    for (std::size_t i = 1; i < nodes.size(); ++i)
+        nodes[i].merge_peer({"a", names.front()}, report, start + milliseconds(1));
+    std::deque<base::time_point> sent;
+    for (auto now = start + milliseconds(10); now < start + seconds(12); now += milliseconds(50))
+        for (auto& node : nodes)
+            if (select(node, shop_query(), now).server)
+            {
+                node.end_attempt(node.begin_attempt("s0", {}, now, nullptr),
+                                 attempt_outcome::succeeded, now);
+                sent.push_back(now);
+            }
+    EXPECT_GE(sent.size(), 3U * permitted_per_window);
+    for (std::size_t i = permitted_per_window; i < sent.size(); ++i)
+        EXPECT_GE(sent[i] - sent[i - permitted_per_window], server_rate_limits::window);
+}
+
+// Guards against a limit that comes back, or lasts, because reports of nodes overtake each other.
+TEST_F(dispatcher_test, the_latest_statement_of_a_rate_limit_counts)
+{
+    auto first = make_dispatcher("n0", "shop", 1);
+    auto second = make_dispatcher("n1", "shop", 1);
+    first.record_rate_limit("s0", 1.0, start);
+    auto const stated = first.local_loads(start);
+    second.merge_peer({"a", "n0"}, stated, start);
+    // A node reports only the statements that it has got itself.
+    EXPECT_TRUE(second.local_loads(start).empty());
+    second.record_rate_limit("s0", std::nullopt, start + milliseconds(20));
+    auto const lifted = second.local_loads(start + milliseconds(30));
+    ASSERT_EQ(lifted.size(), 1U);
+    EXPECT_EQ(lifted.front().rate_limit->age, milliseconds(10));
+    first.merge_peer({"a", "n1"}, lifted, start + milliseconds(30));
+    // An earlier report of the first node arrives late.
+    second.merge_peer({"a", "n0"}, first.local_loads(start + milliseconds(30)),
+                      start + milliseconds(40));
+    for (auto* node : {&first, &second})
+        for (int i = 0; i < 10; ++i)
+        {
+            auto const now = start + milliseconds(50);
+            ASSERT_TRUE(select(*node, shop_query(), now).server);
+            node->begin_attempt("s0", {}, now, nullptr);
+        }
+}
+
+// Guards against holding requests, or sending callers away for too short a time, while all servers
+// are at their rate limits.
+TEST_F(dispatcher_test, tells_when_a_server_accepts_a_rate_limited_request)
+{
+    auto node = make_dispatcher("n0", "shop", 1);
+    node.set_fleet_view({{"n0"}, 1, false});
+    // Two requests in each window of 4 s.
+    node.record_rate_limit("s0", 0.0, start);
+    node.begin_attempt("s0", {}, start - seconds(1), nullptr);
+    node.begin_attempt("s0", {}, start, nullptr);
+    auto const rejected = select(node, shop_query(), start + seconds(1));
+    EXPECT_EQ(rejected.reason, exclusion_reason::rate_limited);
+    EXPECT_EQ(rejected.delay, milliseconds(2000));
+    node.add_waiting("shop", 0);
+    EXPECT_EQ(select(node, shop_query(), start + seconds(1)).delay, milliseconds(4000));
+    node.remove_waiting("shop", 0);
+    EXPECT_TRUE(select(node, shop_query(), start + seconds(3)).server);
+    // A node without a share of the only server's limit.
+    std::vector<std::string> const names{"n0", "n1", "n2", "n3", "n4", "n5"};
+    int nodes_without_share = 0;
+    for (auto const& name : names)
+    {
+        auto other = make_dispatcher(name, "shop", 1);
+        other.set_fleet_view({names, names.size(), false});
+        other.record_rate_limit("s0", 0.0, start);
+        auto const selection = select(other, shop_query(), start);
+        nodes_without_share += selection.server || selection.worth_waiting() ? 0 : 1;
+    }
+    EXPECT_EQ(nodes_without_share, 4);
+}
+
 // Guards against urgent requests that wait for a slot while less urgent requests get one.
 TEST_F(dispatcher_test, reports_more_urgent_waiting_requests)
 {
--- a/tests/zone_summary_test.cpp
+++ b/tests/zone_summary_test.cpp
@@ -192,6 +192,35 @@
     EXPECT_EQ(requests, cold_requests_per_second);
 }
 
+// Guards against nodes of other zones that exceed a server's rate limit, since their shares are not
+// agreed on with its zone.
+TEST_F(zone_summary_test, only_the_zone_of_a_rate_limited_engine_sends_to_it)
+{
+    // The nodes report twice, since only the second summary has what the zone's nodes reported.
+    m_nodes[3].decisions.record_rate_limit("s-za0", 1.5, start);
+    exchange_reports(start + milliseconds(500));
+    auto const now = start + seconds(1);
+    exchange_reports(now);
+    int requests = 0;
+    for (auto& node : m_nodes)
+    {
+        std::vector<std::string> excluded;
+        for (auto const& [id, server] : node.decisions.directory().servers())
+            if (id != "s-za0")
+                excluded.push_back(id);
+        selection_query query;
+        query.service = "engines";
+        query.excluded_servers = excluded;
+        while (node.decisions.select_server(query, now, m_random).server)
+        {
+            EXPECT_EQ(node.zone, "za");
+            node.decisions.begin_attempt("s-za0", {10, 10, 0}, now, nullptr);
+            ++requests;
+        }
+    }
+    EXPECT_EQ(requests, 10);
+}
+
 // Guards against two zones that copy generations from a draining engine at the same time, or that
 // wait for each other.
 TEST_F(zone_summary_test, generations_of_all_zones_are_copied_in_turn)
