Tests: Show that changes after a restoration of the store are not applied

The fake store can take a copy and return to it: later writes are lost, their revisions are given out again, and Store-Era rises.

--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -91,6 +91,30 @@
     m_changed.notify_all();
 }
 
+void fake_store::take_copy()
+{
+    std::lock_guard lock(m_mutex);
+    m_copied_objects = m_objects;
+    m_copied_revision = m_revision;
+}
+
+void fake_store::restore_copy()
+{
+    std::lock_guard lock(m_mutex);
+    m_objects = m_copied_objects;
+    m_revision = m_copied_revision;
+    std::erase_if(m_history, [&](auto const& change) { return change.revision > m_revision; });
+    ++m_epoch;
+    m_changed.notify_all();
+}
+
+std::string fake_store::find_spec(std::string const& kind, std::string const& name)
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_objects[kind].find(name);
+    return found == m_objects[kind].end() ? std::string{} : found->second.spec;
+}
+
 void fake_store::serve(Poco::Net::StreamSocket& socket)
 {
     while (auto const request = read_request(socket))
@@ -116,6 +140,7 @@
             status = 503;
         http::header_list fields;
         fields.add("Content-Length", std::to_string(body.size()));
+        fields.add("Store-Era", std::to_string(m_epoch));
         send_all(socket, http::write_response_head(status, "", fields) + body);
     }
 }
@@ -145,11 +170,11 @@
                 events += std::string(events.empty() ? "" : ",") + R"({"deleted":)" +
                           (change.deleted ? "true" : "false") + R"(,"object":)" +
                           make_object_json(change.name, change.revision, change.spec) + "}";
-        return !events.empty() || after_revision < m_history_start || m_shutting_down ||
-               m_mode != store_mode::serving;
+        return !events.empty() || after_revision < m_history_start || after_revision > m_revision ||
+               m_shutting_down || m_mode != store_mode::serving;
     };
     m_changed.wait_for(lock, timeout, collect_events);
-    if (after_revision < m_history_start)
+    if (after_revision < m_history_start || after_revision > m_revision)
     {
         status = 410;
         return "{}";
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -42,6 +42,12 @@
     void set_mode(store_mode mode);
     /// Discards the change history. Watches from an older revision get 410 and must list again.
     void drop_history();
+    /// Takes a copy of all objects.
+    void take_copy();
+    /// Loses all writes since the last copy. Revisions go back to those of the copy.
+    void restore_copy();
+    /// Returns the spec of the object; empty if there is none.
+    std::string find_spec(std::string const& kind, std::string const& name);
     int request_count() const noexcept { return m_request_count; }
 
 private:
@@ -74,6 +80,10 @@
     /// Oldest revision from which a watch can continue.
     std::int64_t m_history_start = 0;
     std::int64_t m_revision = 100;
+    std::map<std::string, std::map<std::string, stored_object>> m_copied_objects;
+    std::int64_t m_copied_revision = 0;
+    /// Rises with each restoration.
+    std::atomic<int> m_epoch{1};
     std::function<std::string(std::string const&, std::string const&, std::string const&)>
         m_rewrite_spec;
     std::set<std::string> m_hidden_kinds;
