Store, Serving: Order objects across restorations of the store

Cause: objects were ordered by the store's revision alone. The restored store gives out revisions again, so a configuration at revision 28 was taken for the known object of revision 28. The log shows that all kinds were listed again and that the first change above the old revision was applied, which rules out watches that miss changes and objects that cannot be read; a test shows that a watch does go on in the new history if the store has passed the watched revision.

Change: versions hold the store's epoch above the revision, joined and separated in the store's client. Nodes list everything again in a new epoch, keep a configuration until the store has one that isn't older, keep lost evacuations for 5 s, don't bring back servers that have left, and write their own entries again. This works because every comparison of versions, in copies, reports, pulls and watches, stays as it was and now holds across restorations.

--- a/libraries/serving/server_directory.cpp
+++ b/libraries/serving/server_directory.cpp
@@ -1,5 +1,7 @@
 #include "serving/server_directory.hpp"
 
+#include "store/object_version.hpp"
+
 #include <algorithm>
 
 namespace jasminepier::serving
@@ -32,16 +34,36 @@
     auto& server = position->second;
     if (!added && entry.revision < server.entry.revision)
         return;
+    if (!added && may_be_outdated(entry, server))
+    {
+        server.entry.revision = entry.revision;
+        return;
+    }
     auto const phase = entry.draining ? server_phase::draining : server_phase::ready;
+    // A copy says how long the server was to warm up when it was taken.
+    bool const keeps_warm_up =
+        !added && store::epoch_of(entry.revision) != store::epoch_of(server.entry.revision) &&
+        entry.started_unix_milliseconds == server.entry.started_unix_milliseconds &&
+        entry.remaining_warm_up == server.entry.remaining_warm_up;
     if (added || server.phase != phase)
         server.phase_since = now;
     server.phase = phase;
     server.entry = entry;
     server.hash = hash_server(entry.id);
-    server.cold_until = now + entry.remaining_warm_up;
+    if (!keeps_warm_up)
+        server.cold_until = now + entry.remaining_warm_up;
     ++m_change_count;
 }
 
+bool server_directory::may_be_outdated(server_entry const& entry, listed_server const& server)
+{
+    bool const left =
+        server.phase == server_phase::draining || server.phase == server_phase::removed;
+    return left && !entry.draining &&
+           store::epoch_of(entry.revision) > store::epoch_of(server.entry.revision) &&
+           entry.started_unix_milliseconds == server.entry.started_unix_milliseconds;
+}
+
 void server_directory::apply_removal(std::string const& id, std::int64_t revision,
                                      base::time_point now)
 {
@@ -93,6 +115,12 @@
     m_store_recovered_at = now;
 }
 
+void server_directory::handle_store_restored(base::time_point now)
+{
+    m_store_ever_recovered = true;
+    m_store_recovered_at = now;
+}
+
 bool server_directory::expire(base::time_point now)
 {
     auto const previous_change_count = m_change_count;
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -87,6 +87,9 @@
 
     void handle_store_lost(base::time_point now);
     void handle_store_reached(base::time_point now);
+    /// Records that the store was restored from a copy. Servers that the copy lacks write their
+    /// entries again, as after an outage.
+    void handle_store_restored(base::time_point now);
     /// Removes expired servers after their grace period, and removed servers after their retention.
     /// Returns true if a server changed its phase.
     bool expire(base::time_point now);
@@ -111,6 +114,9 @@
 
 private:
     void mark_removed(listed_server& server, base::time_point now);
+    /// True if the entry may be what a copy, from which the store was restored, says about a server
+    /// that has left since.
+    static bool may_be_outdated(server_entry const& entry, listed_server const& server);
 
     std::map<std::string, listed_server> m_servers;
     /// The revision of each server's last removal; entries that are not newer are stale.
--- a/libraries/store/http_object_store.hpp
+++ b/libraries/store/http_object_store.hpp
@@ -5,6 +5,7 @@
 #include "store/native_dialect.hpp"
 #include "store/object.hpp"
 #include "store/object_dialect.hpp"
+#include "store/object_version.hpp"
 #include "store/store_connection.hpp"
 
 #include <chrono>
@@ -31,7 +32,9 @@
         if (response.status != 200)
             return base::fail(error_kind_for_status(response.status),
                               "cannot read " + kind + "/" + name);
-        return Dialect::read_object(response.body, kind);
+        BOOST_LEAF_AUTO(found, Dialect::read_object(response.body, kind));
+        set_epoch(found, Dialect::read_epoch(response.headers));
+        return found;
     }
 
     /// Returns the objects of all pages with the version of the first page. A watch from that
@@ -48,8 +51,13 @@
             if (response.status != 200)
                 return base::fail(error_kind_for_status(response.status), "cannot list " + kind);
             BOOST_LEAF_AUTO(page, Dialect::read_list(response.body, kind));
+            auto const epoch = Dialect::read_epoch(response.headers);
+            set_epoch(page, epoch);
             if (first)
                 all_pages.version = page.version;
+            if (epoch != epoch_of(all_pages.version))
+                return base::fail(base::error_kind::platform_unavailable,
+                                  "the store was restored while " + kind + " was listed");
             for (auto& item : page.objects)
                 all_pages.objects.push_back(std::move(item));
             if (!page.next_after)
@@ -69,16 +77,19 @@
         return write(Dialect::create(new_object), new_object);
     }
     /// Replaces the value if the stored version is still `changed.version`.
-    write_outcome update(object const& changed) { return write(Dialect::update(changed), changed); }
+    write_outcome update(object const& changed)
+    {
+        return write(Dialect::update(without_epoch(changed)), changed);
+    }
     /// Deletes the object if the stored version is still `existing.version`.
     write_outcome remove(object const& existing)
     {
-        return write(Dialect::remove(existing), existing);
+        return write(Dialect::remove(without_epoch(existing)), existing);
     }
 
     /// Waits until an object of `kinds` changes after `version` and returns the changes, or an
     /// empty page after the watch timeout. Fails with conflict if the store no longer has the
-    /// changes since `version`.
+    /// changes since `version`, also because it was restored from a copy.
     base::result<object_page> watch(std::int64_t version, std::vector<std::string> const& kinds)
     {
         return watch(version, kinds, m_settings.watch_timeout);
@@ -90,15 +101,39 @@
                                     std::chrono::milliseconds wait,
                                     std::function<bool()> const& is_cancelled = {})
     {
-        BOOST_LEAF_AUTO(response, perform_request(m_settings, Dialect::watch(version, kinds, wait),
+        BOOST_LEAF_AUTO(response, perform_request(m_settings,
+                                                  Dialect::watch(revision_of(version), kinds, wait),
                                                   wait + m_settings.watch_margin, is_cancelled));
+        auto const epoch = Dialect::read_epoch(response.headers);
         if (response.status != 200)
             return base::fail(error_kind_for_status(response.status),
                               "the platform refused the watch");
-        return Dialect::read_events(response.body, kinds);
+        BOOST_LEAF_AUTO(page, Dialect::read_events(response.body, kinds));
+        // The revision may have been given out again, so changes before it may be unknown.
+        if (epoch != epoch_of(version))
+            return base::fail(base::error_kind::conflict, "the store was restored from a copy");
+        set_epoch(page, epoch);
+        return page;
     }
 
 private:
+    static void set_epoch(object& target, std::int64_t epoch)
+    {
+        target.version = make_version(epoch, target.version);
+    }
+    static void set_epoch(object_page& page, std::int64_t epoch)
+    {
+        page.version = make_version(epoch, page.version);
+        for (auto& item : page.objects)
+            set_epoch(item, epoch);
+    }
+    static object without_epoch(object const& source)
+    {
+        auto copy = source;
+        copy.version = revision_of(source.version);
+        return copy;
+    }
+
     write_outcome write(store_request const& request, object const& target)
     {
         auto send_write = [&]() -> base::result<write_outcome>
@@ -113,15 +148,20 @@
                 return outcome;
             outcome.status =
                 result == write_response::applied ? write_status::applied : write_status::conflict;
-            outcome.current =
-                base::handle([&] { return Dialect::read_object(response.body, target.kind); },
-                             [&](base::error const&)
-                             {
-                                 // A response without the object means that it does not exist.
-                                 auto absent = target;
-                                 absent.deleted = true;
-                                 return absent;
-                             });
+            outcome.current = base::handle(
+                [&]() -> base::result<object>
+                {
+                    BOOST_LEAF_AUTO(stored, Dialect::read_object(response.body, target.kind));
+                    set_epoch(stored, Dialect::read_epoch(response.headers));
+                    return stored;
+                },
+                [&](base::error const&)
+                {
+                    // A response without the object means that it does not exist.
+                    auto absent = target;
+                    absent.deleted = true;
+                    return absent;
+                });
             return outcome;
         };
         // After any failure, a malformed response included, the request may have been sent, so
--- a/libraries/store/native_dialect.hpp
+++ b/libraries/store/native_dialect.hpp
@@ -22,6 +22,8 @@
     static base::result<object_page> read_events(std::string const& body,
                                                  std::vector<std::string> const& kinds);
     static write_response read_write_status(int status) noexcept;
+    /// This API has no epochs.
+    static std::int64_t read_epoch(http::header_list const&) noexcept { return 0; }
 };
 
 static_assert(object_dialect<native_dialect>);
--- a/libraries/store/object.hpp
+++ b/libraries/store/object.hpp
@@ -12,7 +12,7 @@
 {
 
 /// An object in the platform's store. `value` is JSON text. `version` increases with every write to
-/// the store, so it orders the writes to all objects.
+/// the store, so it orders the writes to all objects; see object_version.hpp.
 struct object
 {
     std::string kind;
--- a/libraries/store/object_dialect.hpp
+++ b/libraries/store/object_dialect.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/error.hpp"
+#include "http/message.hpp"
 #include "store/object.hpp"
 
 #include <chrono>
@@ -36,11 +37,13 @@
     unknown,
 };
 
-/// Names, paths and formats of one object API. A dialect is stateless and only translates.
+/// Names, paths and formats of one object API. A dialect is stateless and only translates. The
+/// versions that it reads and writes are the store's revisions.
 template <class T>
 concept object_dialect = requires(std::string const& text, object const& value,
                                   std::int64_t version, std::vector<std::string> const& kinds,
-                                  std::chrono::milliseconds wait, int status)
+                                  std::chrono::milliseconds wait, int status,
+                                  http::header_list const& headers)
 {
     {
         T::get(text, text)
@@ -72,6 +75,9 @@
     {
         T::read_write_status(status)
         } -> std::same_as<write_response>;
+    {
+        T::read_epoch(headers)
+        } -> std::same_as<std::int64_t>;
 };
 
 } // namespace jasminepier::store
--- a/libraries/store/store_connection.cpp
+++ b/libraries/store/store_connection.cpp
@@ -85,7 +85,10 @@
         return make_failure("failed: " + std::string(http::to_string(m_exchange.failure())));
     }
 
-    store_response take_response() { return {m_exchange.head().status, std::move(m_body)}; }
+    store_response take_response()
+    {
+        return {m_exchange.head().status, m_exchange.head().headers, std::move(m_body)};
+    }
 
 private:
     void take_received()
--- a/libraries/store/store_connection.hpp
+++ b/libraries/store/store_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/error.hpp"
+#include "http/message.hpp"
 #include "store/object_dialect.hpp"
 
 #include <chrono>
@@ -31,6 +32,7 @@
 struct store_response
 {
     int status = 0;
+    http::header_list headers;
     std::string body;
 };
 
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -26,6 +26,8 @@
                base::random_source(std::random_device{}()),
                true,
                false,
+               std::nullopt,
+               std::nullopt,
                {},
                serving::object_catch_up({platform::configuration_kind, platform::evacuation_kind,
                                          platform::server_kind})},
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -38,6 +38,10 @@
         /// This node's last call to the store failed. Unlike `server_directory::store_lost`, this
         /// says nothing about other nodes.
         bool store_call_failed = false;
+        /// The newest epoch of the store that this node has heard of.
+        std::optional<std::int64_t> store_epoch;
+        /// When this node heard that the store had been restored from a copy.
+        std::optional<base::time_point> store_restored_at;
         /// Wakeups of the requests that wait for a free slot at a server.
         std::set<http::wakeup*> waiting_requests;
         /// Decides how this node obtains objects that it has missed.
--- a/services/node/object_updates.cpp
+++ b/services/node/object_updates.cpp
@@ -2,7 +2,11 @@
 
 #include "base/log.hpp"
 #include "platform/objects.hpp"
+#include "services/node/node_metrics.hpp"
+#include "store/object_version.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace jasminepier::node
@@ -12,6 +16,9 @@
 
 // Changes of nodes in one response that are logged one by one.
 constexpr std::size_t maximum_logged_nodes = 16;
+// Evacuations that a restored store lacks stay in force for this time, in which the operator writes
+// them again.
+constexpr base::milliseconds lost_evacuation_grace_period{5000};
 
 template <class T, class Parse>
 std::optional<T> parse_or_log(store::object const& object, Parse&& parse)
@@ -27,7 +34,7 @@
             base::log_line(base::log_level::warning, "object_unreadable")
                 .field("kind", object.kind)
                 .field("name", object.name)
-                .field("revision", object.version)
+                .field("revision", store::format_version(object.version))
                 .field("reason", failure.message);
             return std::nullopt;
         });
@@ -43,7 +50,7 @@
         .field("server", id)
         .field("address", server->second.entry.address)
         .field("phase", phases[static_cast<std::size_t>(server->second.phase)])
-        .field("revision", revision);
+        .field("revision", store::format_version(revision));
 }
 
 void apply_server_changes(node_state& state, store::object_page const& page)
@@ -99,7 +106,7 @@
         state.report_due().signal();
         base::log_line(base::log_level::info, "configuration_applied")
             .field("version", (*parsed)->version)
-            .field("revision", (*parsed)->revision)
+            .field("revision", store::format_version((*parsed)->revision))
             .field("routes", (*parsed)->route_count())
             .field("keys", (*parsed)->customers_by_key.size());
     }
@@ -125,7 +132,7 @@
         base::log_line(base::log_level::info, "zone_changed")
             .field("zone", object.name)
             .field("evacuated", evacuated ? 1 : 0)
-            .field("revision", object.version);
+            .field("revision", store::format_version(object.version));
     }
 }
 
@@ -153,6 +160,51 @@
     }
 }
 
+/// Notes the epoch of objects that the store has returned to this node or to a peer.
+void record_epoch(node_state& state, std::int64_t version)
+{
+    auto const now = base::steady_clock_source{}.now();
+    auto const epoch = store::epoch_of(version);
+    bool const was_restored = state.with(
+        [&](node_state::tables& tables)
+        {
+            bool const is_first = !tables.store_epoch;
+            if (!is_first && epoch <= *tables.store_epoch)
+                return false;
+            tables.store_epoch = epoch;
+            if (is_first)
+                return false;
+            tables.store_restored_at = now;
+            tables.dispatcher.directory().handle_store_restored(now);
+            return true;
+        });
+    if (!was_restored)
+        return;
+    observe_event("store", "restored");
+    base::log_line(base::log_level::warning, "store_restored").field("epoch", epoch);
+}
+
+/// True if the object is a configuration that is older than the one in force: a store restored from
+/// a copy returns it until the operator has written the newer one again.
+bool is_outdated_configuration(node_state& state, store::object const& object)
+{
+    auto const current = state.configuration();
+    bool const from_later_epoch =
+        current && object.name == platform::configuration_name && !object.deleted &&
+        store::epoch_of(object.version) > store::epoch_of(current->revision);
+    if (!from_later_epoch)
+        return false;
+    auto const parsed = parse_or_log<std::shared_ptr<serving::fleet_configuration const>>(
+        object, platform::parse_configuration);
+    if (!parsed || (*parsed)->version >= current->version)
+        return false;
+    base::log_line(base::log_level::warning, "configuration_outdated")
+        .field("version", (*parsed)->version)
+        .field("revision", store::format_version(object.version))
+        .field("in_force", current->version);
+    return true;
+}
+
 void dispatch_changes(node_state& state, std::string const& kind, store::object_page const& page)
 {
     if (kind == platform::configuration_kind)
@@ -176,6 +228,7 @@
 
 void apply_list(node_state& state, std::string const& kind, store::object_page page)
 {
+    record_epoch(state, page.version);
     auto const listed_count = page.objects.size();
     std::set<std::string> names;
     for (auto const& object : page.objects)
@@ -189,7 +242,11 @@
                 [&](store::object const& stored)
                 {
                     bool const unlisted = stored.kind == kind && !names.contains(stored.name);
-                    if (unlisted && stored.version <= page.version)
+                    // See `remove_lost_evacuations`.
+                    bool const may_be_written_again =
+                        kind == platform::evacuation_kind &&
+                        store::epoch_of(stored.version) < store::epoch_of(page.version);
+                    if (unlisted && stored.version <= page.version && !may_be_written_again)
                         page.objects.push_back({kind, stored.name, page.version, "", true});
                 });
         });
@@ -197,7 +254,7 @@
         .field("kind", kind)
         .field("objects", listed_count)
         .field("removed", page.objects.size() - listed_count)
-        .field("revision", page.version);
+        .field("revision", store::format_version(page.version));
     apply_changes(state, kind, page);
 }
 
@@ -205,10 +262,16 @@
 {
     store::object_page new_changes;
     new_changes.version = page.version;
+    record_epoch(state, page.version);
+    auto const is_outdated = [&](store::object const& object)
+    { return kind == platform::configuration_kind && is_outdated_configuration(state, object); };
+    std::vector<store::object> changes;
+    std::copy_if(page.objects.begin(), page.objects.end(), std::back_inserter(changes),
+                 [&](store::object const& object) { return !is_outdated(object); });
     state.with(
         [&](node_state::tables& tables)
         {
-            for (auto const& object : page.objects)
+            for (auto const& object : changes)
                 if (tables.objects.merge({&object, 1}))
                     new_changes.objects.push_back(object);
         });
@@ -216,4 +279,28 @@
         dispatch_changes(state, kind, new_changes);
 }
 
+void remove_lost_evacuations(node_state& state)
+{
+    auto const now = base::steady_clock_source{}.now();
+    store::object_page removals;
+    state.with(
+        [&](node_state::tables& tables)
+        {
+            auto const complete = tables.objects.complete_revision(platform::evacuation_kind);
+            removals.version = complete;
+            if (!tables.store_restored_at ||
+                now < *tables.store_restored_at + lost_evacuation_grace_period)
+                return;
+            tables.objects.for_each(
+                [&](store::object const& stored)
+                {
+                    if (stored.kind == platform::evacuation_kind &&
+                        store::epoch_of(stored.version) < store::epoch_of(complete))
+                        removals.objects.push_back({stored.kind, stored.name, complete, "", true});
+                });
+        });
+    if (!removals.objects.empty())
+        apply_changes(state, platform::evacuation_kind, removals);
+}
+
 } // namespace jasminepier::node
--- a/services/node/object_updates.hpp
+++ b/services/node/object_updates.hpp
@@ -22,4 +22,7 @@
 /// changes that have already been applied have no effect.
 void apply_changes(node_state& state, std::string const& kind, store::object_page const& page);
 
+/// Removes evacuations that a restored store lacks and that nobody has written again in time.
+void remove_lost_evacuations(node_state& state);
+
 } // namespace jasminepier::node
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -5,6 +5,7 @@
 #include "platform/objects.hpp"
 #include "services/node/node_metrics.hpp"
 #include "services/node/object_updates.hpp"
+#include "store/object_version.hpp"
 
 namespace jasminepier::node
 {
@@ -58,8 +59,8 @@
         base::log_line(event.is_behind ? base::log_level::warning : base::log_level::info,
                        event.is_behind ? "objects_behind" : "objects_caught_up")
             .field("kind", event.kind)
-            .field("held", event.held)
-            .field("known", event.known)
+            .field("held", store::format_version(event.held))
+            .field("known", store::format_version(event.known))
             .field("behind_ms", event.duration.count())
             .field("asked", asked_peers);
     }
@@ -107,8 +108,8 @@
     base::log_line(base::log_level::info, "objects_pulled")
         .field("peer", pull.peer.name)
         .field("objects", objects.size())
-        .field("since", pull.since)
-        .field("revision", pulled->revision);
+        .field("since", store::format_version(pull.since))
+        .field("revision", store::format_version(pulled->revision));
     for (auto const& kind : watched_kinds())
     {
         store::object_page page;
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -233,9 +233,15 @@
         --m_passes_to_skip;
         return;
     }
-    if (!m_registered)
+    remove_lost_evacuations(m_state);
+    // A store that was restored from a copy may lack this node's entry.
+    auto const epoch = m_state.with([](node_state::tables& tables) { return tables.store_epoch; });
+    if (!m_registered_epoch)
+        m_registered_epoch = epoch;
+    if (!m_registered || epoch != m_registered_epoch)
     {
         m_registered = register_node();
+        m_registered_epoch = epoch;
         m_passes_to_skip = m_registered ? 0 : 1;
         return;
     }
--- a/services/node/store_watcher.hpp
+++ b/services/node/store_watcher.hpp
@@ -54,6 +54,7 @@
     node_state& m_state;
     platform::object_store m_store;
     bool m_registered = false;
+    std::optional<std::int64_t> m_registered_epoch;
     int m_passes_to_skip = 0;
 };
 
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -98,6 +98,39 @@
     EXPECT_EQ(metadata.keep_alive_seconds, 5);
 }
 
+TEST(platform_headers, decodes_limits_of_servers)
+{
+    auto const read_limit = [](std::string const& text)
+    {
+        http::response response;
+        response.headers.add("Server-Limit", text);
+        return read_response_metadata(response).request_rate_limit;
+    };
+    EXPECT_EQ(read_limit("4.6"), 4.6);
+    EXPECT_EQ(read_limit("0"), 0.0);
+    for (auto const* const text : {"", "many", "-1", "nan", "inf", "1e999"})
+        EXPECT_EQ(read_limit(text), std::nullopt) << text;
+}
+
+// Guards against versions that are out of order since an epoch could not be read or is too large.
+TEST(platform_store, decodes_epochs)
+{
+    auto const read_epoch = [](std::string const& text)
+    {
+        http::header_list headers;
+        headers.add("Store-Era", text);
+        return store_dialect::read_epoch(headers);
+    };
+    EXPECT_EQ(read_epoch("3"), 3);
+    EXPECT_EQ(store_dialect::read_epoch({}), 0);
+    for (auto const* const text : {"", "x", "-1", "1.5", "99999999999999999999", "4194304"})
+        EXPECT_EQ(read_epoch(text), 0) << text;
+    EXPECT_EQ(store::epoch_of(store::make_version(read_epoch("4194303"), 7)), 4194303);
+    EXPECT_EQ(store::revision_of(store::make_version(4194303, 7)), 7);
+    EXPECT_EQ(store::format_version(store::make_version(2, 28)), "2.28");
+    EXPECT_EQ(store::format_version(28), "28");
+}
+
 std::string const configuration_text =
     R"({"version":7,"routes":[)"
     R"({"name":"r1","host":"a.example","path_prefix":"/p/","route_type":"streaming",)"
--- a/tests/server_directory_test.cpp
+++ b/tests/server_directory_test.cpp
@@ -1,5 +1,6 @@
 /// Server list during outages of the store. No network.
 #include "serving/server_directory.hpp"
+#include "store/object_version.hpp"
 
 #include <gtest/gtest.h>
 
@@ -105,5 +106,54 @@
     EXPECT_TRUE(directory.servers().empty());
 }
 
+// Guards against selecting a server that has left because a store that was restored from a copy
+// lists it as ready, and against never using it again after it has started anew.
+TEST(server_directory, entry_of_a_restored_store_does_not_bring_back_a_server_that_left)
+{
+    server_directory directory;
+    auto entry = make_entry("s1", store::make_version(1, 20));
+    entry.started_unix_milliseconds = 7000;
+    directory.apply_entry(entry, start);
+    entry.draining = true;
+    entry.revision = store::make_version(1, 30);
+    directory.apply_entry(entry, start);
+    directory.handle_store_restored(start + seconds(1));
+    entry.draining = false;
+    entry.revision = store::make_version(2, 20);
+    directory.apply_list({&entry, 1}, store::make_version(2, 25), start + seconds(1));
+    EXPECT_EQ(find_phase(directory, "s1"), server_phase::draining);
+    directory.apply_removal("s1", store::make_version(2, 26), start + seconds(2));
+    EXPECT_EQ(find_phase(directory, "s1"), server_phase::removed);
+    entry.started_unix_milliseconds = 9000;
+    entry.revision = store::make_version(2, 27);
+    directory.apply_entry(entry, start + seconds(3));
+    EXPECT_EQ(find_phase(directory, "s1"), server_phase::ready);
+}
+
+// Guards against ignoring what a server writes again, which has a revision given out before.
+TEST(server_directory, restored_revisions_are_newer_than_those_before)
+{
+    server_directory directory;
+    directory.apply_entry(make_entry("s1", store::make_version(1, 50)), start);
+    auto draining = make_entry("s1", store::make_version(2, 12));
+    draining.draining = true;
+    directory.apply_entry(draining, start);
+    EXPECT_EQ(find_phase(directory, "s1"), server_phase::draining);
+    directory.apply_entry(make_entry("s1", store::make_version(1, 51)), start);
+    EXPECT_EQ(find_phase(directory, "s1"), server_phase::draining);
+}
+
+// Guards against limiting servers as cold because the copy is of the time when they started.
+TEST(server_directory, entry_of_a_restored_store_does_not_start_the_warm_up_again)
+{
+    server_directory directory;
+    auto entry = make_entry("s1", store::make_version(1, 50));
+    entry.remaining_warm_up = seconds(5);
+    directory.apply_entry(entry, start);
+    entry.revision = store::make_version(2, 40);
+    directory.apply_entry(entry, start + seconds(60));
+    EXPECT_EQ(directory.servers().at("s1").cold_until, start + seconds(5));
+}
+
 } // namespace
 } // namespace jasminepier::serving
