Store, Platform: Read lists of servers beside an entry that cannot be parsed

Here, an entry with nesting above 32 levels or a number that the parser rejects made each list and each watch of servers fail as a whole: a starting node never became usable, a running one stopped hearing of servers (503 for all orders after a while). No process ended.

Cause: the limits that protect the parser apply to a response as a whole. The entry of another writer is data of its own and may only spoil itself.

Change: if a response cannot be parsed, values of objects that cannot be parsed by themselves are read as null and the rest again; an entry without a value names no server, as before. Both APIs use store::parse_response.

--- a/libraries/base/json.cpp
+++ b/libraries/base/json.cpp
@@ -4,6 +4,7 @@
 #include <Poco/JSON/ParseHandler.h>
 #include <Poco/JSON/Parser.h>
 
+#include <algorithm>
 #include <sstream>
 
 namespace jasminepier::base
@@ -43,8 +44,96 @@
     return value.isNumeric() && !value.isBoolean() && !value.isString();
 }
 
+/// Returns the position behind the string that begins at `begin`, or the end of the text.
+std::size_t skip_string(std::string_view text, std::size_t begin)
+{
+    for (auto i = begin + 1; i < text.size(); ++i)
+    {
+        if (text[i] == '\\')
+            ++i;
+        else if (text[i] == '"')
+            return i + 1;
+    }
+    return text.size();
+}
+
+std::size_t skip_spaces(std::string_view text, std::size_t begin)
+{
+    return std::min(text.find_first_not_of(" \t\r\n", begin), text.size());
+}
+
+/// Returns the position behind the value that begins at `begin`. Counts brackets instead of calling
+/// itself, so that the depth of the value does not matter.
+std::size_t skip_value(std::string_view text, std::size_t begin)
+{
+    std::size_t depth = 0;
+    auto i = begin;
+    while (i < text.size())
+    {
+        auto const character = text[i];
+        if (character == '"')
+        {
+            i = skip_string(text, i);
+            if (depth == 0)
+                return i;
+            continue;
+        }
+        bool const closes = character == '}' || character == ']';
+        if (depth == 0 && (closes || character == ','))
+            return i;
+        if (character == '{' || character == '[')
+            ++depth;
+        ++i;
+        if (closes && --depth == 0)
+            return i;
+    }
+    return i;
+}
+
+bool is_readable_value(std::string_view text)
+{
+    std::string document = "{\"value\":";
+    document.append(text).append("}");
+    return static_cast<bool>(handle(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_CHECK(parse_json_object(document));
+            return true;
+        },
+        [](error const&) { return false; }));
+}
+
 } // namespace
 
+std::string replace_unreadable_members(std::string_view text, std::string_view name)
+{
+    std::string replaced;
+    std::size_t copied = 0;
+    for (std::size_t i = 0; i < text.size();)
+    {
+        if (text[i] != '"')
+        {
+            ++i;
+            continue;
+        }
+        auto const string_end = skip_string(text, i);
+        bool const matches =
+            string_end - i == name.size() + 2 && text.substr(i + 1, name.size()) == name;
+        i = skip_spaces(text, string_end);
+        if (!matches || i >= text.size() || text[i] != ':')
+            continue;
+        auto const value_begin = skip_spaces(text, i + 1);
+        auto const value_end = skip_value(text, value_begin);
+        if (!is_readable_value(text.substr(value_begin, value_end - value_begin)))
+        {
+            replaced.append(text.substr(copied, value_begin - copied)).append("null");
+            copied = value_end;
+        }
+        i = value_end;
+    }
+    return replaced.append(text.substr(copied));
+}
+
 result<json_object> parse_json_object(std::string_view text)
 {
     try
--- a/libraries/base/json.hpp
+++ b/libraries/base/json.hpp
@@ -25,6 +25,11 @@
 /// `maximum_json_depth`.
 result<json_object> parse_json_object(std::string_view text);
 
+/// Returns `text` with the values of the outermost members `name` that cannot be parsed by
+/// themselves replaced by null, so that one of them does not make the whole document unreadable.
+/// Text that is no JSON apart from these values may be returned as it is.
+std::string replace_unreadable_members(std::string_view text, std::string_view name);
+
 /// Serializes `object` without line breaks.
 std::string write_json(json_object const& object);
 
--- a/libraries/store/response_parsing.cpp
+++ b/libraries/store/response_parsing.cpp
@@ -19,11 +19,21 @@
     return parsed;
 }
 
+base::result<base::json_object> parse_response(std::string const& body,
+                                               std::string const& value_member)
+{
+    auto const document = base::handle([&] { return base::parse_json_object(body); },
+                                       [](base::error const&) { return base::json_object{}; });
+    if (document)
+        return document;
+    return base::parse_json_object(base::replace_unreadable_members(body, value_member));
+}
+
 base::result<object_page> parse_page(std::string const& body, page_kind kind)
 {
     bool const is_event = kind == page_kind::events;
     std::string const member = is_event ? "events" : "items";
-    BOOST_LEAF_AUTO(document, base::parse_json_object(body));
+    BOOST_LEAF_AUTO(document, parse_response(body, "value"));
     object_page page;
     BOOST_LEAF_AUTO(version, base::read_integer(document, "version"));
     page.version = version;
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -55,4 +55,22 @@
     std::lock_guard const lock_after_failure(outer);
 }
 
+// Guards against a document that cannot be read because of one value in it.
+TEST(json, replaces_members_that_cannot_be_parsed)
+{
+    auto const replace = [](std::string const& text)
+    { return replace_unreadable_members(text, "v"); };
+    EXPECT_EQ(replace(R"({"a":[{"v":1e999,"b":2},{"v":{"c":"}"}}]})"),
+              R"({"a":[{"v":null,"b":2},{"v":{"c":"}"}}]})");
+    EXPECT_EQ(replace(R"({"v" : [1, 99999999999999999999999] , "b":"v"})"),
+              R"({"v" : null , "b":"v"})");
+    auto const deep = std::string(100000, '[') + std::string(100000, ']');
+    EXPECT_EQ(replace(R"({"x":"\\","v":)" + deep + "}"), R"({"x":"\\","v":null})");
+    // Readable values, other members and text that is cut off.
+    for (std::string const text : {R"({"v":[1,{"v":2}]})", R"({"w":1e999})", R"({"v")", ""})
+        EXPECT_EQ(replace(text), text);
+    replace(R"({"v":")");
+    replace(R"({"v":[{)");
+}
+
 } // namespace jasminepier::base
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/settings.hpp"
 #include "platform/store_dialect.hpp"
 #include "services/node/peer_link.hpp"
+#include "store/response_parsing.hpp"
 
 #include <gtest/gtest.h>
 
@@ -131,6 +132,19 @@
     EXPECT_EQ(store::format_version(28), "28");
 }
 
+// Guards against a list that cannot be read because of one object, on the project's own API.
+TEST(native_store, reads_other_objects_beside_an_unreadable_one)
+{
+    auto const page = store::parse_page(
+        R"({"version":9,"items":[{"kind":"server","name":"odd","version":8,"value":{"x":1e999}},)"
+        R"({"kind":"server","name":"s1","version":7,"value":{"y":1}}]})",
+        store::page_kind::list);
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->objects.size(), 2U);
+    EXPECT_EQ(page->objects[0].value, "");
+    EXPECT_EQ(page->objects[1].value, R"({"y":1})");
+}
+
 std::string const configuration_text =
     R"({"version":7,"routes":[)"
     R"({"name":"r1","host":"a.example","path_prefix":"/p/","route_type":"streaming",)"
