Node: End a resumed stream that is answered with something else

Here, answers other than 2xx to a resumed stream were handled: the stream is cut after its last event. A 200 or 206 with another body was not: its text went to the caller behind the last event, and the stream ended as complete; a 204 ended the stream as complete.

Cause: the head of the server that resumes is dropped, since the caller has the first one, and with it went what tells whether its body belongs there.

Change: a resumed or moved stream goes on only with a response of the same status and content type; any other one breaks it off, visibly.

Before and after: three of nine cases of node_stream_error_test failed (200, 204, 206); all pass.

--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -29,6 +29,13 @@
     return base::steady_clock_source{}.now();
 }
 
+/// True if the response may go on with the stream that the other one began.
+bool continues_stream(http::response const& response, http::response const& begun)
+{
+    return response.status == begun.status &&
+           response.headers.find("Content-Type") == begun.headers.find("Content-Type");
+}
+
 std::string encode_chunk(std::string_view bytes)
 {
     char size[24];
@@ -100,7 +107,12 @@
         return stream_outcome::not_run;
     if (!response_matches || (head.status / 100 == 2 && !metadata.has_signature))
         return stream_outcome::broken;
-    if (head.status / 100 == 2 && !m_response_head)
+    if (head.status / 100 != 2)
+        return std::nullopt;
+    // The caller has the head of an earlier server, so another kind of body must not follow it.
+    if (m_head_sent && !continues_stream(head, *m_response_head))
+        return stream_outcome::broken;
+    if (!m_head_sent)
         m_response_head = head;
     return std::nullopt;
 }
--- a/tests/node_stream_test.cpp
+++ b/tests/node_stream_test.cpp
@@ -138,5 +138,25 @@
     EXPECT_EQ(run_count(), 1);
 }
 
+class node_stream_error_test : public node_fixture, public testing::WithParamInterface<int>
+{
+};
+
+// Guards against the text of an error in the middle of a stream, and against a stream that ends as
+// if it were complete, when the server that should resume it answers with an error.
+TEST_P(node_stream_error_test, resumed_stream_that_gets_no_stream_is_cut_after_its_last_event)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    auto const response = call("POST", "/question/failing-2-" + std::to_string(GetParam()));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, make_events(1, 2));
+    EXPECT_FALSE(response.is_complete);
+    EXPECT_EQ(run_count(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses, node_stream_error_test,
+                         testing::Values(200, 204, 206, 302, 400, 404, 429, 500, 503));
+
 } // namespace
 } // namespace jasminepier::tests
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -59,7 +59,8 @@
             send_all(socket, std::exchange(late_copy, {}));
         if (!respond(socket, *request))
             return;
-        if (!request->path().ends_with("/copied"))
+        bool const refuses = request->path().ends_with("/refusal-copied");
+        if (!refuses && !request->path().ends_with("/copied"))
             continue;
         auto const id = std::string(request->headers.find("Attempt-Id").value_or(""));
         auto const body = "response to " + id;
@@ -67,7 +68,9 @@
         fields.add("Attempt-Id", id);
         fields.add("Server-Signature", "signed-by-" + m_id);
         fields.add("Content-Length", std::to_string(body.size()));
-        late_copy = http::write_response_head(200, "", fields) + body;
+        if (refuses)
+            fields.add("Not-Executed", "1");
+        late_copy = http::write_response_head(refuses ? 503 : 200, "", fields) + body;
     }
 }
 
@@ -167,7 +170,7 @@
 {
     auto const id = std::string(request.headers.find("Attempt-Id").value_or(""));
     auto fields = make_fields(id);
-    if (action == "ok" || action == "copied")
+    if (action == "ok" || action == "copied" || action == "refusal-copied")
         return send(socket, 200, fields, "response to " + id);
     if (action == "error")
         return send(socket, 500, fields, "failed");
@@ -230,6 +233,15 @@
         return stream(socket, request, std::stoi(action.substr(8)), true), true;
     if (action.starts_with("stalled-"))
         return stall(socket, request), false;
+    if (action.starts_with("failing-") && resumed)
+    {
+        fields.add("Content-Type", "application/json");
+        auto const resumed_status = std::stoi(action.substr(action.rfind('-') + 1));
+        return send(socket, resumed_status, fields,
+                    resumed_status == 204 ? "" : "the error text\n\n");
+    }
+    if (action.starts_with("failing-"))
+        return stream(socket, request, std::stoi(action.substr(8)), false), false;
     if (action.starts_with("status-"))
         return send(socket, std::stoi(action.substr(7)), fields, "failed");
     if (action == "greeting")
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -23,9 +23,12 @@
 /// (like `closed-N`, followed by a comment line without a blank line), `stalled-N` (stops after one
 /// event and sends a comment byte now and then; a resumed stream continues to N events), `endless`
 /// (sends a body without end), `copied` (sends its response a second time when the next request
-/// arrives on the connection), `crash` (sends the head of a response, then nothing; `has_crashed`
-/// tells the owner to end the server), `status-N` (responds with status N after it ran the
-/// request), `greeting` (closes the connection after a comment, before the first event).
+/// arrives on the connection), `refusal-copied` (then sends a refusal of the earlier request),
+/// `crash` (sends the head of a response, then nothing; `has_crashed` tells the owner to end the
+/// server), `status-N` (responds with status N after it ran the request), `failing-N-STATUS`
+/// (streams N events and breaks off; a resumed stream is answered with the status and an error
+/// text, which is no stream), `greeting` (closes the connection after a comment, before the first
+/// event).
 class fake_server
 {
 public:
