Tests: Cover refusals that a server sends once more on a kept connection

This cannot happen here: a response counts only with the request's own id, requests that may run once have a connection of their own, and jasminepier-entry uses each connection for one call. The test, which needs a server that does so, passes without a change of the node.

--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -217,6 +217,22 @@
     }
 }
 
+// Guards against telling a caller that its request has not run, or running it again, because the
+// server sends the refusal of an earlier request once more on a kept connection.
+TEST_F(node_process_test, refusal_of_an_earlier_request_says_nothing_about_another_one)
+{
+    start_until_ready();
+    for (int i = 0; i < 30; ++i)
+    {
+        bool const is_order = i % 3 == 2;
+        auto const response =
+            is_order ? call("POST", "/order/refusal-copied") : call("GET", "/check/refusal-copied");
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, "response to " + m_last_request_id);
+        EXPECT_LE(run_count(), is_order ? 1 : 2);
+    }
+}
+
 // Guards against servers that fill the node's memory with bodies without end. A VM has 88 MB.
 TEST_F(node_process_test, bodies_without_end_are_cut_and_leave_memory_for_other_requests)
 {
