Serving: Take a server out when it says in a response that it leaves

Some servers never change their entry before it is removed, so a node that heeds the store alone sends to them until they end.

Change: such a response takes the server out at once, wakes the generations that run there so that they are moved, and tells the peers with the next report. The server's own word outlasts entries that list it as ready, as after a change of another member or a list read again, until it has started anew; the same now holds for what an engine's report says. A peer's word and the store's removal don't, since an entry can lapse while its server is well.

--- a/libraries/serving/request_metadata.hpp
+++ b/libraries/serving/request_metadata.hpp
@@ -66,6 +66,8 @@
     std::optional<int> waiting;
     /// Seconds after which the server closes an idle connection, if the server reports them.
     std::optional<int> keep_alive_seconds;
+    /// The server says that it is about to stop.
+    bool server_leaving = false;
     /// Requests per second that the server accepts from all nodes together, if it states a limit.
     std::optional<double> request_rate_limit;
 };
--- a/libraries/serving/server_directory.cpp
+++ b/libraries/serving/server_directory.cpp
@@ -3,6 +3,7 @@
 #include "store/object_version.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminepier::serving
 {
@@ -39,7 +40,10 @@
         server.entry.revision = entry.revision;
         return;
     }
-    auto const phase = entry.draining ? server_phase::draining : server_phase::ready;
+    if (entry.started_unix_milliseconds != server.entry.started_unix_milliseconds)
+        server.announced_leaving = false;
+    auto const phase =
+        entry.draining || server.announced_leaving ? server_phase::draining : server_phase::ready;
     // A copy says how long the server was to warm up when it was taken.
     bool const keeps_warm_up =
         !added && store::epoch_of(entry.revision) != store::epoch_of(server.entry.revision) &&
@@ -101,6 +105,15 @@
     ++m_change_count;
 }
 
+bool server_directory::record_announced_leaving(std::string const& id, base::time_point now)
+{
+    auto const found = m_servers.find(id);
+    if (found == m_servers.end() || std::exchange(found->second.announced_leaving, true))
+        return false;
+    record_leaving(id, now);
+    return true;
+}
+
 void server_directory::handle_store_lost(base::time_point)
 {
     m_store_lost = true;
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -52,6 +52,8 @@
     server_phase phase = server_phase::ready;
     base::time_point phase_since{};
     base::time_point cold_until{};
+    /// The server has said itself that it leaves, which holds until it starts anew.
+    bool announced_leaving = false;
 };
 
 /// The servers that the store lists. Removals during and shortly after an outage of the store are
@@ -84,6 +86,9 @@
     }
     /// Marks the server as draining because a peer or the server itself reports that it leaves.
     void record_leaving(std::string const& id, base::time_point now);
+    /// The same for what the server says itself. Entries that list it as ready don't bring it back
+    /// unless it has started anew. Returns false if it has said so before.
+    bool record_announced_leaving(std::string const& id, base::time_point now);
 
     void handle_store_lost(base::time_point now);
     void handle_store_reached(base::time_point now);
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -321,9 +321,26 @@
         return;
     auto const now = base::steady_clock_source{}.now();
     auto const limit = response.request_rate_limit;
-    bool const limit_changed =
-        state.with([&](node_state::tables& tables)
-                   { return tables.dispatcher.record_rate_limit(server.id, limit, now); });
+    bool limit_changed = false;
+    bool leaving_announced = false;
+    state.with(
+        [&](node_state::tables& tables)
+        {
+            limit_changed = tables.dispatcher.record_rate_limit(server.id, limit, now);
+            leaving_announced =
+                response.server_leaving &&
+                tables.dispatcher.directory().record_announced_leaving(server.id, now);
+            if (leaving_announced)
+                tables.dispatcher.notify_leaving();
+        });
+    if (leaving_announced)
+    {
+        state.report_due().signal();
+        observe_event("server_response", "leaving");
+        base::log_line(base::log_level::info, "server_says_leaving")
+            .field("request_id", metadata.request_id)
+            .field("server", server.id);
+    }
     if (!limit_changed)
         return;
     state.report_due().signal();
--- a/services/node/server_prober.cpp
+++ b/services/node/server_prober.cpp
@@ -83,7 +83,7 @@
         m_state.with(
             [&](node_state::tables& tables)
             {
-                tables.dispatcher.directory().record_leaving(probe.server, now);
+                tables.dispatcher.directory().record_announced_leaving(probe.server, now);
                 tables.dispatcher.notify_leaving();
             });
         observe_event("server_probe", "leaving");
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -91,12 +91,14 @@
     response.headers.add("Not-Executed", "1");
     response.headers.add("Server-Load", "3,1,8");
     response.headers.add("Keep-Alive", "timeout=5");
+    response.headers.add("Server-Leaving", "1");
     auto const metadata = read_response_metadata(response);
     EXPECT_TRUE(metadata.declined);
     EXPECT_FALSE(metadata.has_signature);
     EXPECT_EQ(metadata.running, 3);
     EXPECT_EQ(metadata.waiting, 1);
     EXPECT_EQ(metadata.keep_alive_seconds, 5);
+    EXPECT_TRUE(metadata.server_leaving);
 }
 
 TEST(platform_headers, decodes_limits_of_servers)
--- /dev/null
+++ b/tests/server_notice_test.cpp
@@ -0,0 +1,88 @@
+/// Runs a node against servers that say in their responses what they still accept.
+#include "tests/support/node_fixture.hpp"
+
+#include <thread>
+
+namespace jasminepier::tests
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class server_notice_test : public node_fixture
+{
+protected:
+    static void add_field(fake_server& server, std::string const& name, std::string const& value)
+    {
+        http::header_list fields;
+        fields.add(name, value);
+        server.set_extra_fields(fields);
+    }
+
+    /// Sends orders until the server has got one.
+    void send_until_reached(fake_server const& server, std::string const& path)
+    {
+        auto const earlier = server.requests().size();
+        for (int i = 0; i < 100 && server.requests().size() == earlier; ++i)
+            call("POST", path);
+        ASSERT_GT(server.requests().size(), earlier);
+    }
+
+    /// Sends orders and lookups for a second. Returns how many reached the server.
+    std::size_t count_requests(fake_server const& server)
+    {
+        auto const earlier = server.requests().size();
+        for (int i = 0; i < 20; ++i)
+        {
+            call("POST", "/order/ok");
+            call("GET", "/check/ok");
+            std::this_thread::sleep_for(milliseconds(40));
+        }
+        return server.requests().size() - earlier;
+    }
+
+    static std::string make_started_entry(fake_server const& server, int slots, int started)
+    {
+        return R"({"service":"shop","address":")" + server.address() +
+               R"(","zone":"a","state":"ready","slots":)" + std::to_string(slots) + R"(,"born":)" +
+               std::to_string(started) + "}";
+    }
+};
+
+// Guards against requests to a server that says in its responses that it leaves, while its entry in
+// the store is ready, also after that entry has changed.
+TEST_F(server_notice_test, server_that_announces_its_leaving_gets_no_more_requests)
+{
+    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 8, 1000));
+    start_until_ready();
+    add_field(m_shop_1, "Server-Leaving", "1");
+    send_until_reached(m_shop_1, "/order/ok");
+    EXPECT_EQ(count_requests(m_shop_1), 0U);
+    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 9, 1000));
+    EXPECT_EQ(count_requests(m_shop_1), 0U);
+    // Another process of the server at the same address.
+    m_shop_1.set_extra_fields({});
+    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 9, 2000));
+    EXPECT_TRUE(wait_until([&] { return count_requests(m_shop_1) > 0; }, seconds(5)));
+}
+
+// Guards against a peer that goes on sending requests to a server that has told only this node.
+TEST_F(server_notice_test, peers_learn_that_a_server_leaves)
+{
+    node_process second{"n2", {port(5), port(6), port(7), port(8)}, port(0)};
+    start_until_ready();
+    ASSERT_TRUE(wait_until([&] { return second.is_ready(); }, seconds(10)));
+    add_field(m_shop_1, "Server-Leaving", "1");
+    send_until_reached(m_shop_1, "/order/ok");
+    std::this_thread::sleep_for(seconds(2));
+    auto const earlier = m_shop_1.requests().size();
+    for (int i = 0; i < 20; ++i)
+        call_node(second.ports().callers,
+                  make_request("POST", "/order/ok", "peer-" + std::to_string(i)));
+    EXPECT_EQ(m_shop_1.requests().size(), earlier);
+}
+
+} // namespace
+} // namespace jasminepier::tests
