Serving: Send nothing to a server during the pause that it asks for

Nodes counted such an answer as one more rejection, and a request that found no other server went to the same one again.

Change: the server is left out until the time that it states, at most an hour, for new requests, retries, hedges and moved generations of this node. Other nodes are not told, since the server speaks to this one. If every server of a service pauses, a request waits if the first pause ends within the usual wait; otherwise it is rejected at once with the time that is left as Retry-After.

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -64,10 +64,12 @@
         return 1;
     case exclusion_reason::rate_limited:
         return 2;
-    case exclusion_reason::unreachable:
+    case exclusion_reason::paused:
         return 3;
-    default:
+    case exclusion_reason::unreachable:
         return 4;
+    default:
+        return 5;
     }
 }
 
@@ -87,6 +89,8 @@
         return "unreachable";
     case exclusion_reason::cold:
         return "cold";
+    case exclusion_reason::paused:
+        return "paused";
     case exclusion_reason::rate_limited:
         return "rate_limited";
     case exclusion_reason::full:
@@ -198,10 +202,10 @@
 {
     auto const first_delay = std::chrono::ceil<base::milliseconds>(first_start - now);
     auto const waiting = m_waiting.find(std::string(service));
-    if (waiting == m_waiting.end())
+    if (waiting == m_waiting.end() || share == 0)
         return first_delay;
     return first_delay + static_cast<int>(waiting->second.size()) *
-                             base::milliseconds(server_rate_limits::window) / std::max(share, 1);
+                             base::milliseconds(server_rate_limits::window) / share;
 }
 
 bool dispatcher::below_cold_rate_limit(listed_server const& server, service const& target_service,
@@ -235,9 +239,13 @@
     if (std::find(query.excluded_servers.begin(), query.excluded_servers.end(), id) !=
         query.excluded_servers.end())
         return exclusion_reason::already_tried;
-    if (auto const health = m_server_health.find(id);
-        health != m_server_health.end() && now < health->second.unreachable_until)
-        return exclusion_reason::unreachable;
+    if (auto const health = m_server_health.find(id); health != m_server_health.end())
+    {
+        if (now < health->second.paused_until)
+            return exclusion_reason::paused;
+        if (now < health->second.unreachable_until)
+            return exclusion_reason::unreachable;
+    }
     if (!below_cold_rate_limit(server, target_service, now))
         return exclusion_reason::cold;
     if (auto const next_start = find_next_permitted_start(server); !next_start || now < *next_start)
@@ -320,6 +328,11 @@
             if (auto const start = find_next_permitted_start(server))
                 next_permitted_start = std::min(*start, next_permitted_start.value_or(*start));
         }
+        if (reason == exclusion_reason::paused)
+        {
+            auto const end = m_server_health.at(id).paused_until;
+            next_permitted_start = std::min(end, next_permitted_start.value_or(end));
+        }
         if (reason == exclusion_reason::none)
             candidates.push_back({&server, load});
         else if (recovery_rank(reason) < recovery_rank(result.reason))
@@ -328,7 +341,7 @@
     if (candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated &&
         m_directory.may_miss_servers(now))
         result.reason = exclusion_reason::unlisted;
-    if (next_permitted_start && result.reason == exclusion_reason::rate_limited)
+    if (next_permitted_start && result.depends_on_time())
         result.delay =
             estimate_rate_limit_delay(query.service, *next_permitted_start, rate_limit_shares, now);
     auto const mean_failure_rate = attempts > 0 ? failures / attempts : 0;
@@ -442,6 +455,13 @@
     health.outcomes.add(outcome != attempt_outcome::succeeded, now);
 }
 
+void dispatcher::record_pause(std::string const& server, base::milliseconds pause,
+                              base::time_point now)
+{
+    auto& paused_until = m_server_health[server].paused_until;
+    paused_until = std::max<base::time_point>(paused_until, now + pause);
+}
+
 bool dispatcher::is_leaving(std::string const& server) const
 {
     auto const found = m_directory.servers().find(server);
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -44,6 +44,8 @@
     unreachable,
     /// The server was started recently and has reached its limit of requests per second.
     cold,
+    /// The server wants no requests from this node for some time.
+    paused,
     /// This node's share of the rate that the server accepts is used up.
     rate_limited,
     /// Every slot or all KV cache memory is in use.
@@ -95,15 +97,19 @@
     std::optional<selected_server> server;
     /// The reason that passes soonest among all servers of the service.
     exclusion_reason reason = exclusion_reason::none;
-    /// With `rate_limited`, the time until a server accepts this request after those that wait now;
-    /// nothing if this node has no share of any server's limit.
+    /// With `rate_limited` and `paused`, the time until a server accepts this request after those
+    /// that wait now; nothing if this node has no share of any server's limit.
     std::optional<base::milliseconds> delay = std::nullopt;
-    /// `full`, `cold`, `rate_limited` and `unlisted` pass without an operator.
+    /// `full`, `cold`, `rate_limited`, `paused` and `unlisted` pass without an operator.
     bool worth_waiting() const noexcept
     {
         return reason == exclusion_reason::full || reason == exclusion_reason::cold ||
-               reason == exclusion_reason::unlisted ||
-               (reason == exclusion_reason::rate_limited && delay);
+               reason == exclusion_reason::unlisted || (depends_on_time() && delay);
+    }
+    /// True if `delay` tells when the reason passes.
+    bool depends_on_time() const noexcept
+    {
+        return reason == exclusion_reason::rate_limited || reason == exclusion_reason::paused;
     }
 };
 
@@ -201,6 +207,9 @@
     {
         return m_rate_limits.record(hash_server(server), {requests_per_second, now});
     }
+    /// Records that the server wants no requests from this node for `pause`. A shorter pause does
+    /// not end a longer one.
+    void record_pause(std::string const& server, base::milliseconds pause, base::time_point now);
     /// True if the server drains or was removed.
     bool is_leaving(std::string const& server) const;
     /// Calls `on_leaving` of every attempt whose server drains or was removed.
@@ -260,6 +269,7 @@
     {
         outcome_history outcomes;
         base::time_point unreachable_until{};
+        base::time_point paused_until{};
         int consecutive_connect_failures = 0;
         /// Start times of the attempts of the last few seconds, in order, for limits of their rate.
         std::deque<base::time_point> recent_attempt_times;
--- a/libraries/serving/request_metadata.hpp
+++ b/libraries/serving/request_metadata.hpp
@@ -68,6 +68,9 @@
     std::optional<int> keep_alive_seconds;
     /// The server says that it is about to stop.
     bool server_leaving = false;
+    /// How long the server wants no more requests from this node, if it rejects one for that
+    /// reason.
+    std::optional<base::milliseconds> pause;
     /// Requests per second that the server accepts from all nodes together, if it states a limit.
     std::optional<double> request_rate_limit;
 };
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -261,7 +261,7 @@
         .field("obstacle", serving::to_string(selection.reason))
         .field("waited_ms", wait_time.count());
     bool const rejected_for_load =
-        selection.reason == serving::exclusion_reason::rate_limited ||
+        selection.depends_on_time() ||
         (selection.worth_waiting() && selection.reason != serving::exclusion_reason::unlisted);
     m_retry_delay = selection.delay;
     return base::fail(rejected_for_load ? error_kind::overloaded : error_kind::no_server,
@@ -327,12 +327,22 @@
         [&](node_state::tables& tables)
         {
             limit_changed = tables.dispatcher.record_rate_limit(server.id, limit, now);
+            if (response.pause)
+                tables.dispatcher.record_pause(server.id, *response.pause, now);
             leaving_announced =
                 response.server_leaving &&
                 tables.dispatcher.directory().record_announced_leaving(server.id, now);
             if (leaving_announced)
                 tables.dispatcher.notify_leaving();
         });
+    if (response.pause)
+    {
+        observe_event("server_response", "pause");
+        base::log_line(base::log_level::info, "server_paused")
+            .field("request_id", metadata.request_id)
+            .field("server", server.id)
+            .field("pause_ms", response.pause->count());
+    }
     if (leaving_announced)
     {
         state.report_due().signal();
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -115,6 +115,22 @@
         EXPECT_EQ(read_limit(text), std::nullopt) << text;
 }
 
+TEST(platform_headers, decodes_pauses_of_servers)
+{
+    auto const read_pause = [](int status, std::string const& text)
+    {
+        http::response response;
+        response.status = status;
+        response.headers.add("Retry-After", text);
+        return read_response_metadata(response).pause;
+    };
+    EXPECT_EQ(read_pause(503, "1.5"), base::milliseconds(1500));
+    EXPECT_EQ(read_pause(503, "1e300"), std::chrono::hours(1));
+    EXPECT_EQ(read_pause(429, "2"), std::nullopt);
+    for (auto const* const text : {"", "soon", "-1", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        EXPECT_EQ(read_pause(503, text), std::nullopt) << text;
+}
+
 // Guards against versions that are out of order since an epoch could not be read or is too large.
 TEST(platform_store, decodes_epochs)
 {
--- a/tests/server_notice_test.cpp
+++ b/tests/server_notice_test.cpp
@@ -84,5 +84,43 @@
     EXPECT_EQ(m_shop_1.requests().size(), earlier);
 }
 
+// Guards against sending requests to a server during the time for which it wants none, because it
+// rejects them without running them and so looks idle.
+TEST_F(server_notice_test, server_that_asks_for_a_pause_gets_nothing_until_its_end)
+{
+    start_until_ready();
+    add_field(m_shop_1, "Retry-After", "2.5");
+    send_until_reached(m_shop_1, "/order/shed");
+    // The other server has turned the requests away as well, but asks for no pause.
+    m_shop_1.set_extra_fields({});
+    auto const paused_at = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() < paused_at + milliseconds(1400))
+        EXPECT_EQ(count_requests(m_shop_1), 0U);
+    // Rejections count against a server for some seconds more.
+    EXPECT_TRUE(wait_until([&] { return count_requests(m_shop_1) > 0; }, seconds(20)));
+}
+
+// Guards against holding requests until their timeout, or trying again and again, while every
+// server of a service wants a pause.
+TEST_F(server_notice_test, requests_are_rejected_at_once_while_all_servers_pause)
+{
+    start_until_ready();
+    for (auto* server : {&m_shop_1, &m_shop_2})
+        add_field(*server, "Retry-After", "20");
+    // The first one is rejected by both servers.
+    for (int i = 0; i < 2; ++i)
+        call("POST", "/order/shed");
+    auto const earlier = m_shop_1.requests().size() + m_shop_2.requests().size();
+    for (int i = 0; i < 10; ++i)
+    {
+        auto const start = std::chrono::steady_clock::now();
+        auto const response = call("POST", "/order/ok");
+        EXPECT_EQ(response.status, 429);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(500));
+        EXPECT_GT(std::stod(std::string(response.headers.find("Retry-After").value_or("0"))), 10);
+    }
+    EXPECT_EQ(m_shop_1.requests().size() + m_shop_2.requests().size(), earlier);
+}
+
 } // namespace
 } // namespace jasminepier::tests
