--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -162,10 +162,11 @@
   7: bool unreachable,
   8: bool leaving,                // drains, or was recently removed from the list
   9: i32 movable_runs,            // generations that are handed over when the server leaves
-  // The node's own latest knowledge of the server's limit on the requests of all nodes, in
-  // thousandths of a request per second; negative if the server states no limit any more.
+  // The server's limit on the requests of all nodes, as it last stated it to this node, in
+  // thousandths of a request per second; negative if it no longer states one. Left out if another
+  // node has heard of it later.
   10: optional i32 rate_limit,
-  11: i32 rate_limit_age_milliseconds,
+  11: optional i32 rate_limit_age_milliseconds,
 }
 
 // Published by each node on the platform for its peers several times a second.
--- a/libraries/store/response_parsing.cpp
+++ b/libraries/store/response_parsing.cpp
@@ -22,8 +22,8 @@
 base::result<base::json_object> parse_response(std::string const& body,
                                                std::string const& value_member)
 {
-    auto const document = base::handle([&] { return base::parse_json_object(body); },
-                                       [](base::error const&) { return base::json_object{}; });
+    auto document = base::handle([&] { return base::parse_json_object(body); },
+                                 [](base::error const&) { return base::json_object{}; });
     if (document)
         return document;
     return base::parse_json_object(base::replace_unreadable_members(body, value_member));
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -50,7 +50,8 @@
             limit ? static_cast<std::int32_t>(std::lround(
                         std::min(*limit, maximum_reported_rate_limit) * rate_limit_scale))
                   : no_rate_limit);
-        use.rate_limit_age_milliseconds = static_cast<std::int32_t>(load.rate_limit->age.count());
+        use.__set_rate_limit_age_milliseconds(
+            static_cast<std::int32_t>(load.rate_limit->age.count()));
     }
     return use;
 }
