--- a/tests/soak/fault_injection.cpp
+++ b/tests/soak/fault_injection.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds restart_delay{300};
 // Servers whose entries expired during a store outage register again within 2 s after it.
 constexpr milliseconds entry_restore_delay{1500};
+// After which the writes that a restored store has lost are there again.
+constexpr milliseconds rewrite_delay{300};
+constexpr std::string_view node_kind = "jasminepier-nodes";
 constexpr milliseconds slow_event_interval{90};
 constexpr milliseconds normal_event_interval{20};
 
@@ -56,6 +59,8 @@
     case fault_kind::store_lost_history:
     case fault_kind::store_lapsed_entries:
         return inject_store_fault(fault);
+    case fault_kind::store_restored:
+        return restore_store(fault);
     case fault_kind::configuration_change:
         return publish_configuration();
     case fault_kind::zone_evacuation:
@@ -258,6 +263,29 @@
              });
 }
 
+void soak_deployment::restore_store(planned_fault const& fault)
+{
+    if (clock::now() < m_store_fault_end)
+        return;
+    m_store_fault_end = clock::now() + fault.duration + rewrite_delay;
+    record_disruption(store_subject, fault.duration + rewrite_delay);
+    m_store->set_mode(store_mode::unavailable);
+    schedule(fault.duration,
+             [this]
+             {
+                 auto lost = m_store->restore_copy();
+                 // The operator and the servers write again what they wrote, the nodes themselves.
+                 std::erase_if(lost, [](auto const& write) { return write.kind == node_kind; });
+                 m_store->set_mode(store_mode::serving);
+                 schedule(rewrite_delay,
+                          [this, lost]
+                          {
+                              m_store->write_again(lost);
+                              m_store->take_copy();
+                          });
+             });
+}
+
 void soak_deployment::evacuate_zone(planned_fault const& fault)
 {
     std::string const zone = m_zones[fault.target_index % m_zones.size()];
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -31,7 +31,8 @@
                                       "configuration_change",
                                       "zone_evacuation",
                                       "burst",
-                                      "deadly_prompts"};
+                                      "deadly_prompts",
+                                      "store_restored"};
 // The kinds before `burst`.
 constexpr auto unplanned_fault_kinds = static_cast<unsigned>(fault_kind::burst);
 constexpr std::array link_state_names{"clear", "delayed", "refusing", "deaf", "mute", "silent"};
@@ -111,6 +112,21 @@
     return plan;
 }
 
+void add_restorations(std::vector<planned_fault>& plan, unsigned seed, milliseconds from,
+                      milliseconds to)
+{
+    std::mt19937 random(seed);
+    auto const draw = [&](unsigned count) { return static_cast<unsigned>(random() % count); };
+    for (auto at = from + milliseconds(500 + draw(2500)); at < to;
+         at += milliseconds(3000 + draw(3000)))
+        plan.push_back({at,
+                        std::min(milliseconds(50 + draw(1500)), to - at),
+                        fault_kind::store_restored,
+                        0,
+                        {}});
+    sort_by_start(plan);
+}
+
 std::vector<planned_fault> make_planned_work(unsigned seed, milliseconds from, milliseconds to)
 {
     std::mt19937 random(seed);
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -35,6 +35,8 @@
     burst,
     /// A caller sends requests that share a prompt part which crashes engines.
     deadly_prompts,
+    /// The store is away and comes back from a copy; what it has lost is written again soon.
+    store_restored,
 };
 
 struct planned_fault
@@ -52,6 +54,10 @@
 std::vector<planned_fault> make_plan(unsigned seed, std::chrono::milliseconds from,
                                      std::chrono::milliseconds to);
 
+/// Adds restorations of the store from a copy to the plan, some seconds apart.
+void add_restorations(std::vector<planned_fault>& plan, unsigned seed,
+                      std::chrono::milliseconds from, std::chrono::milliseconds to);
+
 /// Generates planned work only: series of stops of nodes, which overlap with each other, reloads,
 /// changes of the configuration and bursts.
 std::vector<planned_fault> make_planned_work(unsigned seed, std::chrono::milliseconds from,
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -88,6 +88,9 @@
     application.add_flag("--overlapping-changes", overlapping_changes_only,
                          "Change several kinds of objects at the same time while nodes are cut off "
                          "or stop and prompts crash engines, in a fleet of 16 nodes by default");
+    bool restores_store = false;
+    application.add_flag("--restorations", restores_store,
+                         "Also restore the store from a copy every few seconds");
     application.add_option("--first-port", options.first_port,
                            "First of 700 consecutive ports; reserves free ones if it is not given");
     application.add_option("--hide", options.hidden_kinds,
@@ -99,10 +102,11 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     auto const plan_end = initial_delay + std::chrono::seconds(seconds);
-    auto const plan =
-        (planned_work_only          ? make_planned_work
-         : overlapping_changes_only ? make_overlapping_changes
-                                    : make_plan)(options.seed, initial_delay, plan_end);
+    auto plan = (planned_work_only          ? make_planned_work
+                 : overlapping_changes_only ? make_overlapping_changes
+                                            : make_plan)(options.seed, initial_delay, plan_end);
+    if (restores_store)
+        add_restorations(plan, options.seed, initial_delay, plan_end);
     if (overlapping_changes_only)
     {
         options.has_deadly_caller = true;
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -126,6 +126,7 @@
         start_server("engines", zone, false);
         start_server("engines", zone, false);
     }
+    m_store->take_copy();
     for (int number = 0; number < m_options.nodes; ++number)
         start_node(number);
     for (auto const& node : m_nodes)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -103,6 +103,7 @@
     void shut_down_node(int number);
     void inject_server_fault(planned_fault const& fault);
     void inject_store_fault(planned_fault const& fault);
+    void restore_store(planned_fault const& fault);
     void evacuate_zone(planned_fault const& fault);
     void start_burst(planned_fault const& fault);
     void start_deadly_prompts(planned_fault const& fault);
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -98,14 +98,42 @@
     m_copied_revision = m_revision;
 }
 
-void fake_store::restore_copy()
+std::vector<fake_store::lost_write> fake_store::restore_copy()
 {
     std::lock_guard lock(m_mutex);
+    std::vector<lost_write> lost;
+    for (auto const& [kind, objects] : m_objects)
+        for (auto const& [name, object] : objects)
+            if (object.revision > m_copied_revision)
+                lost.push_back({kind, name, object.spec});
+    for (auto const& [kind, objects] : m_copied_objects)
+        for (auto const& [name, object] : objects)
+            if (!m_objects[kind].contains(name))
+                lost.push_back({kind, name, std::nullopt});
     m_objects = m_copied_objects;
     m_revision = m_copied_revision;
     std::erase_if(m_history, [&](auto const& change) { return change.revision > m_revision; });
     ++m_epoch;
     m_changed.notify_all();
+    return lost;
+}
+
+void fake_store::write_again(std::vector<lost_write> const& lost)
+{
+    for (auto const& write : lost)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            auto const& objects = m_objects[write.kind];
+            auto const found = objects.find(write.name);
+            if (found != objects.end() && found->second.revision > m_copied_revision)
+                continue;
+        }
+        if (write.spec)
+            put(write.kind, write.name, *write.spec);
+        else
+            remove(write.kind, write.name);
+    }
 }
 
 std::string fake_store::find_spec(std::string const& kind, std::string const& name)
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace jasminepier::tests
@@ -42,10 +43,21 @@
     void set_mode(store_mode mode);
     /// Discards the change history. Watches from an older revision get 410 and must list again.
     void drop_history();
+    /// The latest state of an object whose writes since a copy were lost.
+    struct lost_write
+    {
+        std::string kind;
+        std::string name;
+        /// Empty if the object was removed.
+        std::optional<std::string> spec;
+    };
     /// Takes a copy of all objects.
     void take_copy();
-    /// Loses all writes since the last copy. Revisions go back to those of the copy.
-    void restore_copy();
+    /// Loses all writes since the last copy and returns them. Revisions go back to those of the
+    /// copy.
+    std::vector<lost_write> restore_copy();
+    /// Writes again what was lost, except for objects that have been written since the restoration.
+    void write_again(std::vector<lost_write> const& lost);
     /// Returns the spec of the object; empty if there is none.
     std::string find_spec(std::string const& kind, std::string const& name);
     int request_count() const noexcept { return m_request_count; }
