Node: Write the own entry again in the epoch that follows its writing

What would have been seen: a node that starts just before the store is restored from a copy stays unlisted, since its entry is lost and it does not write it again.

Cause: the node noted the epoch of its registration a second later, from what its lists had said by then, so a restoration in between counted as the epoch of the registration.

Change: the epoch is that of the store's answer to the registration itself.

--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -202,7 +202,7 @@
 {
 }
 
-bool node_registrar::register_node()
+std::optional<std::int64_t> node_registrar::register_node()
 {
     auto const self = m_state.with([](node_state::tables& tables) { return tables.nodes.self(); });
     auto result = m_store.create(platform::node_kind, self.name, platform::write_node(self));
@@ -217,13 +217,13 @@
             // An invalid entry is replaced.
             [](base::error const&) { return false; });
         if (already_registered)
-            return true;
+            return store::epoch_of(result.current.version);
         result.current.value = platform::write_node(self);
         result = m_store.update(result.current);
     }
     bool const written = result.status == store::write_status::applied;
     base::log_line(base::log_level::info, "node_registered").field("written", written ? 1 : 0);
-    return written;
+    return written ? std::optional(store::epoch_of(result.current.version)) : std::nullopt;
 }
 
 void node_registrar::run_maintenance()
@@ -236,13 +236,10 @@
     remove_lost_evacuations(m_state);
     // A store that was restored from a copy may lack this node's entry.
     auto const epoch = m_state.with([](node_state::tables& tables) { return tables.store_epoch; });
-    if (!m_registered_epoch)
-        m_registered_epoch = epoch;
-    if (!m_registered || epoch != m_registered_epoch)
+    if (!m_registered_epoch || (epoch && *epoch > *m_registered_epoch))
     {
-        m_registered = register_node();
-        m_registered_epoch = epoch;
-        m_passes_to_skip = m_registered ? 0 : 1;
+        m_registered_epoch = register_node();
+        m_passes_to_skip = m_registered_epoch ? 0 : 1;
         return;
     }
     auto const now = base::steady_clock_source{}.now();
--- a/services/node/store_watcher.hpp
+++ b/services/node/store_watcher.hpp
@@ -48,12 +48,12 @@
     void run_maintenance();
 
 private:
-    /// Returns true once the store holds this node's entry.
-    bool register_node();
+    /// Returns the epoch in which the store holds this node's entry; nothing if it does not.
+    std::optional<std::int64_t> register_node();
 
     node_state& m_state;
     platform::object_store m_store;
-    bool m_registered = false;
+    /// The epoch in which this node's entry was written.
     std::optional<std::int64_t> m_registered_epoch;
     int m_passes_to_skip = 0;
 };
