--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -141,6 +141,7 @@
         }
         return true;
     }
+    pid_t process_id() const noexcept { return m_process; }
     std::string const& host() const noexcept { return m_host; }
     std::string const& name() const noexcept { return m_name; }
 
@@ -198,8 +199,8 @@
         m_state->id = std::move(id);
         m_state->log = &log;
         m_state->run = std::move(run);
-        m_listener = new listener(host, port, [shared = m_state](connection& caller)
-                                  { serve(*shared, caller); });
+        m_listener = new listener(
+            host, port, [shared = m_state](connection& caller) { serve(*shared, caller); });
         m_address = host + ":" + std::to_string(m_listener->port());
     }
     std::string const& address() const noexcept { return m_address; }
@@ -250,9 +251,10 @@
     {
         auto const id = request.header("Attempt-Id");
         if (request.second_word() == health_path)
-            return caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + server.id +
-                               "\r\nWarmup-Ms: " + std::to_string(std::max<std::int64_t>(server.cold_until - now_ms(), 0)) +
-                               "\r\nContent-Length: 0\r\n\r\n");
+            return caller.send(
+                "HTTP/1.1 200 OK\r\nInstance-Id: " + server.id + "\r\nWarmup-Ms: " +
+                std::to_string(std::max<std::int64_t>(server.cold_until - now_ms(), 0)) +
+                "\r\nContent-Length: 0\r\n\r\n");
         if (request.header("Expect-Instance") != server.id)
             return caller.send("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + id +
                                "\r\nInstance-Id: " + server.id + "\r\nContent-Length: 0\r\n\r\n");
@@ -278,13 +280,14 @@
 
 /// The entry that a server writes about itself.
 inline std::string make_server_entry(std::string const& service, std::string const& address,
-                                     std::string const& zone, int slots, std::int64_t warmup_left_ms,
-                                     std::int64_t born, int sequence)
+                                     std::string const& zone, int slots,
+                                     std::int64_t warmup_left_ms, std::int64_t born, int sequence)
 {
     return R"({"service":")" + service + R"(","address":")" + address + R"(","zone":")" + zone +
            R"(","version":"v1","slots":)" + std::to_string(slots) +
            R"(,"state":"ready","warmup_left_ms":)" + std::to_string(warmup_left_ms) +
-           R"(,"sequence":)" + std::to_string(sequence) + R"(,"born":)" + std::to_string(born) + "}";
+           R"(,"sequence":)" + std::to_string(sequence) + R"(,"born":)" + std::to_string(born) +
+           "}";
 }
 
 /// What a client saw of one request.
@@ -313,10 +316,11 @@
         connection caller(descriptor);
         message response;
         std::string const body = method == "POST" ? "x=1" : "";
-        caller.send(method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
-                    "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + extra_headers +
-                    (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-                    "\r\n" + body);
+        caller.send(
+            method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
+            "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + extra_headers +
+            (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+            "\r\n" + body);
         result.complete = caller.read_message(response, static_cast<int>(deadline_ms));
         result.status = std::atoi(response.second_word().c_str());
         result.body = response.body;
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -22,7 +22,8 @@
     }
     std::uint16_t port() const noexcept { return m_listener.port(); }
 
-    /// Acknowledges a write of the operator or of a server. Returns the time of the acknowledgement.
+    /// Acknowledges a write of the operator or of a server. Returns the time of the
+    /// acknowledgement.
     std::int64_t put(std::string const& kind, std::string const& name, std::string const& spec)
     {
         std::lock_guard lock(m_mutex);
@@ -114,7 +115,8 @@
         {
             auto const found = m_objects.find({kind, name});
             bool const exists = found != m_objects.end() && !found->second.deleted;
-            return respond(caller, exists ? 200 : 404, exists ? to_json(name, found->second) : "{}");
+            return respond(caller, exists ? 200 : 404,
+                           exists ? to_json(name, found->second) : "{}");
         }
         serve_write(caller, method, kind, name, target, request.body);
     }
@@ -187,9 +189,8 @@
         bool const exists = found != m_objects.end() && !found->second.deleted;
         if (method != "POST" && !exists)
             return respond(caller, 404, "{}");
-        bool const conflicts = method == "POST"
-                                   ? exists
-                                   : condition != 0 && condition != found->second.revision;
+        bool const conflicts =
+            method == "POST" ? exists : condition != 0 && condition != found->second.revision;
         if (conflicts)
             return respond(caller, 409, to_json(name, found->second));
         auto const& written = write(kind, name, spec, method == "DELETE");
