Review: Give each request of a stand-in client a body of its own

Requests with the same path and body count as one for the node's detection of requests that crash servers.

--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -315,7 +315,7 @@
     {
         connection caller(descriptor);
         message response;
-        std::string const body = method == "POST" ? "x=1" : "";
+        std::string const body = method == "POST" ? "request=" + id : "";
         caller.send(
             method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
             "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + extra_headers +
