--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -111,6 +111,30 @@
     EXPECT_NE(m_node.program().output().find("arrived_after_stop_ms="), std::string::npos);
 }
 
+// Guards against a stopping node that starts a stream and breaks it off although its server keeps
+// to the gap between events that the route allows.
+TEST_F(node_shutdown_test, stream_at_the_longest_permitted_gap_ends_or_is_rejected)
+{
+    start_until_ready();
+    // The route permits gaps of 180 ms.
+    m_engine_1.set_event_interval(milliseconds(170));
+    shut_down();
+    std::this_thread::sleep_for(milliseconds(2000));
+    auto long_request = make_request("POST", "/plan/stream-24", "r-long");
+    long_request.headers.add("Token-Usage", "100,24");
+    auto short_request = make_request("POST", "/plan/stream-8", "r-short");
+    short_request.headers.add("Token-Usage", "100,8");
+    auto long_response = send(long_request);
+    auto const short_response = send(short_request).get();
+    EXPECT_EQ(short_response.status, 200);
+    EXPECT_TRUE(short_response.is_complete);
+    auto const rejection = long_response.get();
+    EXPECT_EQ(rejection.status, 503);
+    EXPECT_TRUE(rejection.is_complete);
+    EXPECT_EQ(m_engine_1.execution_count("r-long"), 0);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against a stopping node that rejects requests although they certainly end in time.
 TEST_F(node_shutdown_test, request_whose_deadline_lies_before_the_end_is_served)
 {
