Node: Count a lost answer as a crash only with evidence

What callers saw: after three servers had lost one answer each to the same request, every node refused that request with 503 for an hour.

Cause: both relays recorded a crash for the fingerprint of the request after each failed exchange, whatever had failed, and nothing could take the suspicion back.

Ruled out: servers taken for faulty (the first route uses the same ones and was served), an old configuration (the page was served before).

--- a/libraries/decision/poison_request_detector.cpp
+++ b/libraries/decision/poison_request_detector.cpp
@@ -41,10 +41,7 @@
 {
     std::lock_guard lock(m_mutex);
     drop_expired(now);
-    std::size_t count = 0;
-    for (auto found = m_events.lower_bound({fingerprint, "", ""});
-         found != m_events.end() && std::get<0>(found->first) == fingerprint; ++found)
-        ++count;
+    auto const count = crash_times_since_answer(fingerprint, now).size();
     if (count >= rejection_threshold)
         return poison_verdict::rejected;
     return count > 0 ? poison_verdict::suspected : poison_verdict::clean;
@@ -76,21 +73,36 @@
     std::lock_guard lock(m_mutex);
     std::vector<std::uint64_t> cleared;
     for (auto const part : parts)
-    {
-        bool const was_suspected = count_crashes_since_answer(part, now) > 0;
-        auto& answer = m_answers[part];
-        answer.last_answer = std::max(answer.last_answer, now);
-        answer.last_local_answer = now;
-        if (!was_suspected)
-            continue;
-        answer.transmissions = news_transmissions;
-        answer.is_local_news = true;
-        cleared.push_back(part);
-    }
+        if (record_local_answer(part, now))
+            cleared.push_back(part);
     drop_old_answers();
     return cleared;
 }
 
+bool poison_request_detector::record_completed(std::uint64_t fingerprint, base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    // Most requests are never suspected, so only those with crashes are remembered.
+    if (crash_times_since_answer(fingerprint, now).empty())
+        return false;
+    auto const was_suspected = record_local_answer(fingerprint, now);
+    drop_old_answers();
+    return was_suspected;
+}
+
+bool poison_request_detector::record_local_answer(std::uint64_t fingerprint, base::time_point now)
+{
+    bool const was_suspected = !crash_times_since_answer(fingerprint, now).empty();
+    auto& answer = m_answers[fingerprint];
+    answer.last_answer = std::max(answer.last_answer, now);
+    answer.last_local_answer = now;
+    if (!was_suspected)
+        return false;
+    answer.transmissions = news_transmissions;
+    answer.is_local_news = true;
+    return true;
+}
+
 void poison_request_detector::merge_answered(std::span<answered_part const> parts,
                                              base::time_point now)
 {
--- a/libraries/decision/poison_request_detector.hpp
+++ b/libraries/decision/poison_request_detector.hpp
@@ -95,9 +95,10 @@
 /// A replicated set of crash events. Merging is idempotent and commutative, so duplicate and
 /// reordered messages don't matter. Thread-safe.
 ///
-/// Whole requests are counted for every crash during which they ran. Prompt parts are shared by
-/// many requests, so they are judged by what followed: the crashes since a server last began to
-/// answer a request with the part. A part that crashes servers never gets that far, while a part
+/// Whole requests are counted for every crash during which they ran since their last complete
+/// response: a poison request never gets one. Prompt parts are shared by many requests, so they are
+/// judged by what followed: the crashes since a server last began to answer a request with the
+/// part. A part that crashes servers never gets that far, while a part
 /// that only happened to run there soon does. A rejected part is half-open from time to time: one
 /// request of the whole fleet is sent as a trial (see trial_schedule.hpp). Its answer clears the
 /// part, and its crash doubles the time until the next trial.
@@ -136,6 +137,13 @@
     bool record(crash_event const& event, base::time_point now);
     void merge(std::span<crash_event const> events, base::time_point now);
     poison_verdict classify(std::uint64_t fingerprint, base::time_point now);
+    /// Returns true if this node may send a rejected request now as a trial, which shows whether it
+    /// still crashes servers. Trials are rare and taken in turns, as for rejected parts.
+    bool try_begin_request_trial(std::uint64_t fingerprint, fleet_position position,
+                                 base::time_point now);
+    /// Records that a server has sent a complete success for the whole request. Returns true if the
+    /// request was suspected until then.
+    bool record_completed(std::uint64_t fingerprint, base::time_point now);
 
     /// Records the crash of a server that had begun no answer to a request with these parts. If a
     /// part is rejected already, the crash is attributed to it and the others are not suspected.
@@ -209,13 +217,18 @@
     };
 
     bool insert(crash_event const& event, base::time_point now, int transmissions = 0);
+    /// Records an answer to a request of this node. Returns true if the part, or the whole request,
+    /// was suspected until then.
+    bool record_local_answer(std::uint64_t fingerprint, base::time_point now);
     void drop_expired(base::time_point now);
     void evict_oldest_event();
     void drop_old_answers();
-    /// Returns the sorted times of the crashes since the part's last answer. Those that are close
-    /// together appear once.
-    std::vector<base::time_point> crash_times_since_answer(std::uint64_t part,
+    /// Returns the sorted times of the crashes since the last answer.
+    std::vector<base::time_point> crash_times_since_answer(std::uint64_t fingerprint,
                                                            base::time_point now) const;
+    /// The same for a part; crashes that are close together appear once.
+    std::vector<base::time_point> distinct_crash_times(std::uint64_t part,
+                                                       base::time_point now) const;
     std::size_t count_crashes_since_answer(std::uint64_t part, base::time_point now) const;
     std::size_t rejection_threshold_of(std::uint64_t part) const;
     /// Returns when a part with this verdict may be tried next.
--- a/libraries/decision/prompt_part_judgement.cpp
+++ b/libraries/decision/prompt_part_judgement.cpp
@@ -1,4 +1,4 @@
-/// Verdicts about prompt parts and trials of those that are rejected.
+/// Verdicts about prompt parts, and trials of parts and requests that are rejected.
 #include "decision/poison_request_detector.hpp"
 
 #include <algorithm>
@@ -19,7 +19,7 @@
     }
     if (judgement.verdict == part_verdict::clean)
         return judgement;
-    auto const times = crash_times_since_answer(judgement.part, now);
+    auto const times = distinct_crash_times(judgement.part, now);
     bool const settling = !times.empty() && now < times.back() + settling_time;
     auto const due = next_trial(judgement.part, judgement.verdict, now);
     judgement.retry_after =
@@ -65,6 +65,23 @@
     return true;
 }
 
+bool poison_request_detector::try_begin_request_trial(std::uint64_t fingerprint,
+                                                      fleet_position position, base::time_point now)
+{
+    std::lock_guard lock(m_mutex);
+    auto const times = crash_times_since_answer(fingerprint, now);
+    if (times.size() < rejection_threshold || m_trials.size() >= maximum_trials)
+        return false;
+    auto due = times.back() + next_trial_delay(times, rejection_threshold);
+    // The outcome of a trial may never be known.
+    if (auto const trial = m_trials.find(fingerprint); trial != m_trials.end())
+        due = std::max<base::time_point>(due, trial->second.time + first_trial_delay);
+    if (!has_trial_turn(std::chrono::duration_cast<base::milliseconds>(now - due), position))
+        return false;
+    m_trials[fingerprint] = {now, trial_transmissions};
+    return true;
+}
+
 void poison_request_detector::merge_tried(std::span<tried_part const> parts, base::time_point now)
 {
     std::lock_guard lock(m_mutex);
@@ -114,7 +131,7 @@
     auto const trial = m_trials.find(part);
     if (verdict == part_verdict::ambiguous)
         return trial == m_trials.end() ? base::time_point{} : trial->second.time + trial_interval;
-    auto const times = crash_times_since_answer(part, now);
+    auto const times = distinct_crash_times(part, now);
     base::time_point next{};
     if (!times.empty())
         next = times.back() + next_trial_delay(times, rejection_threshold_of(part));
@@ -125,12 +142,13 @@
 }
 
 std::vector<base::time_point>
-poison_request_detector::crash_times_since_answer(std::uint64_t part, base::time_point now) const
+poison_request_detector::crash_times_since_answer(std::uint64_t fingerprint,
+                                                  base::time_point now) const
 {
-    auto const answer = m_answers.find(part);
+    auto const answer = m_answers.find(fingerprint);
     std::vector<base::time_point> times;
-    for (auto found = m_events.lower_bound({part, "", ""});
-         found != m_events.end() && std::get<0>(found->first) == part; ++found)
+    for (auto found = m_events.lower_bound({fingerprint, "", ""});
+         found != m_events.end() && std::get<0>(found->first) == fingerprint; ++found)
     {
         auto const time = found->second.time;
         bool const answered_since = answer != m_answers.end() && time <= answer->second.last_answer;
@@ -138,8 +156,14 @@
             times.push_back(time);
     }
     std::sort(times.begin(), times.end());
+    return times;
+}
+
+std::vector<base::time_point>
+poison_request_detector::distinct_crash_times(std::uint64_t part, base::time_point now) const
+{
     std::vector<base::time_point> distinct;
-    for (auto const time : times)
+    for (auto const time : crash_times_since_answer(part, now))
         if (distinct.empty() || time >= distinct.back() + minimum_crash_distance)
             distinct.push_back(time);
     return distinct;
@@ -148,7 +172,7 @@
 std::size_t poison_request_detector::count_crashes_since_answer(std::uint64_t part,
                                                                 base::time_point now) const
 {
-    return crash_times_since_answer(part, now).size();
+    return distinct_crash_times(part, now).size();
 }
 
 std::size_t poison_request_detector::rejection_threshold_of(std::uint64_t part) const
--- a/services/entry/completion_handler.cpp
+++ b/services/entry/completion_handler.cpp
@@ -189,7 +189,7 @@
     bool const may_resume = outcome.status == delivery_status::caller_disconnected && streamed &&
                             (completion.kind == work_kind::proposal || transport.was_paused());
     if (outcome.status == delivery_status::complete)
-        transport.set_outcome(attempt_outcome::completed);
+        transport.record_completion();
     else if (!may_resume)
         transport.cancel();
 }
--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "base/log.hpp"
 #include "decision/prompt_part_format.hpp"
+#include "http/connection_probe.hpp"
 #include "services/entry/entry_metrics.hpp"
 
 #include <thread>
@@ -276,13 +277,18 @@
 
 bool completion_transport::port_is_closed() const
 {
-    backend::http_exchange probe({m_server.host, m_server.port}, {});
-    base::handle(
-        [&]() -> base::result<void> {
-            return probe.send({"GET", "/load", {}, ""});
-        },
-        [](base::error const&) {});
-    return probe.connection_refused();
+    return http::refuses_connection(
+        Poco::Net::SocketAddress(m_server.host, m_server.port).toString(),
+        backend::exchange_timeouts{}.connect);
+}
+
+void completion_transport::record_completion()
+{
+    m_final_outcome = attempt_outcome::completed;
+    if (m_serving.poison_requests().record_completed(m_job.fingerprint,
+                                                     base::steady_clock_source{}.now()))
+        base::log_line(base::log_level::info, "request_cleared")
+            .field("request_id", m_job.requirements.request_id);
 }
 
 void completion_transport::record_crash()
--- a/services/entry/completion_transport.hpp
+++ b/services/entry/completion_transport.hpp
@@ -60,8 +60,9 @@
 
     /// Continues with a generation that another delivery started.
     void adopt(selected_server server, std::string generation_id);
-    /// Sets how the last attempt ended. By default it counts as cancelled.
-    void set_outcome(attempt_outcome outcome) noexcept { m_final_outcome = outcome; }
+    /// Records that the caller has the complete response. Otherwise the last attempt counts as
+    /// cancelled.
+    void record_completion();
     /// Returns true if the process was paused so long that the caller may have resumed elsewhere.
     bool was_paused() const;
     /// Tells the engine to cancel the generation. Does not wait for the response.
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -188,10 +188,7 @@
     if (context.service == nullptr)
         return base::fail(error_kind::no_server, "the service is not configured");
     context.fingerprint = request_fingerprint(context);
-    if (m_state.poison_requests().classify(context.fingerprint, now) ==
-        decision::poison_verdict::rejected)
-        return base::fail(error_kind::no_server, "the request has crashed several servers");
-    BOOST_LEAF_CHECK(context.check_prompt_parts());
+    BOOST_LEAF_CHECK(context.check_crash_records());
     m_state.with([&](node_state::tables& tables)
                  { tables.dispatcher.add_request(context.service->name, now); });
     if (route.streaming)
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -10,6 +10,7 @@
 #include "services/node/node_state.hpp"
 #include "services/node/peer_link.hpp"
 #include "services/node/peer_object_sync.hpp"
+#include "services/node/server_crashes.hpp"
 #include "services/node/server_prober.hpp"
 #include "services/node/settings_reloader.hpp"
 #include "services/node/store_watcher.hpp"
@@ -139,6 +140,7 @@
                                             [&]
                                             {
                                                 registrar.run_maintenance();
+                                                node::confirm_server_crashes(state);
                                                 pool.close_expired(
                                                     base::steady_clock_source{}.now());
                                             });
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -8,6 +8,7 @@
 #include "http/wait_set.hpp"
 #include "services/node/node_settings.hpp"
 #include "serving/dispatcher.hpp"
+#include "serving/lost_answer_table.hpp"
 #include "serving/node_directory.hpp"
 #include "serving/object_catch_up.hpp"
 #include "serving/process_shutdown.hpp"
@@ -46,6 +47,7 @@
         std::set<http::wakeup*> waiting_requests;
         /// Decides how this node obtains objects that it has missed.
         serving::object_catch_up catch_up;
+        serving::lost_answer_table lost_answers{};
 
         serving::catch_up_view catch_up_view() const
         {
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -103,9 +103,9 @@
         // A pooled connection may have been closed as idle, which says nothing about the server.
         current.attempt.end(current.uses_pooled_connection ? attempt_outcome::inconclusive
                                                            : attempt_outcome::failed);
-        m_context.record_crash(server);
-        if (exchange.closed_by_peer())
-            m_context.record_unanswered(server, false);
+        if (exchange.failure() == http::exchange_failure::connection_lost)
+            m_context.record_lost_answer(
+                server, {exchange.closed_by_peer(), exchange.head_received(), false});
         return attempt_result::failed;
     }
     current.body += exchange.take_body();
@@ -149,7 +149,10 @@
     current.attempt.end(attempt_outcome::succeeded);
     // A server may reject a request as invalid without running it.
     if (head.status / 100 == 2)
+    {
         m_context.record_answered();
+        m_context.record_completed();
+    }
     m_context.last_server = server.id;
     m_context.send_response(response);
     return attempt_result::delivered;
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -124,7 +124,7 @@
 request_context::try_acquire_server(serving::server_selection& selection)
 {
     auto const now = base::steady_clock_source{}.now();
-    if (!prompt_parts_may_run())
+    if (!may_run() || !prompt_parts_may_run())
     {
         selection = {std::nullopt, serving::exclusion_reason::none};
         return std::nullopt;
@@ -156,7 +156,10 @@
         });
     // A trial is sent once.
     if (attempt)
+    {
         m_trial_verdict = decision::part_verdict::clean;
+        m_is_request_trial = false;
+    }
     if (attempt && service->engine)
         attempt->share_load();
     if (attempt)
@@ -252,7 +255,7 @@
     if (attempt)
         return std::move(*attempt);
     BOOST_LEAF_CHECK(state.shutdown().check_start(response_bound()));
-    BOOST_LEAF_CHECK(check_prompt_parts());
+    BOOST_LEAF_CHECK(check_crash_records());
     auto const wait_time = std::chrono::duration_cast<base::milliseconds>(
         base::steady_clock_source{}.now() - wait_start);
     base::log_line(base::log_level::info, "no_place")
@@ -361,12 +364,6 @@
         .field("requests_per_second", limit ? *limit : -1.0);
 }
 
-void request_context::record_crash(serving::selected_server const& server)
-{
-    auto const now = base::steady_clock_source{}.now();
-    state.poison_requests().record({fingerprint, server.id, "", 0}, now);
-}
-
 void request_context::log_selected_server(serving::selected_server const& server,
                                           std::string_view purpose) const
 {
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -31,6 +31,18 @@
 
 std::string_view to_string(request_outcome outcome) noexcept;
 
+/// How an answer was lost.
+struct answer_loss
+{
+    /// The server's side closed or reset the connection, in contrast to a link that timed out.
+    bool closed_by_server = false;
+    /// The head of the response had arrived, so it was this request whose answer the server was
+    /// beginning.
+    bool response_begun = false;
+    /// The server had sent a part of the answer, or continued a generation of another server.
+    bool answered = false;
+};
+
 /// Used by the thread that serves the request.
 class request_context
 {
@@ -107,16 +119,15 @@
     /// Takes over what a response to this request says about its server.
     void record_server_state(serving::selected_server const& server,
                              serving::response_metadata const& response);
-    /// Records that the server failed while it ran the request, for poison request detection.
-    void record_crash(serving::selected_server const& server);
-    /// Records that the server closed the connection before it answered. With `response_begun`, it
-    /// had sent a response head, so it was this request whose answer it was beginning. Otherwise
-    /// the loss counts only if the server refuses a new connection.
-    void record_unanswered(serving::selected_server const& server, bool response_begun);
+    /// Records that the connection to `server` ended before the response was complete, for poison
+    /// request detection.
+    void record_lost_answer(serving::selected_server const& server, answer_loss const& loss);
+    /// Records that a server has sent a complete success.
+    void record_completed();
     /// Records that a server has begun to answer with a success.
     void record_answered();
-    /// Fails if a part of the prompt crashes servers.
-    base::result<void> check_prompt_parts();
+    /// Fails if the request or a part of its prompt crashes servers.
+    base::result<void> check_crash_records();
 
     /// Sends an error response of this node. Rejections carry a Retry-After field.
     void send_local_error(base::error const& failure);
@@ -133,6 +144,8 @@
     template <class Condition>
     bool wait_until(base::time_point wait_deadline, Condition&& done);
     std::optional<server_attempt> try_acquire_server(serving::server_selection& selection);
+    /// Returns false if the request has crashed several servers and this is no trial of it.
+    bool may_run();
     /// Returns false if a part of the prompt crashes servers and this request is no trial of it.
     bool prompt_parts_may_run();
     /// Returns true if this request becomes a trial of its parts.
@@ -142,6 +155,8 @@
 
     /// When a caller may come back after a rejection, if this node knows.
     std::optional<base::milliseconds> m_retry_delay;
+    /// This request may run once although it has crashed several servers.
+    bool m_is_request_trial = false;
     /// This request may run although it has parts up to this verdict, once.
     decision::part_verdict m_trial_verdict = decision::part_verdict::clean;
 };
--- a/services/node/request_prompt_parts.cpp
+++ b/services/node/request_crashes.cpp
@@ -1,73 +1,41 @@
-/// Crashes of servers that are traced to parts of the prompt.
+/// Crashes of servers that are traced to a request or to parts of its prompt.
 #include "base/log.hpp"
 #include "decision/prompt_part_format.hpp"
 #include "services/node/node_metrics.hpp"
 #include "services/node/request_context.hpp"
-
-#include <Poco/Net/NetException.h>
+#include "services/node/server_crashes.hpp"
 
 #include <algorithm>
 
 namespace jasminepier::node
 {
-namespace
+void request_context::record_lost_answer(serving::selected_server const& server,
+                                         answer_loss const& loss)
 {
-
-// Time to establish a connection to a server that may have crashed. A host without the process
-// refuses it within a round trip.
-constexpr base::milliseconds crash_probe_timeout{200};
-
-bool refuses_connection(std::string const& address)
-{
-    try
-    {
-        Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(address),
-                       Poco::Timespan(crash_probe_timeout.count() * 1000));
-        return false;
-    }
-    catch (Poco::Net::ConnectionRefusedException const&)
-    {
-        return true;
-    }
-    catch (Poco::Exception const&)
-    {
-        // Without a response, the link may be down instead of the server.
-        return false;
-    }
+    serving::lost_answer lost{metadata.request_id,
+                              fingerprint,
+                              {},
+                              server.id,
+                              server.address,
+                              0,
+                              base::steady_clock_source{}.now()};
+    if (!loss.answered)
+        lost.prompt_parts = prompt_parts;
+    bool const is_probable_cause = loss.response_begun && !loss.answered;
+    int const probes = !loss.closed_by_server ? 0 : is_probable_cause ? 2 : 1;
+    bool const crashed = node::record_lost_answer(state, std::move(lost), probes);
+    crashed_server = crashed_server || (crashed && is_probable_cause);
 }
 
-} // namespace
-
-void request_context::record_unanswered(serving::selected_server const& server, bool response_begun)
+void request_context::record_completed()
 {
-    bool is_leaving = false;
-    std::int64_t started = 0;
-    state.with(
-        [&](node_state::tables& tables)
-        {
-            is_leaving = tables.dispatcher.is_leaving(server.id);
-            auto const& servers = tables.dispatcher.directory().servers();
-            if (auto const found = servers.find(server.id); found != servers.end())
-                started = found->second.entry.started_unix_milliseconds;
-        });
-    // A leaving server closes its connections, which is no crash.
-    if (is_leaving || (!response_begun && !refuses_connection(server.address)))
-        return;
-    crashed_server = crashed_server || response_begun;
     auto const now = base::steady_clock_source{}.now();
-    auto const suspects = state.poison_requests().record_unanswered(prompt_parts, server.id,
-                                                                    std::to_string(started), now);
+    if (!state.poison_requests().record_completed(fingerprint, now))
+        return;
+    observe_event("request_crashes", "cleared");
+    base::log_line(base::log_level::info, "request_cleared")
+        .field("request_id", metadata.request_id);
     state.report_due().signal();
-    for (auto const part : suspects)
-    {
-        observe_event("prompt_part", "suspected");
-        base::log_line(base::log_level::warning, "prompt_part_suspected")
-            .field("request_id", metadata.request_id)
-            .field("part", decision::format_prompt_part(part))
-            .field("server", server.id)
-            .field("evidence", response_begun ? "response_begun" : "connection_refused");
-    }
 }
 
 void request_context::record_answered()
@@ -114,8 +82,35 @@
     return judgement.verdict <= m_trial_verdict || try_begin_trial(judgement, now);
 }
 
-base::result<void> request_context::check_prompt_parts()
+bool request_context::may_run()
+{
+    auto& detector = state.poison_requests();
+    auto const now = base::steady_clock_source{}.now();
+    if (m_is_request_trial ||
+        detector.classify(fingerprint, now) != decision::poison_verdict::rejected)
+        return true;
+    auto const position =
+        state.with([&](node_state::tables& tables)
+                   { return tables.nodes.find_trial_position(fingerprint, now); });
+    if (!detector.try_begin_request_trial(fingerprint, position, now))
+        return false;
+    m_is_request_trial = true;
+    state.report_due().signal();
+    observe_event("request_crashes", "tried");
+    base::log_line(base::log_level::info, "request_tried").field("request_id", metadata.request_id);
+    return true;
+}
+
+base::result<void> request_context::check_crash_records()
 {
+    if (!may_run())
+    {
+        observe_event("request_crashes", "rejected");
+        base::log_line(base::log_level::warning, "request_rejected")
+            .field("request_id", metadata.request_id)
+            .field("reason", "crashes");
+        return base::fail(base::error_kind::no_server, "the request has crashed several servers");
+    }
     if (prompt_parts_may_run())
         return {};
     auto const now = base::steady_clock_source{}.now();
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -282,6 +282,7 @@
     {
     case stream_outcome::complete:
         m_attempt->end(attempt_outcome::succeeded);
+        m_context.record_completed();
         return;
     case stream_outcome::not_run:
         m_attempt->end(metadata.declined && !metadata.wrong_server ? attempt_outcome::declined
@@ -291,11 +292,13 @@
         // A leaving server aborts its streams, which doesn't mean that it is faulty.
         m_attempt->end(m_attempt->is_server_leaving() ? attempt_outcome::inconclusive
                                                       : attempt_outcome::failed);
-        m_context.record_crash(m_attempt->server());
         // Without a length, a response counts as complete when the server closes the connection.
-        if (!m_any_event_received && !m_is_continuation &&
-            (m_exchange->closed_by_peer() || m_exchange->ended_with_connection()))
-            m_context.record_unanswered(m_attempt->server(), m_exchange->head_received());
+        if (m_exchange->failure() == http::exchange_failure::connection_lost ||
+            m_exchange->ended_with_connection())
+            m_context.record_lost_answer(
+                m_attempt->server(),
+                {m_exchange->closed_by_peer() || m_exchange->ended_with_connection(),
+                 m_exchange->head_received(), m_any_event_received || m_is_continuation});
         break;
     case stream_outcome::error_response:
         m_attempt->end(attempt_outcome::failed);
--- a/tests/node_poison_test.cpp
+++ b/tests/node_poison_test.cpp
@@ -83,10 +83,10 @@
     start_until_ready();
     auto const callers = m_node.ports().callers;
     EXPECT_EQ(send_prompt(callers, "/plan/stream-2", "aa:40,bb:10").status, 200);
-    crash_servers_until_rejected("/plan/broken-0");
+    crash_servers_until_rejected("/plan/dying-broken-0");
     for (int i = 0; i < 5; ++i)
-        EXPECT_EQ(send_prompt(callers, "/plan/broken-0", "aa:40,dead:10").status, 503);
-    EXPECT_LE(count_runs("/plan/broken-0"), permitted_runs);
+        EXPECT_EQ(send_prompt(callers, "/plan/dying-broken-0", "aa:40,dead:10").status, 503);
+    EXPECT_LE(count_runs("/plan/dying-broken-0"), permitted_runs);
     // Requests with the same first part are sound.
     for (int i = 0; i < 5; ++i)
         EXPECT_EQ(send_prompt(callers, "/plan/stream-2", "aa:40,bb:10").status, 200);
@@ -97,9 +97,10 @@
 TEST_F(node_poison_test, does_not_resume_a_stream_that_crashed_its_server_before_its_first_event)
 {
     start_until_ready();
-    EXPECT_EQ(send_prompt(m_node.ports().callers, "/question/broken-0", "aa:40,dead:10").status,
-              502);
-    EXPECT_EQ(count_runs("/question/broken-0"), 1);
+    EXPECT_EQ(
+        send_prompt(m_node.ports().callers, "/question/dying-broken-0", "aa:40,dead:10").status,
+        502);
+    EXPECT_EQ(count_runs("/question/dying-broken-0"), 1);
 }
 
 // Guards against parts that are rejected although every answer with them begins and then breaks.
@@ -108,10 +109,11 @@
     start_until_ready();
     for (int i = 0; i < 6; ++i)
     {
-        EXPECT_EQ(send_prompt(m_node.ports().callers, "/plan/broken-1", "aa:40,cc:10").status, 200);
+        EXPECT_EQ(send_prompt(m_node.ports().callers, "/plan/dying-broken-1", "aa:40,cc:10").status,
+                  200);
         std::this_thread::sleep_for(crash_interval);
     }
-    EXPECT_EQ(count_runs("/plan/broken-1"), 6);
+    EXPECT_EQ(count_runs("/plan/dying-broken-1"), 6);
 }
 
 // Guards against taking a stream without a length for a complete one if its server crashed before
@@ -119,16 +121,16 @@
 TEST_F(node_poison_test, counts_a_stream_without_length_that_ends_before_its_first_event)
 {
     start_until_ready();
-    crash_servers_until_rejected("/plan/closed-0");
-    EXPECT_LE(count_runs("/plan/closed-0"), permitted_runs);
+    crash_servers_until_rejected("/plan/dying-closed-0");
+    EXPECT_LE(count_runs("/plan/dying-closed-0"), permitted_runs);
 }
 
 // Guards against taking a comment, which servers send to keep a connection open, for an answer.
 TEST_F(node_poison_test, counts_a_stream_that_ends_after_a_comment)
 {
     start_until_ready();
-    crash_servers_until_rejected("/plan/greeting");
-    EXPECT_LE(count_runs("/plan/greeting"), permitted_runs);
+    crash_servers_until_rejected("/plan/dying-greeting");
+    EXPECT_LE(count_runs("/plan/dying-greeting"), permitted_runs);
 }
 
 // Guards against taking the rejection of an invalid request for an answer.
@@ -139,12 +141,13 @@
     int rejected = 0;
     for (int i = 0; i < 12 && rejected == 0; ++i)
     {
-        rejected += send_prompt(callers, "/plan/broken-0", "aa:40,dead:10").status == 503 ? 1 : 0;
+        rejected +=
+            send_prompt(callers, "/plan/dying-broken-0", "aa:40,dead:10").status == 503 ? 1 : 0;
         std::this_thread::sleep_for(crash_interval);
         send_prompt(callers, "/open/status-400", "aa:40,dead:10");
     }
     EXPECT_GT(rejected, 0);
-    EXPECT_LE(count_runs("/plan/broken-0"), permitted_runs);
+    EXPECT_LE(count_runs("/plan/dying-broken-0"), permitted_runs);
 }
 
 // Guards against nodes that let the part crash more servers because they saw none of the crashes.
@@ -159,14 +162,15 @@
         seconds(10)));
     // Whole requests that were running during crashes take part in the reports, too.
     for (int i = 0; i < 4; ++i)
-        send_prompt(m_node.ports().callers, "/plan/broken-1", "aa:40,cc:10");
-    crash_servers_until_rejected("/plan/broken-0");
-    auto const runs = count_runs("/plan/broken-0");
+        send_prompt(m_node.ports().callers, "/plan/dying-broken-1", "aa:40,cc:10");
+    crash_servers_until_rejected("/plan/dying-broken-0");
+    auto const runs = count_runs("/plan/dying-broken-0");
     std::this_thread::sleep_for(seconds(3));
     for (int i = 0; i < 5; ++i)
-        EXPECT_EQ(send_prompt(second.ports().callers, "/plan/broken-0", "aa:40,dead:10").status,
-                  503);
-    EXPECT_EQ(count_runs("/plan/broken-0"), runs);
+        EXPECT_EQ(
+            send_prompt(second.ports().callers, "/plan/dying-broken-0", "aa:40,dead:10").status,
+            503);
+    EXPECT_EQ(count_runs("/plan/dying-broken-0"), runs);
     EXPECT_EQ(send_prompt(second.ports().callers, "/plan/stream-2", "aa:40,bb:10").status, 200);
 }
 
--- a/tests/poison_request_detector_test.cpp
+++ b/tests/poison_request_detector_test.cpp
@@ -72,6 +72,53 @@
     EXPECT_EQ(nodes[0].size() + nodes[1].size(), 0U);
 }
 
+// Guards against rejecting a sound request for an hour that ran on three servers which crashed for
+// another reason.
+TEST(poison_request_detector, complete_response_clears_a_request_on_all_nodes)
+{
+    poison_request_detector detector;
+    poison_request_detector other_node;
+    base::time_point now(1h);
+    EXPECT_FALSE(detector.record_completed(7, now));
+    for (auto const* server : {"a", "b", "c"})
+        detector.record({7, server, "", 0}, now);
+    other_node.merge(detector.events(now), now);
+    EXPECT_EQ(other_node.classify(7, now), poison_verdict::rejected);
+    now += 20ms;
+    EXPECT_TRUE(detector.record_completed(7, now));
+    EXPECT_FALSE(detector.record_completed(7, now));
+    EXPECT_EQ(detector.classify(7, now), poison_verdict::clean);
+    auto const report = detector.take_report(10, now);
+    EXPECT_TRUE(report.has_news);
+    other_node.merge_answered(report.answered_parts, now);
+    EXPECT_EQ(other_node.classify(7, now), poison_verdict::clean);
+    // Later crashes count again.
+    now += 1s;
+    for (auto const* server : {"d", "e", "f"})
+        detector.record({7, server, "", 0}, now);
+    EXPECT_EQ(detector.classify(7, now), poison_verdict::rejected);
+}
+
+// Guards against rejecting a sound request for an hour that nothing clears, since all its servers
+// crashed at once, and against trials that crash more servers than necessary.
+TEST(poison_request_detector, tries_a_rejected_request_once_and_rarely)
+{
+    poison_request_detector detector;
+    base::time_point now(1h);
+    EXPECT_FALSE(detector.try_begin_request_trial(7, {}, now));
+    for (auto const* server : {"a", "b", "c"})
+        detector.record({7, server, "", 0}, now);
+    EXPECT_FALSE(detector.try_begin_request_trial(7, {}, now + first_trial_delay - 1s));
+    now += first_trial_delay;
+    EXPECT_FALSE(detector.try_begin_request_trial(7, {1, 2}, now));
+    EXPECT_TRUE(detector.try_begin_request_trial(7, {0, 2}, now));
+    EXPECT_FALSE(detector.try_begin_request_trial(7, {0, 2}, now));
+    // The trial crashes its server.
+    detector.record({7, "d", "", 0}, now += 1s);
+    EXPECT_FALSE(detector.try_begin_request_trial(7, {}, now + 2 * first_trial_delay - 1s));
+    EXPECT_TRUE(detector.try_begin_request_trial(7, {}, now + 2 * first_trial_delay));
+}
+
 // Guards against unbounded memory use when many different requests run on crashing servers.
 TEST(poison_request_detector, evicts_the_oldest_event_when_full)
 {
--- a/tests/support/connection_server.cpp
+++ b/tests/support/connection_server.cpp
@@ -110,18 +110,49 @@
 connection_server::connection_server(std::uint16_t port, handler handle_connection)
     : m_port(port), m_handler(std::move(handle_connection))
 {
+    start();
+}
+
+void connection_server::start()
+{
+    m_listener = listen_on(m_port);
     auto* const parameters = new Poco::Net::TCPServerParams;
     parameters->setMaxThreads(512);
     parameters->setThreadIdleTime(Poco::Timespan(1, 0));
     m_server = std::make_unique<Poco::Net::TCPServer>(
         new handler_connection_factory([this](Poco::Net::StreamSocket& socket)
                                        { this->serve(socket); }),
-        thread_pool(), listen_on(port), parameters);
+        thread_pool(), m_listener, parameters);
     m_server->start();
 }
 
+void connection_server::refuse_connections(std::chrono::milliseconds duration)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_shutting_down || m_refuses_connections)
+        return;
+    m_refuses_connections = true;
+    // Takes effect at once, while closing the socket has to wait for the thread that accepts.
+    ::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
+    if (m_restart.joinable())
+        m_restart.join();
+    m_restart = std::thread(
+        [this, duration]
+        {
+            m_server->stop();
+            m_server.reset();
+            m_listener.close();
+            std::this_thread::sleep_for(duration);
+            start();
+            std::lock_guard restart_lock(m_mutex);
+            m_refuses_connections = false;
+        });
+}
+
 connection_server::~connection_server()
 {
+    if (m_restart.joinable())
+        m_restart.join();
     m_server->stop();
     std::unique_lock lock(m_mutex);
     m_shutting_down = true;
--- a/tests/support/connection_server.hpp
+++ b/tests/support/connection_server.hpp
@@ -3,6 +3,7 @@
 
 #include "http/message.hpp"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/TCPServer.h>
 
@@ -14,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 
 namespace jasminepier::tests
 {
@@ -31,8 +33,12 @@
     connection_server(std::uint16_t port, handler handle_connection);
     ~connection_server();
     std::uint16_t port() const noexcept { return m_port; }
+    /// Refuses new connections for `duration`, like a host whose process has crashed. Open
+    /// connections stay; handlers may call this for their own.
+    void refuse_connections(std::chrono::milliseconds duration);
 
 private:
+    void start();
     void serve(Poco::Net::StreamSocket& socket);
 
     std::uint16_t m_port;
@@ -42,7 +48,11 @@
     /// Descriptors of the open connections, which the destructor shuts down.
     std::set<int> m_open_sockets;
     bool m_shutting_down = false;
+    bool m_refuses_connections = false;
+    Poco::Net::ServerSocket m_listener;
     std::unique_ptr<Poco::Net::TCPServer> m_server;
+    /// Listens again after `refuse_connections`.
+    std::thread m_restart;
 };
 
 /// Starts threads for connections ahead. On a loaded host, a new thread may start over a second
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -250,11 +250,35 @@
         send_all(socket, http::write_response_head(200, "", fields) + encode_chunk(": \n\n"));
         return false;
     }
+    if (action.starts_with("dying-"))
+    {
+        execute(socket, request, action.substr(6));
+        m_server.refuse_connections(std::chrono::milliseconds(400));
+        return false;
+    }
+    if (action.starts_with("losing-"))
+        return lose_first_answers(socket, request, action);
     if (action.starts_with("broken-"))
         stream(socket, request, std::stoi(action.substr(7)), false);
     return false;
 }
 
+bool fake_server::lose_first_answers(Poco::Net::StreamSocket& socket, http::request const& request,
+                                     std::string const& action)
+{
+    auto const number_end = action.find('-', 7);
+    bool loses = false;
+    {
+        std::lock_guard lock(m_mutex);
+        loses = m_loss_counts[request.target]++ < std::stoi(action.substr(7));
+    }
+    if (loses)
+        return execute(socket, request, action.substr(number_end + 1)), false;
+    bool const is_stream =
+        request.target.starts_with("/plan/") || request.target.starts_with("/question/");
+    return execute(socket, request, is_stream ? "stream-2" : "ok");
+}
+
 void fake_server::serve_partial_stream(Poco::Net::StreamSocket& socket,
                                        http::request const& request, std::string const& action)
 {
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -22,13 +22,17 @@
 /// `chunked`, `sized` or `reset`; a resumed stream is complete with two more events), `comment-N`
 /// (like `closed-N`, followed by a comment line without a blank line), `stalled-N` (stops after one
 /// event and sends a comment byte now and then; a resumed stream continues to N events), `endless`
-/// (sends a body without end), `copied` (sends its response a second time when the next request
-/// arrives on the connection), `refusal-copied` (then sends a refusal of the earlier request),
-/// `crash` (sends the head of a response, then nothing; `has_crashed` tells the owner to end the
-/// server), `status-N` (responds with status N after it ran the request), `failing-N-STATUS`
-/// (streams N events and breaks off; a resumed stream is answered with the status and an error
-/// text, which is no stream), `greeting` (closes the connection after a comment, before the first
-/// event).
+/// (sends a body without end), `copied` (sends its response a second time
+/// when the next request arrives on the connection), `refusal-copied` (then sends a refusal of the
+/// earlier request), `crash` (sends the head of a response, then nothing; `has_crashed` tells the
+/// owner to end the server), `status-N` (responds with status N after it ran the request),
+/// `failing-N-STATUS` (streams N events and breaks off; a resumed stream is answered with the
+/// status and an error text, which is no stream), `greeting` (closes the connection after a
+/// comment, before the first event), `dying-ACTION` (performs an action that ends with the
+/// connection and refuses connections for 400 ms, like a process that crashes), `losing-N-ACTION`
+/// (the same without a crash for the first N requests on the path; responds to later ones, with two
+/// events on `/plan/` and
+/// `/question/`).
 class fake_server
 {
 public:
@@ -86,10 +90,13 @@
     bool wait_while_connected(Poco::Net::StreamSocket& socket, std::chrono::milliseconds duration);
     /// Sends one event, then single bytes of a comment until the peer closes the connection.
     void stall(Poco::Net::StreamSocket& socket, http::request const& request);
-    /// Sends a chunked body of `block` repeated until the peer closes the connection.
+    /// Sends a chunked body until the peer closes the connection.
     void send_without_end(Poco::Net::StreamSocket& socket, http::request const& request);
     void stream(Poco::Net::StreamSocket& socket, http::request const& request, int events,
                 bool complete, framing body_framing = framing::chunked);
+    /// Serves an action `losing-N-ACTION`. Returns true if the connection can be reused.
+    bool lose_first_answers(Poco::Net::StreamSocket& socket, http::request const& request,
+                            std::string const& action);
     /// Serves an action `partial-FRAMING-N`.
     void serve_partial_stream(Poco::Net::StreamSocket& socket, http::request const& request,
                               std::string const& action);
@@ -107,6 +114,8 @@
     std::vector<received_request> m_requests;
     http::header_list m_extra_fields;
     std::map<std::string, int> m_execution_counts;
+    /// Requests on each path whose answers have been lost.
+    std::map<std::string, int> m_loss_counts;
     /// Requests whose generation stops here, since the last copy has been taken.
     std::set<std::string> m_handed_over_ids;
     std::atomic<bool> m_draining{false};
