Backend: Return from an event stream that brings no event

What callers would see: an engine that sends lines without end that are no event, such as comments, holds a completion of jasminepier-entry beyond its deadline, and a thread spins meanwhile.

Cause: event_stream_reader::poll returned only with an event, at the end, or when nothing had arrived; the deadline and the silence of the engine are checked between its calls.

A partial event is kept, as before.

--- a/libraries/backend/event_stream.cpp
+++ b/libraries/backend/event_stream.cpp
@@ -23,6 +23,7 @@
             return poll_result::ended;
         m_line.push_back(static_cast<char>(c));
     }
+    m_polled_bytes += m_line.size() + 1;
     if (!m_line.empty() && m_line.back() == '\r')
         m_line.pop_back();
     return poll_result::event;
@@ -64,7 +65,7 @@
 event_stream_reader::poll_result event_stream_reader::poll(std::function<bool()> const& wait,
                                                            server_sent_event& event)
 {
-    for (;;)
+    for (m_polled_bytes = 0; m_polled_bytes <= m_maximum_line_bytes;)
     {
         auto const result = read_line(wait);
         if (result != poll_result::event)
@@ -77,12 +78,16 @@
         m_has_data = false;
         return poll_result::event;
     }
+    return poll_result::waiting;
 }
 
 std::optional<server_sent_event> event_stream_reader::next()
 {
     server_sent_event event;
-    if (poll([] { return true; }, event) != poll_result::event)
+    auto result = poll_result::waiting;
+    while (result == poll_result::waiting)
+        result = poll([] { return true; }, event);
+    if (result != poll_result::event)
         return std::nullopt;
     return event;
 }
--- a/libraries/backend/event_stream.hpp
+++ b/libraries/backend/event_stream.hpp
@@ -40,7 +40,9 @@
     };
 
     /// Like `next`, but calls `wait` whenever nothing is buffered. Returns `waiting` if `wait`
-    /// returns false because no data has arrived. A partial event is kept for the next call.
+    /// returns false because no data has arrived, and after about `maximum_line_bytes` without an
+    /// event, so that the caller can check its time limits. A partial event is kept for the next
+    /// call.
     poll_result poll(std::function<bool()> const& wait, server_sent_event& event);
 
 private:
@@ -49,6 +51,8 @@
 
     std::istream& m_in;
     std::size_t m_maximum_line_bytes;
+    /// Bytes that this call of `poll` has read.
+    std::size_t m_polled_bytes = 0;
     std::string m_line;
     server_sent_event m_event;
     bool m_has_data = false;
