Node: Bound the probes of one pass after lost answers

The thread that confirms crashes also renews the node's entry in the store. When a zone goes dark, each of its servers would have held the thread up for 200 ms in one pass. At most four servers are asked in a pass now; the others follow in the next ones.

lost_answer_table_test: asks_for_one_more_probe_of_each_server covers the limit.

--- a/libraries/serving/lost_answer_table.cpp
+++ b/libraries/serving/lost_answer_table.cpp
@@ -65,16 +65,20 @@
     return take_if([&](lost_answer const& answer) { return has_restarted(answer, directory); });
 }
 
-std::vector<std::string> lost_answer_table::take_due_probes(base::time_point now)
+std::vector<std::string> lost_answer_table::take_due_probes(base::time_point now, std::size_t limit)
 {
     std::vector<std::string> addresses;
     for (auto& observed : m_answers)
     {
         if (observed.probed || now - observed.answer.time < second_probe_delay)
             continue;
-        observed.probed = true;
         auto const& address = observed.answer.address;
-        if (std::find(addresses.begin(), addresses.end(), address) == addresses.end())
+        bool const is_known =
+            std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+        if (!is_known && addresses.size() >= limit)
+            continue;
+        observed.probed = true;
+        if (!is_known)
             addresses.push_back(address);
     }
     return addresses;
--- a/libraries/serving/lost_answer_table.hpp
+++ b/libraries/serving/lost_answer_table.hpp
@@ -57,8 +57,8 @@
     /// than `observation_time`.
     std::vector<lost_answer> take_restarted(server_directory const& directory,
                                             base::time_point now);
-    /// Returns the addresses that are due for their second probe, each once.
-    std::vector<std::string> take_due_probes(base::time_point now);
+    /// Returns at most `limit` addresses that are due for their second probe, each once.
+    std::vector<std::string> take_due_probes(base::time_point now, std::size_t limit);
     /// Removes and returns the answers of the server at `address`, which has refused a connection.
     std::vector<lost_answer> take_refused(std::string_view address);
     std::size_t size() const noexcept { return m_answers.size(); }
--- a/services/node/server_crashes.cpp
+++ b/services/node/server_crashes.cpp
@@ -17,6 +17,8 @@
 // Time to establish a connection to a server that may have crashed. A host without the process
 // refuses it within a round trip.
 constexpr base::milliseconds crash_probe_timeout{200};
+// Hosts that do not respond hold up the thread that confirms crashes.
+constexpr std::size_t maximum_probes_per_pass = 4;
 // A process that ends may close its connections before its port.
 constexpr base::milliseconds repeated_probe_delay{50};
 // Tells crashes during whole requests from those during parts of prompts, which have causes of
@@ -102,7 +104,7 @@
         [&](node_state::tables& tables)
         {
             restarted = tables.lost_answers.take_restarted(tables.dispatcher.directory(), now);
-            addresses = tables.lost_answers.take_due_probes(now);
+            addresses = tables.lost_answers.take_due_probes(now, maximum_probes_per_pass);
         });
     for (auto const& lost : restarted)
         record_crash(state, lost, crash_evidence::restarted);
--- a/tests/lost_answer_table_test.cpp
+++ b/tests/lost_answer_table_test.cpp
@@ -80,11 +80,11 @@
     m_table.add(make_answer("r1", "127.0.0.1:1000", 5000));
     m_table.add(make_answer("r2", "127.0.0.1:1000", 5000));
     m_table.add(make_answer("r3", "127.0.0.1:2000", 5000));
-    EXPECT_TRUE(m_table.take_due_probes(m_now).empty());
+    EXPECT_TRUE(m_table.take_due_probes(m_now, 9).empty());
     auto const due = m_now + lost_answer_table::second_probe_delay;
-    EXPECT_EQ(m_table.take_due_probes(due),
-              (std::vector<std::string>{"127.0.0.1:1000", "127.0.0.1:2000"}));
-    EXPECT_TRUE(m_table.take_due_probes(due).empty());
+    EXPECT_EQ(m_table.take_due_probes(due, 1), (std::vector<std::string>{"127.0.0.1:1000"}));
+    EXPECT_EQ(m_table.take_due_probes(due, 1), (std::vector<std::string>{"127.0.0.1:2000"}));
+    EXPECT_TRUE(m_table.take_due_probes(due, 1).empty());
     EXPECT_EQ(m_table.take_refused("127.0.0.1:1000").size(), 2U);
     EXPECT_EQ(m_table.size(), 1U);
 }
