Tests: Cover heads that do not end or end early, and late requests at a stop

The event-driven client of server_exchange_test takes the body at the end, as the relay of plain responses does, so that the limit on bytes that wait is covered.

--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -195,6 +195,28 @@
     EXPECT_TRUE(ends(chunked + "0\r\nTrailer: ", "v"));
 }
 
+// Guards against taking the beginning of a head, whose server closed the connection, for a response
+// without a body.
+TEST(response_reader, head_that_ends_early_is_no_response)
+{
+    for (std::string const head :
+         {"HTTP/1.1 200 OK\r\nServer-Signature: s\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+        for (bool const expect_body : {true, false})
+            for (std::size_t length = 0; length < head.size(); ++length)
+            {
+                response_reader reader(expect_body);
+                reader.feed(std::string_view(head).substr(0, length));
+                reader.feed_eof();
+                EXPECT_EQ(reader.current_state(), response_reader::state::malformed)
+                    << length << " bytes of " << head;
+                EXPECT_FALSE(reader.connection_reusable());
+            }
+}
+
 // Guards against ending a long stream because of the sum of its bytes.
 TEST(response_reader, reads_long_bodies_that_are_taken_as_they_arrive)
 {
--- a/tests/node_shutdown_test.cpp
+++ b/tests/node_shutdown_test.cpp
@@ -135,6 +135,45 @@
     EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
 }
 
+// Guards against requests that a stopping node accepts late and cuts at the end of its grace
+// period, among them such that may run once only.
+TEST_F(node_shutdown_test, requests_sent_throughout_the_shutdown_are_answered_completely)
+{
+    start_until_ready();
+    m_engine_1.set_event_interval(milliseconds(170));
+    shut_down();
+    std::vector<std::pair<std::string, std::future<caller_response>>> responses;
+    for (int i = 0; i < 20; ++i)
+    {
+        // Orders without a stated deadline, and streams without a stated length or a permitted gap.
+        for (auto const* path : {"/order/work-1200", "/plan/stream-8", "/plan/stream-24",
+                                 "/plan/stream-30", "/question/stream-20"})
+        {
+            auto const id = "r-" + std::to_string(responses.size());
+            auto request = make_request("POST", path, id);
+            request.headers.remove("Deadline-Ms");
+            if (std::string_view(path) == "/plan/stream-8")
+                request.headers.add("Token-Usage", "100,8");
+            if (std::string_view(path) == "/plan/stream-24")
+                request.headers.add("Token-Usage", "100,24");
+            responses.emplace_back(id, send(request));
+        }
+        std::this_thread::sleep_for(milliseconds(200));
+    }
+    int served = 0;
+    for (auto& [id, pending] : responses)
+    {
+        auto const response = pending.get();
+        auto const runs = m_shop_1.execution_count(id) + m_shop_2.execution_count(id) +
+                          m_engine_1.execution_count(id);
+        EXPECT_TRUE(response.is_complete) << id << " status " << response.status;
+        EXPECT_TRUE(response.status == 200 || (response.status == 503 && runs == 0)) << id;
+        served += response.status == 200 ? 1 : 0;
+    }
+    EXPECT_GT(served, 10);
+    EXPECT_EQ(m_node.program().wait_for_exit(10), 0);
+}
+
 // Guards against a stopping node that rejects requests although they certainly end in time.
 TEST_F(node_shutdown_test, request_whose_deadline_lies_before_the_end_is_served)
 {
--- a/tests/server_exchange_test.cpp
+++ b/tests/server_exchange_test.cpp
@@ -34,6 +34,8 @@
     connection_end end = connection_end::closed;
     /// Responds after the request's head and leaves the body unread.
     bool leaves_body_unread = false;
+    /// Sent after the response, again and again, until the client closes the connection.
+    std::string repeated = {};
 };
 
 struct received_response
@@ -52,13 +54,15 @@
     else if (!read_request(socket))
         return;
     send_all(socket, script.response);
+    while (!script.repeated.empty())
+        send_all(socket, script.repeated);
     // The client reads the response before it learns how the connection ends.
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     if (script.end == connection_end::reset)
         socket.setLinger(true, 0);
 }
 
-/// The client of jasminepier-node.
+/// The client of jasminepier-node, used like for plain responses: the body is taken at the end.
 struct event_driven_client
 {
     static received_response call(std::string const& method, std::string const& body)
@@ -78,8 +82,8 @@
             poll_set.add(exchange.descriptor(), exchange.poll_events());
             poll_set.wait(deadline);
             exchange.advance(poll_set.ready(0));
-            received.body += exchange.take_body();
         }
+        received.body = exchange.take_body();
         received.is_complete = exchange.complete();
         received.status = exchange.head().status;
         received.connection_is_reusable = exchange.release_connection().has_value();
@@ -163,6 +167,39 @@
     EXPECT_TRUE(this->call({chunked + "\r\n0\r\n\r\n"}).is_complete);
 }
 
+// Guards against delivering an empty response because its server closed the connection within the
+// head.
+TYPED_TEST(server_exchange, truncated_head_is_incomplete)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n";
+    auto const without_length = head.find("Content-Length");
+    for (auto const length : {std::size_t{0}, std::size_t{9}, std::size_t{17}, without_length,
+                              head.size() - 2, head.size() - 1})
+        for (auto const* method : {"GET", "HEAD"})
+        {
+            auto const response = this->call({head.substr(0, length)}, method);
+            EXPECT_FALSE(response.is_complete) << length;
+            EXPECT_FALSE(response.connection_is_reusable) << length;
+        }
+    EXPECT_TRUE(this->call({head}).is_complete);
+}
+
+// Guards against a client that reads until its memory is full.
+TYPED_TEST(server_exchange, responses_without_end_are_given_up)
+{
+    std::string const line(4096, 'x');
+    for (std::string const prefix :
+         {"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nName: ", "HTTP/1.1 200 OK\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000000\r\n"})
+        for (auto const& repeated : {line, "Name: " + line + "\r\n"})
+        {
+            auto const begin = std::chrono::steady_clock::now();
+            auto const response = this->call({prefix, connection_end::closed, false, repeated});
+            EXPECT_FALSE(response.is_complete) << prefix;
+            EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(4)) << prefix;
+        }
+}
+
 // Guards against waiting for the body of a response that has none.
 TYPED_TEST(server_exchange, response_without_a_body_ends_with_its_head)
 {
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -209,6 +209,8 @@
         return stream(socket, request, std::stoi(action.substr(7)), true), true;
     if (action == "endless")
         return send_without_end(socket, request), false;
+    if (action == "endless-head" || action == "short-head")
+        return send_unfinished_head(socket, request, action == "endless-head"), false;
     if (action == "closed" || action == "reset")
     {
         auto const body = request.method == "HEAD" ? "" : "response to " + id;
@@ -366,6 +368,19 @@
     ++m_disconnect_count;
 }
 
+void fake_server::send_unfinished_head(Poco::Net::StreamSocket& socket,
+                                       http::request const& request, bool is_endless)
+{
+    auto fields = make_fields(std::string(request.headers.find("Attempt-Id").value_or("")));
+    fields.add("Content-Type", "text/event-stream");
+    fields.add("Content-Length", "0");
+    auto const head = http::write_response_head(200, "", fields);
+    send_all(socket, head.substr(0, head.size() - 2));
+    auto const field = "Name: " + std::string(16384, 'v') + "\r\n";
+    while (is_endless && !peer_has_closed(socket))
+        send_all(socket, field);
+}
+
 void fake_server::copy_generation(Poco::Net::StreamSocket& socket, http::request const& request)
 {
     ++m_copy_count;
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -22,7 +22,8 @@
 /// `chunked`, `sized` or `reset`; a resumed stream is complete with two more events), `comment-N`
 /// (like `closed-N`, followed by a comment line without a blank line), `stalled-N` (stops after one
 /// event and sends a comment byte now and then; a resumed stream continues to N events), `endless`
-/// (sends a body without end), `copied` (sends its response a second time
+/// (sends a body without end), `endless-head` (sends a head without end), `short-head` (closes the
+/// connection before the blank line that ends a head), `copied` (sends its response a second time
 /// when the next request arrives on the connection), `refusal-copied` (then sends a refusal of the
 /// earlier request), `crash` (sends the head of a response, then nothing; `has_crashed` tells the
 /// owner to end the server), `status-N` (responds with status N after it ran the request),
@@ -92,6 +93,9 @@
     void stall(Poco::Net::StreamSocket& socket, http::request const& request);
     /// Sends a chunked body until the peer closes the connection.
     void send_without_end(Poco::Net::StreamSocket& socket, http::request const& request);
+    /// Sends a head without its last line, followed by more fields without end if `is_endless`.
+    void send_unfinished_head(Poco::Net::StreamSocket& socket, http::request const& request,
+                              bool is_endless);
     void stream(Poco::Net::StreamSocket& socket, http::request const& request, int events,
                 bool complete, framing body_framing = framing::chunked);
     /// Serves an action `losing-N-ACTION`. Returns true if the connection can be reused.
