--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -36,9 +36,11 @@
 TEST_F(faulty_answer_test, heads_without_end_are_cut_and_leave_memory_for_other_requests)
 {
     start_until_ready();
+    constexpr int call_count = 24;
     std::vector<std::future<caller_response>> endless_calls;
+    endless_calls.reserve(call_count);
     char const* const paths[] = {"/check/", "/order/", "/plan/", "/question/"};
-    for (int i = 0; i < 24; ++i)
+    for (int i = 0; i < call_count; ++i)
         endless_calls.push_back(std::async(
             std::launch::async,
             [this, i, &paths]
