--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -167,6 +167,32 @@
   // node has heard of it later.
   10: optional i32 rate_limit,
   11: optional i32 rate_limit_age_milliseconds,
+  // How long work takes on the server's VM, in percent of the usual time, as the server last stated
+  // it to this node. Left out if it states none.
+  12: optional i32 pace_percent,
+  13: optional i32 pace_age_milliseconds,
+  // Running streams whose callers accept only a bounded gap between events.
+  14: optional i32 gap_bounded_streams,
+}
+
+// What one node, or one zone, has seen of the servers of one version since a roll-out began, on one
+// route. The counts only grow, so the latest report of each source is enough.
+struct version_outcomes {
+  1: i32 service_hash,            // short hash of the service's name
+  2: i64 order_revision,          // the store's revision of the roll-out's order
+  3: bool new_version,            // the version that the order names; otherwise all others
+  4: i32 route_hash,              // short hash of the route's name
+  5: i32 requests,
+  6: i32 failures,
+  7: i32 slow_responses,
+}
+
+// Requests of one service that wait at a node for room.
+struct waiting_work {
+  1: i32 service_hash,            // short hash of the service's name
+  2: i32 rank,                    // position in the order of admission; 0 is admitted first
+  3: i32 requests,
+  4: i64 tokens,                  // engine memory that they need
 }
 
 // Published by each node on the platform for its peers several times a second.
@@ -198,5 +224,7 @@
   18: i32 zone_nodes,             // live nodes of the zone
   19: list<string> zone_addresses, // a few ready nodes of the zone, for callers
   21: bool follows_store,         // watches the store; store_reached then tells whether it responds
+  28: optional list<version_outcomes> versions,
+  29: optional list<waiting_work> waiting,
   20: bool relay,                 // the receiver forwards the report to the nodes of its zone
 }
