Node: List again after the store's epoch has changed

Cause: after the store came back from a copy, one watch learned of its new epoch; the others were renewed from revisions of the epoch before. Change: a watch from an earlier epoch than the node knows of ends at once, and the kind is listed.

--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -102,6 +102,21 @@
     {
         if (was_listed && wait_until_follower(kind))
             version.reset();
+        // The revisions of a restored store are given out again, so a watch from one of an earlier
+        // epoch could wait for changes that the store made before it.
+        auto const is_from_earlier_epoch = [&]
+        {
+            return version && m_state.with(
+                                  [&](node_state::tables& tables) {
+                                      return tables.store_epoch &&
+                                             *tables.store_epoch > store::epoch_of(*version);
+                                  });
+        };
+        if (is_from_earlier_epoch())
+        {
+            base::log_line(base::log_level::info, "history_lost").field("kind", kind);
+            version.reset();
+        }
         bool const needs_list = !version;
         auto const watch_timeout = m_state.with(
             [&](node_state::tables& tables)
@@ -134,10 +149,12 @@
         auto const page = base::handle(
             [&]() -> base::result<std::optional<store::object_page>>
             {
-                auto call = needs_list
-                                ? m_store.list(kind)
-                                : m_store.watch(*version, {kind}, watch_timeout,
-                                                [&] { return store_returned() || read_due(); });
+                auto call = needs_list ? m_store.list(kind)
+                                       : m_store.watch(*version, {kind}, watch_timeout,
+                                                       [&] {
+                                                           return store_returned() || read_due() ||
+                                                                  is_from_earlier_epoch();
+                                                       });
                 if (!call)
                     return call.error();
                 return std::optional(std::move(*call));
@@ -150,6 +167,8 @@
                     version.reset();
                     backoff = base::milliseconds(0);
                 }
+                else if (is_from_earlier_epoch())
+                    backoff = base::milliseconds(0);
                 else if (store_returned())
                 {
                     base::log_line(base::log_level::info, "watch_renewed").field("kind", kind);
