Tests: Wait until the node knows of a restarted server

The trace shows the next request 1 ms before the node read the restarted server's entry, so the second crash of that server was taken for the first one (known=1), as it has to be: two crashes of one start count once. The test assumed that the entry arrives before its next request. Change: the test waits until the node has logged each listed restart; its checks are as before.

--- a/tests/lost_answer_test.cpp
+++ b/tests/lost_answer_test.cpp
@@ -75,13 +75,21 @@
         m_known_runs.assign(servers().size(), 0);
     }
 
-    /// Lists servers that have run the request since the last call with a later start.
+    /// Lists servers that have run the request since the last call with a later start, and waits
+    /// until the node knows it: two crashes of one start count once.
     void list_restarts(std::string const& action)
     {
         auto const runs = count_runs(action);
         for (std::size_t i = 0; i < runs.size(); ++i)
-            if (runs[i] != std::exchange(m_known_runs[i], runs[i]))
-                list(*servers()[i]);
+        {
+            if (runs[i] == std::exchange(m_known_runs[i], runs[i]))
+                continue;
+            auto const& server = *servers()[i];
+            auto const known_changes = count_changes(server);
+            list(server);
+            EXPECT_TRUE(wait_until([&] { return count_changes(server) > known_changes; },
+                                   std::chrono::seconds(10)));
+        }
     }
 
     fake_server m_shop_3{port(14), "i-shop-3"};
@@ -102,6 +110,17 @@
                         std::to_string(++m_last_start) + "}");
     }
 
+    /// Changes of the server's entry that the node has logged.
+    int count_changes(fake_server const& server)
+    {
+        auto const output = m_node.program().output();
+        auto const line = "event=server_changed server=" + server.id() + " ";
+        int count = 0;
+        for (auto at = output.find(line); at != std::string::npos; at = output.find(line, at + 1))
+            ++count;
+        return count;
+    }
+
     int m_sent_count = 0;
     std::int64_t m_last_start = 1000;
     std::vector<int> m_known_runs;
