--- a/utilities/ctl/command_line.hpp
+++ b/utilities/ctl/command_line.hpp
@@ -92,6 +92,7 @@
     return base::handle([&]() -> base::result<int> { return body(); }, report_failure);
 }
 
+void add_configuration_commands(command_registry& registry);
 void add_customer_commands(command_registry& registry);
 void add_node_commands(command_registry& registry);
 void add_object_commands(command_registry& registry);
--- a/utilities/ctl/main.cpp
+++ b/utilities/ctl/main.cpp
@@ -51,6 +51,7 @@
     ctl::add_request_commands(registry);
     ctl::add_wait_command(registry);
     ctl::add_object_commands(registry);
+    ctl::add_configuration_commands(registry);
     if (auto status = parser.parse_command_line(argc, argv))
         return *status;
     if (!registry.selected_command)
