HTTP, Node: Bound the memory and the connections of callers

Nothing bounded what all callers of a process hold together: trailers and chunk extensions grew in the parser's buffer without limit, unfinished bodies stayed for 12 s whatever they took, a body existed four times on its way to a server, the allocator kept freed blocks, and connections took descriptors up to the number of workers.

Each process now keeps one account of bytes, sized from memory_mb. Without room a connection isn't read; then unfinished requests are refused with 429, stalled ones first, the largest next. They were not passed on. Trailers, extensions and the framing of very small chunks have limits. Bodies are sent from the request without copies. Connections are bounded by max_fds and memory_mb, and those that owe the rest of a request are closed first.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -24,6 +24,12 @@
 constexpr base::milliseconds minimum_read_delay{20};
 // Interval at which the bytes are counted that the caller has not taken yet.
 constexpr std::chrono::milliseconds acknowledgement_poll_interval{20};
+// Interval at which a connection that waits for memory asks again.
+constexpr base::milliseconds room_poll_interval{20};
+// A body must arrive with this many bytes in each span of two header timeouts. A caller that
+// follows the limits sends a whole body in four.
+constexpr int progress_span_factor = 2;
+constexpr std::size_t minimum_progress_bytes = 1024;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Watches a caller take the bytes of a response. The socket can stay unwritable for a long time
@@ -60,8 +66,12 @@
 } // namespace
 
 caller_connection::caller_connection(Poco::Net::StreamSocket const& socket,
-                                     request_size_limits limits)
-    : m_socket(socket), m_reader(limits), m_peer_address(m_socket.peerAddress().toString())
+                                     request_size_limits limits, memory_account& account,
+                                     wakeup& wake)
+    : m_socket(socket), m_reader(limits), m_wake(wake),
+      m_memory(
+          account, [&wake] { wake.signal(); }, base::steady_clock_source{}.now()),
+      m_peer_address(m_socket.peerAddress().toString())
 {
     m_socket.setBlocking(false);
     set_connection_options(m_socket);
@@ -72,15 +82,43 @@
     return m_socket.impl()->sockfd();
 }
 
+bool caller_connection::try_make_room(std::size_t count)
+{
+    auto const bytes = m_reader.bytes_to_hold(count);
+    return (bytes <= memory_holder::uncharged_bytes && m_memory.held_bytes() == 0) ||
+           m_memory.try_hold_or_evict(bytes, base::steady_clock_source{}.now());
+}
+
+void caller_connection::take_request(request& result)
+{
+    result = m_reader.take_request();
+    m_request_bytes = m_reader.held_bytes() + result.body.capacity();
+    m_memory.hold(m_request_bytes);
+    m_memory.set_stage(holder_stage::serving);
+}
+
+void caller_connection::discard_request()
+{
+    m_reader.discard();
+    m_memory.try_hold(0);
+}
+
 read_outcome caller_connection::read_request(request& result, read_timeouts timeouts,
                                              wakeup& interruption,
                                              std::function<bool()> const& may_start)
 {
     base::steady_clock_source const clock;
-    auto deadline = clock.now() + timeouts.idle;
+    auto const start = clock.now();
+    auto deadline = start + timeouts.idle;
     bool head_started = false;
     bool body_started = false;
     bool interrupted = false;
+    bool waits_for_room = false;
+    std::size_t span_bytes = 0;
+    auto span_end = base::time_point::max();
+    m_memory.hold(m_reader.held_bytes());
+    m_memory.set_stage(holder_stage::idle);
+    m_memory.record_progress(start);
     wait_set poll_set;
     std::array<char, 16384> bytes;
     while (true)
@@ -93,27 +131,52 @@
         }
         if (state == request_reader::state::complete)
         {
-            result = m_reader.take_request();
+            take_request(result);
             return read_outcome::request;
         }
+        if (m_memory.evicted())
+            return head_started ? read_outcome::no_room : read_outcome::evicted;
         if (state == request_reader::state::malformed)
             return read_outcome::malformed;
         if (state == request_reader::state::head_too_large)
             return read_outcome::head_too_large;
         if (state == request_reader::state::body_too_large)
             return read_outcome::body_too_large;
+        if (state == request_reader::state::framing_too_large)
+            return read_outcome::framing_too_large;
         if (state == request_reader::state::reading_body && !body_started)
         {
             body_started = true;
             deadline = clock.now() + timeouts.header * body_timeout_factor;
+            span_end = clock.now() + timeouts.header * progress_span_factor;
             if (m_reader.consume_expect_continue() &&
                 !send(continue_response, {timeouts.header, deadline}))
                 return read_outcome::closed;
         }
+        auto wait_deadline = std::min<base::time_point>(deadline, span_end);
+        base::time_point wait_start;
+        if (waits_for_room)
+        {
+            wait_start = clock.now();
+            wait_deadline =
+                std::min<base::time_point>(wait_deadline, wait_start + room_poll_interval);
+        }
         poll_set.clear();
-        poll_set.add(descriptor(), POLLIN);
+        poll_set.add(waits_for_room ? -1 : descriptor(), POLLIN);
         poll_set.add(head_started || interrupted ? -1 : interruption.descriptor(), POLLIN);
-        poll_set.wait(deadline);
+        poll_set.add(m_wake.descriptor(), POLLIN);
+        poll_set.wait(wait_deadline);
+        if (poll_set.ready(2) != 0)
+            m_wake.clear();
+        if (waits_for_room)
+        {
+            // The caller isn't to blame for this time.
+            auto const waited = clock.now() - wait_start;
+            deadline += waited;
+            span_end += waited;
+            waits_for_room = !m_memory.evicted() && !try_make_room(bytes.size());
+            continue;
+        }
         if (poll_set.ready(1) != 0)
         {
             interrupted = true;
@@ -124,14 +187,33 @@
         {
             if (!head_started && !may_start())
                 return read_outcome::interrupted;
+            waits_for_room = !try_make_room(bytes.size());
+            if (waits_for_room)
+                continue;
             auto const byte_count = ::recv(descriptor(), bytes.data(), bytes.size(), 0);
             if (byte_count > 0)
+            {
                 m_reader.feed({bytes.data(), static_cast<std::size_t>(byte_count)});
+                span_bytes += static_cast<std::size_t>(byte_count);
+                if (m_reader.current_state() != request_reader::state::complete)
+                {
+                    m_memory.set_stage(holder_stage::receiving);
+                    m_memory.record_progress(clock.now());
+                }
+            }
             else if (byte_count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
                 return read_outcome::closed;
             continue;
         }
-        if (clock.now() >= deadline)
+        auto const now = clock.now();
+        if (now >= span_end && now < deadline)
+        {
+            if (span_bytes < minimum_progress_bytes)
+                return read_outcome::read_timeout;
+            span_bytes = 0;
+            span_end = now + timeouts.header * progress_span_factor;
+        }
+        if (now >= deadline)
             return head_started  ? read_outcome::read_timeout
                    : interrupted ? read_outcome::interrupted
                                  : read_outcome::idle_timeout;
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "http/memory_account.hpp"
 #include "http/request_reader.hpp"
 #include "http/wait_set.hpp"
 
@@ -39,11 +40,16 @@
     /// The caller closed the connection, or the connection failed.
     closed,
     idle_timeout,
-    /// The header or the body did not arrive in time.
+    /// The header or the body did not arrive in time, or the body too slowly.
     read_timeout,
     malformed,
     head_too_large,
     body_too_large,
+    framing_too_large,
+    /// The account of memory has no room for the request, or too many connections are open.
+    no_room,
+    /// The connection had no request and was closed for others.
+    evicted,
     /// The wakeup was signalled before the first byte of a request arrived.
     interrupted,
 };
@@ -52,7 +58,9 @@
 class caller_connection
 {
 public:
-    caller_connection(Poco::Net::StreamSocket const& socket, request_size_limits limits);
+    /// `account` and `wake`, which is signalled after an eviction, must outlive the connection.
+    caller_connection(Poco::Net::StreamSocket const& socket, request_size_limits limits,
+                      memory_account& account, wakeup& wake);
 
     /// Waits for the next complete request and stores it in `result`. Calls `may_start` when its
     /// first byte can be read; if it returns false, nothing is read and the wait is interrupted.
@@ -81,10 +89,25 @@
     /// connection, and the caller could lose the response.
     void close_gracefully(send_limits const& limits);
     std::string peer_address() const { return m_peer_address; }
+    /// Returns what this connection holds. `read_request` charges requests to it; responses add to
+    /// it until the next request is read.
+    memory_holder& memory() noexcept { return m_memory; }
+    /// Returns the bytes of the last request that are charged.
+    std::size_t request_bytes() const noexcept { return m_request_bytes; }
+    /// Frees what was received of a request that is not read any further.
+    void discard_request();
 
 private:
+    /// Returns true if there is room for the next received bytes.
+    bool try_make_room(std::size_t count);
+    /// Charges what the complete request holds.
+    void take_request(request& result);
+
     Poco::Net::StreamSocket m_socket;
     request_reader m_reader;
+    wakeup& m_wake;
+    memory_holder m_memory;
+    std::size_t m_request_bytes = 0;
     std::string m_peer_address;
     bool m_send_failed = false;
 };
--- a/libraries/http/client_exchange.cpp
+++ b/libraries/http/client_exchange.cpp
@@ -49,9 +49,9 @@
     socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
-client_exchange::client_exchange(std::string const& address, std::string request_bytes,
+client_exchange::client_exchange(std::string const& address, outgoing_request request,
                                  bool expect_body, base::time_point now)
-    : m_request(std::move(request_bytes)), m_reader(expect_body), m_start_time(now),
+    : m_request(std::move(request)), m_reader(expect_body), m_start_time(now),
       m_last_receive_time(now)
 {
     try
@@ -69,9 +69,9 @@
 }
 
 client_exchange::client_exchange(Poco::Net::StreamSocket const& connection,
-                                 std::string request_bytes, bool expect_body, base::time_point now)
-    : m_socket(connection), m_request(std::move(request_bytes)), m_connected(true),
-      m_reader(expect_body), m_start_time(now), m_last_receive_time(now)
+                                 outgoing_request request, bool expect_body, base::time_point now)
+    : m_socket(connection), m_request(std::move(request)), m_connected(true), m_reader(expect_body),
+      m_start_time(now), m_last_receive_time(now)
 {
     send_pending();
 }
@@ -123,8 +123,12 @@
 {
     while (m_bytes_sent < m_request.size())
     {
-        auto const written = ::send(m_socket.impl()->sockfd(), m_request.data() + m_bytes_sent,
-                                    m_request.size() - m_bytes_sent, MSG_NOSIGNAL);
+        auto const& head = m_request.bytes;
+        auto const pending = m_bytes_sent < head.size()
+                                 ? std::string_view(head).substr(m_bytes_sent)
+                                 : m_request.rest.substr(m_bytes_sent - head.size());
+        auto const written =
+            ::send(m_socket.impl()->sockfd(), pending.data(), pending.size(), MSG_NOSIGNAL);
         if (written > 0)
         {
             m_bytes_sent += static_cast<std::size_t>(written);
--- a/libraries/http/client_exchange.hpp
+++ b/libraries/http/client_exchange.hpp
@@ -34,12 +34,17 @@
 class client_exchange
 {
 public:
-    /// Starts connecting to `address` (IP:PORT). `request_bytes` is the complete serialized
-    /// request. `expect_body` is false for HEAD requests.
-    client_exchange(std::string const& address, std::string request_bytes, bool expect_body,
+    /// Starts connecting to `address` (IP:PORT). `expect_body` is false for HEAD requests.
+    client_exchange(std::string const& address, outgoing_request request, bool expect_body,
                     base::time_point now);
+    /// `request_bytes` is the complete serialized request.
+    client_exchange(std::string const& address, std::string request_bytes, bool expect_body,
+                    base::time_point now)
+        : client_exchange(address, outgoing_request{std::move(request_bytes), {}}, expect_body, now)
+    {
+    }
     /// Sends the request on a connection that is already open.
-    client_exchange(Poco::Net::StreamSocket const& connection, std::string request_bytes,
+    client_exchange(Poco::Net::StreamSocket const& connection, outgoing_request request,
                     bool expect_body, base::time_point now);
 
     int descriptor() const noexcept;
@@ -77,6 +82,8 @@
     /// Returns true if the response is complete only because the server closed the connection.
     bool ended_with_connection() const noexcept { return m_reader.ended_with_connection(); }
     response const& head() const noexcept { return m_reader.head(); }
+    /// Returns the bytes of the body that wait for `take_body`.
+    std::size_t untaken_bytes() const { return m_reader.untaken_bytes(); }
     std::string take_body() { return m_reader.take_body(); }
     base::time_point start_time() const noexcept { return m_start_time; }
     /// Time of the last received bytes, or the start time if nothing has arrived.
@@ -97,7 +104,7 @@
     void handle_connection_end(int socket_error);
 
     Poco::Net::StreamSocket m_socket;
-    std::string m_request;
+    outgoing_request m_request;
     std::size_t m_bytes_sent = 0;
     bool m_connected = false;
     bool m_connection_refused = false;
--- a/libraries/http/message.cpp
+++ b/libraries/http/message.cpp
@@ -15,6 +15,21 @@
     "TE",         "Trailer",         "Transfer-Encoding",  "Upgrade",
     "Expect",     "Proxy-Connection"};
 
+/// Reserves memory for `reserved_bytes` more.
+std::string write_head(request const& message, std::size_t body_bytes, std::size_t reserved_bytes)
+{
+    std::string out;
+    out.reserve(512 + reserved_bytes);
+    out.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
+    for (auto const& field : message.headers)
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    bool const method_has_no_body = message.method == "GET" || message.method == "HEAD" ||
+                                    message.method == "DELETE" || message.method == "OPTIONS";
+    if (body_bytes > 0 || !method_has_no_body)
+        out.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
+    return out.append("\r\n");
+}
+
 } // namespace
 
 bool is_hop_by_hop(std::string_view name, std::string_view connection_value)
@@ -43,16 +58,19 @@
 
 std::string write_request(request const& message)
 {
-    std::string out;
-    out.reserve(512 + message.body.size());
-    out.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
-    for (auto const& field : message.headers)
-        out.append(field.name).append(": ").append(field.value).append("\r\n");
-    bool const method_has_no_body = message.method == "GET" || message.method == "HEAD" ||
-                                    message.method == "DELETE" || message.method == "OPTIONS";
-    if (!message.body.empty() || !method_has_no_body)
-        out.append("Content-Length: ").append(std::to_string(message.body.size())).append("\r\n");
-    out.append("\r\n").append(message.body);
+    auto out = write_head(message, message.body.size(), message.body.size());
+    return out.append(message.body);
+}
+
+outgoing_request make_outgoing(request const& message, std::string_view body)
+{
+    bool const is_short = body.size() <= maximum_copied_body_bytes;
+    outgoing_request out{write_head(message, body.size(), is_short ? body.size() : 0), body};
+    if (is_short)
+    {
+        out.bytes.append(body);
+        out.rest = {};
+    }
     return out;
 }
 
--- a/libraries/http/message.hpp
+++ b/libraries/http/message.hpp
@@ -95,6 +95,24 @@
 /// Serializes a request including its body. Adds Content-Length.
 std::string write_request(request const& message);
 
+/// Bodies up to this size are copied behind their head; a second system call would cost more.
+inline constexpr std::size_t maximum_copied_body_bytes = std::size_t{16} * 1024;
+
+/// A serialized request to send.
+struct outgoing_request
+{
+    /// The head, and the body if it is short.
+    std::string bytes;
+    /// The rest of a long body, which its owner keeps until the request has been sent.
+    std::string_view rest;
+
+    std::size_t size() const noexcept { return bytes.size() + rest.size(); }
+};
+
+/// Serializes a request with the head of `message` and `body`, which isn't copied if it is long.
+/// Adds Content-Length.
+outgoing_request make_outgoing(request const& message, std::string_view body);
+
 /// Serializes the status line, the header fields and the blank line after them. `headers` must
 /// already contain the framing fields. An empty `reason` stands for the default phrase.
 std::string write_response_head(int status, std::string_view reason, header_list const& headers);
--- a/libraries/http/request_reader.cpp
+++ b/libraries/http/request_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
+
 namespace jasminepier::http
 {
 namespace
@@ -9,6 +11,11 @@
 
 namespace beast_http = boost::beast::http;
 
+// A chunk of one byte takes five more with its size and its line ends.
+constexpr std::size_t coded_bytes_per_byte = 16;
+// An idle connection keeps a buffer up to this size.
+constexpr std::size_t kept_buffer_bytes = std::size_t{32} * 1024;
+
 } // namespace
 
 request_reader::request_reader(request_size_limits limits) : m_limits(limits)
@@ -24,10 +31,17 @@
     m_parser->body_limit(m_limits.body_bytes);
     m_state = state::idle;
     m_expect_continue_pending = false;
+    m_coded_bytes = 0;
 }
 
 void request_reader::feed(std::span<char const> bytes)
 {
+    if (m_parser->is_header_done())
+    {
+        auto& body = m_parser->get().body();
+        if (auto const capacity = body_capacity(bytes.size()); capacity > body.capacity())
+            body.reserve(capacity);
+    }
     auto const destination = m_buffer.prepare(bytes.size());
     boost::asio::buffer_copy(destination, boost::asio::buffer(bytes.data(), bytes.size()));
     m_buffer.commit(bytes.size());
@@ -45,14 +59,20 @@
         boost::beast::error_code error;
         auto const consumed = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(consumed);
+        m_coded_bytes += consumed;
         if (m_state == state::reading_head && m_parser->is_header_done())
         {
             if (!validate_head())
                 return;
             m_state = state::reading_body;
+            m_coded_bytes = 0;
         }
         if (error == beast_http::error::need_more)
+        {
+            if (m_state == state::reading_body && framing_exceeds_limits())
+                m_state = state::framing_too_large;
             return;
+        }
         if (error)
         {
             m_state = error == beast_http::error::header_limit ? state::head_too_large
@@ -111,8 +131,53 @@
     result.keep_alive = message.keep_alive();
     result.body = std::move(message.body());
     start();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > kept_buffer_bytes)
+        m_buffer.shrink_to_fit();
     parse();
     return result;
 }
 
+bool request_reader::framing_exceeds_limits() const
+{
+    auto const body_bytes = m_parser->get().body().size();
+    return m_parser->chunked() &&
+           (m_buffer.size() > m_limits.head_bytes ||
+            m_coded_bytes > m_limits.head_bytes + coded_bytes_per_byte * body_bytes);
+}
+
+std::size_t request_reader::body_capacity(std::size_t count) const
+{
+    auto const& body = m_parser->get().body();
+    auto const needed = body.size() + count;
+    if (!m_parser->chunked() || needed <= body.capacity())
+        return body.capacity();
+    // Grows by a half, up to the limit and the bytes that exceed it.
+    auto const largest = std::max(needed, static_cast<std::size_t>(m_limits.body_bytes));
+    return std::min(std::max(needed, body.capacity() + body.capacity() / 2), largest);
+}
+
+std::size_t request_reader::bytes_to_hold(std::size_t count) const
+{
+    auto const buffered = std::max(m_buffer.capacity(), m_buffer.size() + count);
+    if (!m_parser->is_header_done())
+        return buffered;
+    auto const capacity = m_parser->get().body().capacity();
+    auto const next_capacity = body_capacity(count);
+    return buffered + capacity + (next_capacity > capacity ? next_capacity : 0);
+}
+
+std::size_t request_reader::held_bytes() const
+{
+    return m_buffer.capacity() +
+           (m_parser && m_parser->is_header_done() ? m_parser->get().body().capacity() : 0);
+}
+
+void request_reader::discard()
+{
+    start();
+    m_buffer.consume(m_buffer.size());
+    m_buffer.shrink_to_fit();
+    m_state = state::malformed;
+}
+
 } // namespace jasminepier::http
--- a/libraries/http/request_reader.hpp
+++ b/libraries/http/request_reader.hpp
@@ -35,11 +35,20 @@
         malformed,
         head_too_large,
         body_too_large,
+        /// Chunk extensions, trailers or the framing of very small chunks exceed their limit.
+        framing_too_large,
     };
 
     explicit request_reader(request_size_limits limits);
 
     void feed(std::span<char const> bytes);
+    /// Returns the largest number of bytes that the reader holds at any time while it is fed
+    /// `count` more bytes.
+    std::size_t bytes_to_hold(std::size_t count) const;
+    /// Returns the number of bytes that the reader holds.
+    std::size_t held_bytes() const;
+    /// Frees everything that was received. The reader can't be fed any more.
+    void discard();
     state current_state() const noexcept { return m_state; }
     /// Returns true once per request if the caller waits for "100 Continue" before sending the
     /// body.
@@ -54,10 +63,15 @@
     void start();
     void parse();
     bool validate_head();
+    bool framing_exceeds_limits() const;
+    /// Returns the capacity of the body for `count` more bytes.
+    std::size_t body_capacity(std::size_t count) const;
 
     request_size_limits m_limits;
     state m_state = state::idle;
     bool m_expect_continue_pending = false;
+    /// Bytes of the body in its transfer coding.
+    std::size_t m_coded_bytes = 0;
     std::unique_ptr<parser> m_parser;
     boost::beast::flat_buffer m_buffer;
 };
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -49,6 +49,8 @@
     response const& head() const noexcept { return m_head; }
     /// Returns the decoded body bytes that arrived since the last call.
     std::string take_body();
+    /// Returns the bytes of the body that wait for `take_body`.
+    std::size_t untaken_bytes() const { return m_parser->get().body().size(); }
     /// Returns true if the response is complete and has neither a content length nor chunks, so
     /// that only the end of the connection ended it.
     bool ended_with_connection() const noexcept
--- a/services/node/auxiliary_endpoints.cpp
+++ b/services/node/auxiliary_endpoints.cpp
@@ -34,7 +34,9 @@
         if (path == platform::readiness_path)
             return send(response, is_ready() ? 200 : 503, "text/plain", "");
         if (path == "/metrics")
-            return send(response, 200, metrics::exposition_content_type, write_node_metrics());
+            return send(response, 200, metrics::exposition_content_type,
+                        write_node_metrics() +
+                            http::write_account_metrics(m_state.caller_memory()));
         send(response, 404, "text/plain", "");
     }
 
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "base/log.hpp"
 #include "services/node/attempt_limits.hpp"
+#include "services/node/node_metrics.hpp"
 #include "services/node/plain_relay.hpp"
 #include "services/node/stream_relay.hpp"
 
@@ -50,11 +51,16 @@
         return error_kind::header_too_large;
     case http::read_outcome::body_too_large:
         return error_kind::payload_too_large;
+    case http::read_outcome::framing_too_large:
+        return error_kind::header_too_large;
+    case http::read_outcome::no_room:
+        return error_kind::overloaded;
     case http::read_outcome::read_timeout:
         return error_kind::request_timeout;
     case http::read_outcome::request:
     case http::read_outcome::closed:
     case http::read_outcome::idle_timeout:
+    case http::read_outcome::evicted:
     case http::read_outcome::interrupted:
         break;
     }
@@ -76,9 +82,10 @@
     {
         auto const configuration = m_state.configuration();
         auto const limits = configuration ? configuration->limits : serving::caller_limits{};
-        http::caller_connection caller(socket(),
-                                       {limits.maximum_header_bytes, limits.maximum_body_bytes});
         http::wakeup wake;
+        http::caller_connection caller(socket(),
+                                       {limits.maximum_header_bytes, limits.maximum_body_bytes},
+                                       m_state.caller_memory(), wake);
         serve_requests(caller, wake);
     }
     catch (std::exception const& failure)
@@ -131,16 +138,26 @@
 
 void caller_session::send_read_error(http::caller_connection& caller, http::read_outcome outcome)
 {
+    if (outcome == http::read_outcome::evicted)
+        observe_event("caller_closed", http::to_string(caller.memory().cause()));
     auto const kind = error_for(outcome);
     if (!kind)
         return;
-    base::log_line(base::log_level::info, "request_unreadable")
-        .field("caller", caller.peer_address())
-        .field("code", base::to_string(*kind));
+    observe_event("caller_refused", base::to_string(*kind));
+    base::log_line line(base::log_level::info, "request_unreadable");
+    line.field("caller", caller.peer_address()).field("code", base::to_string(*kind));
+    if (outcome == http::read_outcome::no_room)
+        line.field("cause", http::to_string(caller.memory().cause()))
+            .field("held", caller.memory().held_bytes())
+            .field("held_by_all", m_state.caller_memory().used_bytes())
+            .field("connections", m_state.caller_memory().connections());
+    caller.discard_request();
     auto const& error_response = base::error_response_for(*kind);
     http::header_list fields;
     fields.add("Content-Length", "0");
     fields.add("Connection", "close");
+    if (error_response.retry_after_seconds > 0)
+        fields.add("Retry-After", std::to_string(error_response.retry_after_seconds));
     constexpr std::chrono::seconds timeout{1};
     http::send_limits const send_limits{timeout, base::steady_clock_source{}.now() + timeout};
     if (caller.send(http::write_response_head(error_response.http_status, "", fields), send_limits))
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -40,6 +40,8 @@
 constexpr base::milliseconds log_flush_timeout{100};
 // The settings file may change without a SIGHUP, so the node also checks it regularly.
 constexpr base::milliseconds settings_check_interval{1000};
+// Serve connections that close others because the bound is reached, until these have ended.
+constexpr int spare_workers = 16;
 
 /// Serves the active requests, and new ones that end in time, until all have ended or the grace
 /// period is over. Meanwhile, peers no longer return this node's address to callers.
@@ -120,15 +122,18 @@
 
 /// Serves until the shutdown signal, then exits the process. Destroys nothing: joining threads that
 /// wait for the store could take longer than the platform's grace period.
-[[noreturn]] void run_node(node::node_settings const& settings, std::uint16_t metrics_port,
-                           int workers)
+[[noreturn]] void run_node(node::node_settings const& settings, std::uint16_t metrics_port)
 {
+    http::return_freed_memory();
     node::node_state state(settings);
+    auto const& caller_limits = state.caller_memory().limits();
     base::log_line(base::log_level::info, "started")
         .field("node", settings.name)
         .field("zone", settings.zone)
         .field("callers", settings.caller_endpoint.text())
-        .field("store", settings.store.text());
+        .field("store", settings.store.text())
+        .field("caller_bytes", caller_limits.bytes)
+        .field("caller_connections", caller_limits.connections);
     node::connection_pool pool;
     node::node_registrar registrar(state);
     node::peer_link peers(state);
@@ -144,10 +149,11 @@
                                                 pool.close_expired(
                                                     base::steady_clock_source{}.now());
                                             });
+    auto const workers = caller_limits.connections + spare_workers;
     Poco::ThreadPool worker_pool(4, workers);
     auto* const server_parameters = new Poco::Net::TCPServerParams;
     server_parameters->setMaxThreads(workers);
-    server_parameters->setMaxQueued(workers);
+    server_parameters->setMaxQueued(caller_limits.queued_connections);
     Poco::Net::ServerSocket const socket(
         Poco::Net::SocketAddress(settings.caller_endpoint.host, settings.caller_endpoint.port),
         1024);
@@ -182,9 +188,10 @@
         return *status;
     base::configure_logging(parser.minimum_log_level());
     base::start_asynchronous_logging({});
-    auto const settings = load_settings();
+    auto settings = load_settings();
     if (!settings)
         return 2;
     std::set_terminate(terminate_after_exception);
-    run_node(*settings, metrics_port, workers);
+    settings->workers = workers;
+    run_node(*settings, metrics_port);
 }
--- a/services/node/node_settings.hpp
+++ b/services/node/node_settings.hpp
@@ -4,6 +4,7 @@
 #include "base/clock.hpp"
 #include "serving/node_retry_budget.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,6 +40,12 @@
     /// Maximum time for which callers may cache a list of addresses.
     base::milliseconds maximum_address_ttl{5000};
     serving::retry_budget_limits retry_limits;
+    /// The platform's limits on this process; 0 if the file states none. The descriptors are those
+    /// that files don't take.
+    std::size_t memory_bytes = 0;
+    int sockets = 0;
+    /// Maximum number of callers' connections served at once.
+    int workers = 1024;
 };
 
 } // namespace jasminepier::node
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -33,7 +33,9 @@
                                          platform::server_kind})},
       m_started_unix_milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(
                                       std::chrono::system_clock::now().time_since_epoch())
-                                      .count())
+                                      .count()),
+      m_caller_memory(http::derive_account_limits(
+          {m_settings->memory_bytes, m_settings->sockets, m_settings->workers}))
 {
     m_tables.dispatcher.set_fleet_view({{m_settings->name}, 1, false});
 }
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -5,6 +5,7 @@
 #include "base/ordered_mutex.hpp"
 #include "configuration/versioned_store.hpp"
 #include "decision/poison_request_detector.hpp"
+#include "http/memory_account.hpp"
 #include "http/wait_set.hpp"
 #include "services/node/node_settings.hpp"
 #include "serving/dispatcher.hpp"
@@ -95,6 +96,9 @@
     /// Signalled to send a report to the peers before the regular interval has passed.
     http::wakeup& report_due() noexcept { return m_report_due; }
 
+    /// Returns the account of what callers make this process hold.
+    http::memory_account& caller_memory() noexcept { return m_caller_memory; }
+
     void add_active_requests(int amount) noexcept { m_active_requests += amount; }
     int active_requests() const noexcept { return m_active_requests; }
     /// Start time of this process, which tells its reports from those of earlier processes.
@@ -110,6 +114,7 @@
     std::atomic<bool> m_reading_stopped{false};
     std::atomic<int> m_active_requests{0};
     std::int64_t m_started_unix_milliseconds;
+    http::memory_account m_caller_memory;
 };
 
 /// Wakes all requests that wait for a free slot. The caller must have locked the tables.
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -19,11 +19,23 @@
 // Fraction of the latency objective after which an idempotent request is hedged at a second server.
 constexpr double hedge_fraction = 0.7;
 
+// A response's memory doubles as it grows, beside its earlier copy.
+constexpr std::size_t response_growth_factor = 3;
+// Interval at which a response that waits for memory asks again.
+constexpr base::milliseconds room_poll_interval{20};
+
 base::time_point now()
 {
     return base::steady_clock_source{}.now();
 }
 
+/// Returns the events to wait for. Without room, the server's response stays unread.
+short read_events(http::client_exchange const& exchange, bool has_room)
+{
+    auto const events = exchange.poll_events();
+    return has_room ? events : static_cast<short>(events & ~POLLIN);
+}
+
 } // namespace
 
 bool plain_relay::is_idempotent() const
@@ -42,9 +54,9 @@
 {
     pending_attempt started(std::move(attempt));
     auto const& server = started.attempt.server();
-    auto const forwarded = platform::make_forwarded_request(
-        m_context.request, m_context.make_forwarded_metadata(server));
-    auto const bytes = http::write_request(forwarded);
+    auto const forwarded =
+        platform::make_forwarded_head(m_context.request, m_context.make_forwarded_metadata(server));
+    auto outgoing = http::make_outgoing(forwarded, m_context.request.body);
     bool const expect_body = m_context.request.method != "HEAD";
     std::optional<Poco::Net::StreamSocket> connection;
     // A retry opens a connection of its own: the first attempt may have failed because of a late
@@ -52,10 +64,10 @@
     if (is_idempotent() && m_context.attempts == 0)
         connection = m_pool.try_acquire(server.id, now());
     started.uses_pooled_connection = connection.has_value();
-    started.exchange =
-        connection
-            ? std::make_unique<http::client_exchange>(*connection, bytes, expect_body, now())
-            : std::make_unique<http::client_exchange>(server.address, bytes, expect_body, now());
+    started.exchange = connection ? std::make_unique<http::client_exchange>(
+                                        *connection, std::move(outgoing), expect_body, now())
+                                  : std::make_unique<http::client_exchange>(
+                                        server.address, std::move(outgoing), expect_body, now());
     ++m_context.attempts;
     ++m_context.possible_executions;
     m_context.last_server = server.id;
@@ -108,7 +120,10 @@
                 server, {exchange.closed_by_peer(), exchange.head_received(), false});
         return attempt_result::failed;
     }
-    current.body += exchange.take_body();
+    if (current.body.empty())
+        current.body = exchange.take_body();
+    else
+        current.body += exchange.take_body();
     auto const& head = exchange.head();
     auto const metadata = platform::read_response_metadata(head);
     bool const response_matches =
@@ -158,6 +173,17 @@
     return attempt_result::delivered;
 }
 
+bool plain_relay::try_hold_responses(pending_attempt const& first,
+                                     std::optional<pending_attempt> const& second)
+{
+    auto bytes = first.exchange->untaken_bytes();
+    if (second)
+        bytes += second->exchange->untaken_bytes();
+    auto& memory = m_context.caller.memory();
+    auto const held = m_context.caller.request_bytes() + response_growth_factor * bytes;
+    return memory.try_hold(held) || memory.try_hold_or_evict(held, now());
+}
+
 plain_relay::attempt_result plain_relay::await_result(pending_attempt& first,
                                                       std::optional<pending_attempt>& second)
 {
@@ -201,15 +227,18 @@
             second = start_hedge();
         poll_set.clear();
         poll_set.add(m_context.caller.descriptor(), POLLRDHUP);
-        poll_set.add(first.exchange->descriptor(), first.exchange->poll_events());
+        bool const has_room = try_hold_responses(first, second);
+        poll_set.add(first.exchange->descriptor(), read_events(*first.exchange, has_room));
         if (second)
-            poll_set.add(second->exchange->descriptor(), second->exchange->poll_events());
+            poll_set.add(second->exchange->descriptor(), read_events(*second->exchange, has_room));
         poll_set.add(shutdown_descriptor, POLLIN);
         auto wait_deadline = m_context.response_deadline();
         if (is_idempotent() && !m_hedged)
             wait_deadline = std::min(wait_deadline, std::max(hedge_time, current_time));
         if (!first.exchange->connected() || (second && !second->exchange->connected()))
             wait_deadline = std::min(wait_deadline, current_time + connect_timeout);
+        if (!has_room)
+            wait_deadline = std::min(wait_deadline, current_time + room_poll_interval);
         poll_set.wait(wait_deadline);
         if (poll_set.ready(0) != 0)
             return attempt_result::caller_left;
--- a/services/node/plain_relay.hpp
+++ b/services/node/plain_relay.hpp
@@ -56,6 +56,9 @@
     pending_attempt start(server_attempt attempt);
     /// Runs the attempts until one has a result. Starts a hedge as `second` if the first is slow.
     attempt_result await_result(pending_attempt& first, std::optional<pending_attempt>& second);
+    /// Charges what has arrived of the responses. Returns false if there is no room for more.
+    bool try_hold_responses(pending_attempt const& first,
+                            std::optional<pending_attempt> const& second);
     /// Evaluates an ended exchange, ends its attempt and forwards a usable response.
     attempt_result finish_attempt(pending_attempt& current);
     bool is_idempotent() const;
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -420,10 +420,16 @@
     if (!keep_connection)
         fields.add("Connection", "close");
     auto text = http::write_response_head(response.status, response.reason, fields);
+    std::string_view rest;
     if (!status_has_no_body && request.method != "HEAD")
-        text += response.body;
+    {
+        if (response.body.size() <= http::maximum_copied_body_bytes)
+            text += response.body;
+        else
+            rest = response.body;
+    }
     outcome = response.status / 100 == 2 ? request_outcome::served : request_outcome::server_error;
-    if (!caller.send(text, send_limits()))
+    if (!caller.send(text, send_limits()) || !caller.send(rest, send_limits()))
     {
         keep_connection = false;
         outcome = request_outcome::caller_left;
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -55,9 +55,9 @@
     metadata.resume_after = m_last_event_id;
     metadata.continue_from = continue_from;
     m_is_continuation = !continue_from.empty();
-    auto const forwarded = platform::make_forwarded_request(m_context.request, metadata);
+    auto const forwarded = platform::make_forwarded_head(m_context.request, metadata);
     m_exchange = std::make_unique<http::client_exchange>(
-        server.address, http::write_request(forwarded), true, now());
+        server.address, http::make_outgoing(forwarded, m_context.request.body), true, now());
     m_last_progress = m_exchange->start_time();
     m_event_splitter = {};
     m_head_validated = false;
--- a/tests/hostile_caller_test.cpp
+++ b/tests/hostile_caller_test.cpp
@@ -145,6 +145,24 @@
     expect_bounded_memory(idle_crowd, {head, "x", 60000});
 }
 
+// Guards against limits that refuse a single request inside the stated limits.
+TEST_F(hostile_caller_test, single_request_at_the_limit_is_served)
+{
+    auto request = make_request("POST", "/order/ok", "r-large");
+    request.body.assign(maximum_body_bytes, 'x');
+    EXPECT_EQ(call_node(m_node.ports().callers, request).status, 200);
+    auto const chunk = make_chunk(std::string(65536, 'x'));
+    std::string text = chunked_head;
+    for (std::uint64_t sent = 0; sent < maximum_body_bytes; sent += 65536)
+        text += chunk;
+    Poco::Net::StreamSocket caller(Poco::Net::SocketAddress(loopback_host, m_node.ports().callers));
+    caller.setReceiveTimeout(Poco::Timespan(20, 0));
+    send_all(caller, text + "0\r\n\r\n");
+    std::string received(4096, '\0');
+    auto const length = caller.receiveBytes(received.data(), static_cast<int>(received.size()));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received.substr(0, length);
+}
+
 TEST_F(hostile_caller_test, unread_responses)
 {
     constexpr std::uint64_t requests = 32;
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -81,6 +81,48 @@
               request_reader::state::body_too_large);
 }
 
+// Guards against a process that runs out of memory because of a body's framing.
+TEST(request_reader, limits_trailers_chunk_extensions_and_very_small_chunks)
+{
+    std::string const head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    auto const read = [&](std::string const& start, std::string const& repeated, int count)
+    {
+        request_reader reader({1000, 100000});
+        reader.feed(head + start);
+        for (int i = 0; i < count && reader.current_state() == request_reader::state::reading_body;
+             ++i)
+            reader.feed(repeated);
+        EXPECT_LE(reader.held_bytes(), 300000U);
+        return reader.current_state();
+    };
+    using enum request_reader::state;
+    EXPECT_EQ(read("1\r\nx\r\n0\r\n", "X-Trailer: abc\r\n", 100), framing_too_large);
+    EXPECT_EQ(read("1", ";name=value", 200), framing_too_large);
+    EXPECT_EQ(read("", "1;name=0123456789012345678901234567890\r\nx\r\n", 200), framing_too_large);
+    EXPECT_EQ(read("1\r\nx\r\n0\r\nX-Trailer: abc\r\n", "\r\n", 1), complete);
+    EXPECT_EQ(read("", "1\r\nx\r\n", 20000), reading_body);
+    EXPECT_EQ(read("1;name=value\r\nx\r\n0\r\n", "\r\n" + std::string(5000, 'x'), 1), complete);
+    EXPECT_EQ(read("", "10000\r\n" + std::string(65536, 'x') + "\r\n", 2), body_too_large);
+}
+
+// Guards against an account that charges less than a growing body holds.
+TEST(request_reader, states_the_bytes_that_it_will_hold)
+{
+    request_reader reader({1000, 100000});
+    reader.feed(std::string("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    std::string const piece = "400\r\n" + std::string(1024, 'x') + "\r\n";
+    for (int i = 0; i < 90; ++i)
+    {
+        auto const stated = reader.bytes_to_hold(piece.size());
+        reader.feed(piece);
+        EXPECT_LE(reader.held_bytes(), stated);
+    }
+    reader.feed(std::string("0\r\n\r\n"));
+    EXPECT_EQ(reader.take_request().body.size(), 90U * 1024);
+    reader.discard();
+    EXPECT_LE(reader.held_bytes(), 1024U);
+}
+
 TEST(response_reader, reads_bodies_framed_by_length_chunks_or_connection_close)
 {
     auto fixed = parse_response("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
