Entry: Bound the memory and the connections of callers

jasminepier-entry read bodies of up to 4 MiB from any number of callers, and each connection took two descriptors without a bound. It now uses the account of libraries/http, with the settings memory-mib and maximum-descriptors; by default these are the VM's memory and the limit of the operating system.

--- a/services/entry/front_handler.cpp
+++ b/services/entry/front_handler.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "base/log.hpp"
 #include "metrics/exposition.hpp"
+#include "services/entry/caller_memory.hpp"
 #include "services/entry/completion_handler.hpp"
 #include "services/entry/entry_metrics.hpp"
 
@@ -87,9 +88,9 @@
     return zone_availability::all_zones_in_service;
 }
 
-void send_metrics(http_response& response)
+void send_metrics(serving_state& serving, http_response& response)
 {
-    auto const text = format_entry_metrics();
+    auto const text = format_entry_metrics() + http::write_account_metrics(serving.caller_memory());
     response.setContentType(metrics::exposition_content_type);
     response.sendBuffer(text.data(), text.size());
 }
@@ -110,6 +111,7 @@
 {
     request_observation const observation(zone_availability_of(*m_state.snapshot()));
     active_request_guard const request_guard(m_serving);
+    served_request const served;
     response.set("X-Request-Id", base::random_id());
     // During shutdown the process will close its connections, so callers must not reuse them.
     if (m_serving.phase() != shutdown_phase::serving)
@@ -142,7 +144,7 @@
     if (path == "/health")
         return send_json(response, 200, new Poco::JSON::Object), base::result<void>{};
     if (path == "/metrics")
-        return send_metrics(response), base::result<void>{};
+        return send_metrics(m_serving, response), base::result<void>{};
     if (!m_state.ready())
         return base::fail(base::error_kind::not_ready, "no configuration has been received");
     if (path == "/v1/entry-addresses")
--- a/services/entry/http_messages.cpp
+++ b/services/entry/http_messages.cpp
@@ -1,7 +1,13 @@
 #include "services/entry/http_messages.hpp"
 
+#include "base/clock.hpp"
+#include "services/entry/caller_memory.hpp"
+
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <optional>
+#include <thread>
 
 namespace jasminepier::entry
 {
@@ -14,6 +20,62 @@
     return request.getChunkedTransferEncoding() || request.hasContentLength();
 }
 
+// A body exists a second time while its memory grows, and later in the request that is sent on.
+constexpr std::size_t copies = 2;
+constexpr std::chrono::milliseconds room_poll_interval{20};
+
+/// Charges a body that is being received to the connection of the calling thread.
+class body_memory
+{
+public:
+    explicit body_memory(std::optional<std::size_t> announced_bytes)
+        : m_announced_bytes(announced_bytes)
+    {
+        if (m_holder != nullptr)
+            m_holder->set_stage(http::holder_stage::receiving);
+    }
+    body_memory(body_memory const&) = delete;
+    body_memory& operator=(body_memory const&) = delete;
+    ~body_memory()
+    {
+        if (m_holder == nullptr)
+            return;
+        m_holder->set_stage(http::holder_stage::serving);
+        if (!m_kept)
+            m_holder->try_hold(0);
+    }
+    /// Waits until `body` can grow by `count` bytes, and adds the time to `end`. Returns false if
+    /// the connection is evicted.
+    bool make_room(std::string& body, std::size_t count, base::time_point& end)
+    {
+        if (m_holder == nullptr)
+            return true;
+        auto const needed = body.size() + count;
+        if (needed <= body.capacity())
+            return !m_holder->evicted();
+        auto const start = base::steady_clock_source{}.now();
+        m_holder->record_progress(start);
+        auto const capacity =
+            std::max(m_announced_bytes.value_or(body.capacity() + body.capacity() / 2), needed);
+        while (!m_holder->evicted() &&
+               !m_holder->try_hold_or_evict(copies * capacity, base::steady_clock_source{}.now()))
+            std::this_thread::sleep_for(room_poll_interval);
+        if (m_holder->evicted())
+            return false;
+        body.reserve(capacity);
+        end += base::steady_clock_source{}.now() - start;
+        return true;
+    }
+    bool evicted() const { return m_holder != nullptr && m_holder->evicted(); }
+    /// Leaves the body charged until the request ends.
+    void keep() noexcept { m_kept = true; }
+
+private:
+    http::memory_holder* m_holder = current_caller_memory();
+    std::optional<std::size_t> m_announced_bytes;
+    bool m_kept = false;
+};
+
 } // namespace
 
 void send_json(http_response& response, int status, base::json_object const& body)
@@ -55,21 +117,28 @@
         return too_large();
     if (!has_body(request))
         return std::string{};
-    auto const end = std::chrono::steady_clock::now() + maximum_body_time;
+    body_memory memory(announced < 0 ? std::nullopt
+                                     : std::optional(static_cast<std::size_t>(announced)));
+    auto end = base::steady_clock_source{}.now() + maximum_body_time;
     std::string body;
     std::array<char, 8192> buffer{};
     auto& in = request.stream();
     while (in.peek() != std::char_traits<char>::eof())
     {
+        if (!memory.make_room(body, buffer.size(), end))
+            break;
         auto const count = in.readsome(buffer.data(), buffer.size());
         body.append(buffer.data(), static_cast<std::size_t>(count));
         if (body.size() > maximum_body_bytes)
             return too_large();
-        if (std::chrono::steady_clock::now() > end)
+        if (base::steady_clock_source{}.now() > end)
             return base::fail(base::error_kind::bad_request, "the body arrived too slowly");
     }
+    if (memory.evicted())
+        return base::fail(base::error_kind::overloaded, "no memory is left for the body");
     if (announced >= 0 && static_cast<Poco::Int64>(body.size()) != announced)
         return base::fail(base::error_kind::bad_request, "the body is incomplete");
+    memory.keep();
     return body;
 }
 
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -4,22 +4,29 @@
 #include "base/process_signals.hpp"
 #include "base/settings.hpp"
 #include "inner_protocol/rpc.hpp"
+#include "services/entry/caller_memory.hpp"
 #include "services/entry/control_link.hpp"
 #include "services/entry/entry_peer_handler.hpp"
 #include "services/entry/front_handler.hpp"
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
+#include <algorithm>
+
 namespace
 {
 
 using namespace jasminepier;
 
+constexpr std::size_t bytes_per_mebibyte = std::size_t{1024} * 1024;
+// Serve connections that close others because the bound is reached, until these have ended.
+constexpr int spare_workers = 16;
+
 /// Waits until the addresses cached by callers have expired, then rejects new requests and waits
 /// for running ones; see docs/design.md section 4.4. A `drain_limit` of 0 means no limit.
 void shut_down_gracefully(entry::serving_state& serving, entry::plain_calls const& plain,
-                          Poco::Net::HTTPServer& server, std::chrono::seconds drain_limit)
+                          Poco::Net::TCPServer& server, std::chrono::seconds drain_limit)
 {
     constexpr std::chrono::seconds address_margin{5};
     // Covers the five minutes in which a service may respond to a non-idempotent call, and
@@ -95,6 +102,8 @@
     int engine_silence_milliseconds =
         static_cast<int>(serving_settings.engine_silence_timeout.count());
     int drain_limit = 0;
+    int memory_mebibytes = 0;
+    int maximum_descriptors = 0;
     parser
         .add("engine-silence-milliseconds", engine_silence_milliseconds,
              "Milliseconds without data from an engine before its stream is resumed")
@@ -107,6 +116,16 @@
         .add("drain-limit", drain_limit,
              "Seconds that a graceful shutdown waits for active requests; 0 means no limit")
         ->check(base::in_range<std::int64_t>(0, 86400));
+    parser
+        .add("memory-mib", memory_mebibytes,
+             "Resident memory that callers must not make the process exceed, MiB; 0 means that of "
+             "the VM")
+        ->check(base::in_range<std::int64_t>(0, 16777216));
+    parser
+        .add("maximum-descriptors", maximum_descriptors,
+             "Descriptors that callers must not make the process exceed; 0 means the limit of the "
+             "operating system")
+        ->check(base::in_range<std::int64_t>(0, 16777216));
     if (auto status = parser.parse_command_line(argc, argv))
         return *status;
     base::configure_logging(parser.minimum_log_level());
@@ -114,7 +133,16 @@
     serving_settings.engine_silence_timeout =
         std::chrono::milliseconds(engine_silence_milliseconds);
     serving_settings.local_address = host + ":" + std::to_string(entry_port);
+    serving_settings.process = http::read_process_limits();
+    if (memory_mebibytes > 0)
+        serving_settings.process.memory_bytes =
+            static_cast<std::size_t>(memory_mebibytes) * bytes_per_mebibyte;
+    if (maximum_descriptors > 0)
+        serving_settings.process.sockets = maximum_descriptors;
+    serving_settings.process.workers = workers;
+    http::return_freed_memory();
     entry::serving_state serving(serving_settings);
+    auto const& caller_limits = serving.caller_memory().limits();
     entry::entry_state state(node_id, serving.shutdown());
     entry::control_link link(state, serving, host, control_port);
     base::periodic_thread const control_exchange_thread(std::chrono::milliseconds(200),
@@ -123,15 +151,19 @@
     inner_protocol::rpc_server const peers(std::make_shared<inner_protocol::entry_nodeProcessor>(
                                                std::make_shared<entry::entry_peer_handler>(plain)),
                                            host, entry_peer_port);
-    Poco::ThreadPool pool(16, workers);
-    auto* parameters = new Poco::Net::HTTPServerParams;
-    parameters->setMaxThreads(workers);
-    parameters->setMaxQueued(workers);
+    auto const threads = caller_limits.connections + spare_workers;
+    Poco::ThreadPool pool(16, std::max(threads, 16));
+    Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
+    parameters->setMaxThreads(threads);
+    parameters->setMaxQueued(caller_limits.queued_connections);
     // Limits how long an idle caller occupies a worker.
     parameters->setTimeout(Poco::Timespan(20, 0));
     Poco::Net::ServerSocket const socket(Poco::Net::SocketAddress(host, entry_port), 1024);
-    Poco::Net::HTTPServer server(new entry::front_handler_factory({state, serving, plain, link}),
-                                 pool, socket, parameters);
+    Poco::Net::TCPServer server(
+        new entry::caller_connection_factory(
+            serving.caller_memory(), parameters,
+            new entry::front_handler_factory({state, serving, plain, link})),
+        pool, socket, parameters);
     server.start();
     base::wait_for_shutdown_signal();
     shut_down_gracefully(serving, plain, server, std::chrono::seconds(drain_limit));
--- a/services/entry/serving_state.hpp
+++ b/services/entry/serving_state.hpp
@@ -4,6 +4,7 @@
 #include "base/ordered_mutex.hpp"
 #include "decision/poison_request_detector.hpp"
 #include "decision/retry_policy.hpp"
+#include "http/memory_account.hpp"
 #include "serving/process_shutdown.hpp"
 
 #include <atomic>
@@ -32,14 +33,22 @@
     int address_time_to_live_seconds = 30;
     /// Address of this node, omitted from address responses once it is leaving.
     std::string local_address;
+    /// Limits on what callers may make this process hold.
+    http::process_limits process;
 };
 
 class serving_state
 {
 public:
-    explicit serving_state(serving_settings settings) : m_settings(std::move(settings)) {}
+    explicit serving_state(serving_settings settings)
+        : m_settings(std::move(settings)),
+          m_caller_memory(http::derive_account_limits(m_settings.process))
+    {
+    }
 
     serving_settings const& settings() const noexcept { return m_settings; }
+    /// Returns the account of what callers make this process hold.
+    http::memory_account& caller_memory() noexcept { return m_caller_memory; }
     decision::retry_budgets& budgets() noexcept { return m_budgets; }
     decision::poison_request_detector& poison_requests() noexcept { return m_poison_requests; }
 
@@ -68,6 +77,7 @@
 
 private:
     serving_settings m_settings;
+    http::memory_account m_caller_memory;
     decision::retry_budgets m_budgets;
     decision::poison_request_detector m_poison_requests;
     mutable base::ordered_mutex<base::lock_level::live_nodes> m_live_nodes_mutex;
