HTTP, Node: Wait anew for room after each charge, send responses before an eviction

A connection that had got room in between counted its earlier wait, and an evicted connection could lose a response that its caller had not taken yet.

--- a/libraries/http/memory_account.cpp
+++ b/libraries/http/memory_account.cpp
@@ -200,24 +200,24 @@
 {
     if (bytes <= uncharged_bytes)
         bytes = 0;
-    if (bytes == m_held)
-        return true;
     if (bytes > m_held && !m_account.try_add(*this, bytes - m_held))
         return false;
     if (bytes < m_held)
         m_account.m_used -= m_held - bytes;
-    m_held = bytes;
+    if (bytes != m_held)
+        m_held = bytes;
+    if (m_waiting_since)
+    {
+        m_waiting_since.reset();
+        m_waits = false;
+    }
     return true;
 }
 
 bool memory_holder::try_hold_or_evict(std::size_t bytes, base::time_point now)
 {
     if (try_hold(bytes))
-    {
-        m_waiting_since.reset();
-        m_waits = false;
         return true;
-    }
     if (!m_waiting_since)
         m_waiting_since = now;
     m_waits = true;
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -138,8 +138,15 @@
 
 void caller_session::send_read_error(http::caller_connection& caller, http::read_outcome outcome)
 {
+    constexpr std::chrono::seconds timeout{1};
+    http::send_limits const send_limits{timeout, base::steady_clock_source{}.now() + timeout};
     if (outcome == http::read_outcome::evicted)
+    {
         observe_event("caller_closed", http::to_string(caller.memory().cause()));
+        // The caller may not have taken the last response yet.
+        if (caller.unacknowledged_bytes() > 0)
+            caller.close_gracefully(send_limits);
+    }
     auto const kind = error_for(outcome);
     if (!kind)
         return;
@@ -158,8 +165,6 @@
     fields.add("Connection", "close");
     if (error_response.retry_after_seconds > 0)
         fields.add("Retry-After", std::to_string(error_response.retry_after_seconds));
-    constexpr std::chrono::seconds timeout{1};
-    http::send_limits const send_limits{timeout, base::steady_clock_source{}.now() + timeout};
     if (caller.send(http::write_response_head(error_response.http_status, "", fields), send_limits))
         caller.close_gracefully(send_limits);
 }
