Serving, Node: Roll-outs of a service to another version

An order of the operator moves a service to the servers of another version. Each node computes the stage from the order, the time and the sums of the reports; the first live node in rendezvous order writes the state under a condition. Only deployments whose settings state exposure_share watch the orders.

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -179,12 +179,17 @@
 // route. The counts only grow, so the latest report of each source is enough.
 struct version_outcomes {
   1: i32 service_hash,            // short hash of the service's name
-  2: i64 order_revision,          // the store's revision of the roll-out's order
+  2: i64 order_revision,          // identifies the roll-out's order, as long as it exists
   3: bool new_version,            // the version that the order names; otherwise all others
   4: i32 route_hash,              // short hash of the route's name
   5: i32 requests,
   6: i32 failures,
   7: i32 slow_responses,
+  8: optional i32 server_group,       // servers of the new version are counted in a few groups
+  9: optional i32 sent,               // requests, whatever became of them
+  // Only in the first entry of an order.
+  10: optional i32 age_milliseconds,  // time since the order
+  11: optional bool stopped,          // the sender no longer selects the new version
 }
 
 // Requests of one service that wait at a node for room.
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -206,7 +206,8 @@
                                                    base::time_point now) const
 {
     auto const& id = server.entry.id;
-    if (!is_usable(server.phase))
+    if (!is_usable(server.phase) ||
+        admit_version(server, query, now) == version_admission::excluded)
         return exclusion_reason::leaving;
     if (m_evacuated_zones.contains(server.entry.zone))
         return exclusion_reason::zone_evacuated;
@@ -280,6 +281,7 @@
     {
         listed_server const* server;
         combined_load load;
+        version_admission admission;
     };
     std::vector<candidate> candidates;
     double attempts = 0;
@@ -308,10 +310,11 @@
             next_permitted_start = std::min(end, next_permitted_start.value_or(end));
         }
         if (reason == exclusion_reason::none)
-            candidates.push_back({&server, load});
+            candidates.push_back({&server, load, admit_version(server, query, now)});
         else if (recovery_rank(reason) < recovery_rank(result.reason))
             result.reason = reason;
     }
+    keep_highest_admission(candidates);
     if (candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated &&
         m_directory.may_miss_servers(now))
         result.reason = exclusion_reason::unlisted;
@@ -354,7 +357,9 @@
     ++local_usage.running;
     local_usage.reserved_tokens += demand.prompt_tokens + demand.expected_output_tokens;
     local_usage.unread_prompt_tokens += demand.prompt_tokens;
-    m_attempts.emplace(id, attempt_record{server, demand, false, false, std::move(on_leaving)});
+    m_attempts.emplace(id,
+                       attempt_record{server, demand, false, false, std::move(on_leaving), now});
+    record_version_sent(server, demand);
     auto& recent_attempt_times = m_server_health[server].recent_attempt_times;
     while (!recent_attempt_times.empty() &&
            recent_attempt_times.front() <= now - server_rate_limits::window)
@@ -378,12 +383,13 @@
     return addresses;
 }
 
-void dispatcher::record_first_event(attempt_id id)
+void dispatcher::record_first_event(attempt_id id, std::optional<base::time_point> now)
 {
     auto const found = m_attempts.find(id);
     if (found == m_attempts.end() || found->second.first_event)
         return;
     found->second.first_event = true;
+    found->second.first_event_time = now;
     m_local_usage[found->second.server].unread_prompt_tokens -= found->second.demand.prompt_tokens;
 }
 
@@ -400,6 +406,7 @@
     local_usage.reserved_tokens -= demand.prompt_tokens + demand.expected_output_tokens;
     if (local_usage.running == 0)
         m_local_usage.erase(server);
+    record_version_answer(found->second, outcome, now);
     m_attempts.erase(found);
     record_outcome(server, outcome, now);
 }
@@ -439,7 +446,8 @@
 bool dispatcher::is_leaving(std::string const& server) const
 {
     auto const found = m_directory.servers().find(server);
-    return found == m_directory.servers().end() || !is_usable(found->second.phase);
+    return found == m_directory.servers().end() || !is_usable(found->second.phase) ||
+           m_rollouts.retires(found->second.entry.service, found->second.entry.version);
 }
 
 void dispatcher::notify_leaving()
@@ -464,6 +472,7 @@
 void dispatcher::add_request(std::string const& service, base::time_point now)
 {
     m_retry_budgets[service].add_request(now);
+    m_rollouts.add_request(service);
 }
 
 bool dispatcher::try_spend_retry(std::string const& service, base::time_point now)
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "serving/node_retry_budget.hpp"
 #include "serving/outcome_history.hpp"
 #include "serving/peer_load_table.hpp"
+#include "serving/rollout_table.hpp"
 #include "serving/server_directory.hpp"
 #include "serving/server_load.hpp"
 #include "serving/server_rate_limits.hpp"
@@ -31,13 +32,15 @@
     std::int64_t expected_output_tokens = 0;
     /// 0 is the most urgent.
     int priority = 0;
+    /// Name of the route, by which versions of a service are compared.
+    std::string route{};
 };
 
 /// Why a server cannot be selected for a request.
 enum class exclusion_reason
 {
     none,
-    /// The server drains or was removed.
+    /// The server drains or was removed, or its version gets no requests during a roll-out.
     leaving,
     zone_evacuated,
     /// The last connection failed and its backoff has not ended.
@@ -195,7 +198,7 @@
     /// Addresses of the engines that run this node's requests, by server id.
     std::map<std::string, std::string> servers_in_use() const;
     /// Records that the prompt has been read, which ends its share of the prefill backlog.
-    void record_first_event(attempt_id id);
+    void record_first_event(attempt_id id, std::optional<base::time_point> now = std::nullopt);
     void end_attempt(attempt_id id, attempt_outcome outcome, base::time_point now);
     /// Records an outcome without ending an attempt.
     void record_outcome(std::string const& server, attempt_outcome outcome, base::time_point now);
@@ -210,7 +213,7 @@
     /// Records that the server wants no requests from this node for `pause`. A shorter pause does
     /// not end a longer one.
     void record_pause(std::string const& server, base::milliseconds pause, base::time_point now);
-    /// True if the server drains or was removed.
+    /// True if the server drains or was removed, or if a roll-out ends its work.
     bool is_leaving(std::string const& server) const;
     /// Calls `on_leaving` of every attempt whose server drains or was removed.
     void notify_leaving();
@@ -244,6 +247,14 @@
     /// zones. Only meaningful if the nodes of a zone report among themselves.
     std::vector<server_load> zone_loads(base::time_point now) const;
 
+    /// Orders to move services to other versions.
+    rollout_table& rollouts() noexcept { return m_rollouts; }
+    rollout_table const& rollouts() const noexcept { return m_rollouts; }
+    void apply_rollout(rollout_order const& order, base::time_point now,
+                       std::int64_t unix_milliseconds);
+    /// Called several times a second if roll-outs are enabled. Returns what has changed.
+    std::vector<rollout_step> advance_rollouts(base::time_point now);
+
     /// The priorities of waiting requests. A request must not be sent while a more urgent one
     /// waits for the same service.
     void add_waiting(std::string const& service, int priority);
@@ -258,6 +269,8 @@
         bool first_event = false;
         bool can_hand_over = false;
         std::function<void()> on_leaving;
+        base::time_point started{};
+        std::optional<base::time_point> first_event_time = std::nullopt;
     };
     struct usage
     {
@@ -283,6 +296,12 @@
         int unreachable_report_count = 0;
     };
 
+    version_admission admit_version(listed_server const& server, selection_query const& query,
+                                    base::time_point now) const;
+    void record_version_sent(std::string const& server, request_demand const& demand);
+    /// Records the result of an attempt as evidence of its server's version.
+    void record_version_answer(attempt_record const& attempt, attempt_outcome outcome,
+                               base::time_point now);
     base::milliseconds estimate_copy_duration(std::string const& server, std::int64_t tokens) const;
     combined_load combine_loads(listed_server const& server, base::time_point now) const;
     /// This node's share of a number of requests that all nodes together may send to a server.
@@ -328,6 +347,7 @@
     std::unordered_map<std::string, server_health> m_server_health;
     peer_load_table m_peer_loads;
     server_rate_limits m_rate_limits;
+    mutable rollout_table m_rollouts;
     std::map<std::string, node_retry_budget> m_retry_budgets;
     std::map<std::string, std::multiset<int>> m_waiting;
 };
--- /dev/null
+++ b/libraries/serving/rollout_evidence.cpp
@@ -0,0 +1,254 @@
+#include "serving/rollout_evidence.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <set>
+
+namespace jasminepier::serving
+{
+namespace
+{
+
+using base::milliseconds;
+
+constexpr milliseconds snapshot_interval{500};
+// The whole time since the order is compared, too; a version that turns bad shows in short spans.
+constexpr std::array spans{milliseconds(3000), milliseconds(10000), milliseconds(30000)};
+// Negative logarithm of the probability that a good version shows what was seen. A roll-out makes
+// some thousands of comparisons, most of them of nearly the same counts.
+constexpr double required_evidence = 14;
+// The same without the worst group of servers.
+constexpr double required_evidence_without_worst_group = 6;
+constexpr std::int64_t minimum_bad_answers = 5;
+constexpr std::int64_t minimum_bad_answers_without_worst_group = 3;
+// Smaller differences are not a fault of the version.
+constexpr double minimum_failure_excess = 0.06;
+constexpr double minimum_slow_excess = 0.12;
+// Lower limits of the old version's rate, whose own failures come in bursts.
+constexpr double minimum_failure_rate = 0.01;
+constexpr double minimum_slow_rate = 0.03;
+// The same if the old version has no answers in the same span: overload may be the reason.
+constexpr double unmatched_failure_rate = 0.1;
+constexpr double unmatched_slow_rate = 0.25;
+constexpr std::int64_t minimum_matched_answers = 20;
+// The old version's rate is taken this many standard deviations above its estimate.
+constexpr double rate_deviations = 2;
+// Part of the expected answers of a route with little traffic that has to be there.
+constexpr double expected_answer_fraction = 0.3;
+
+struct sample
+{
+    std::int64_t answers = 0;
+    std::int64_t bad = 0;
+};
+
+sample make_sample(outcome_counts const& counts, bad_sign sign)
+{
+    return {counts.answers, sign == bad_sign::failures ? counts.failures : counts.slow};
+}
+
+double rate_of(sample const& seen)
+{
+    return seen.answers > 0 ? static_cast<double>(seen.bad) / static_cast<double>(seen.answers) : 0;
+}
+
+double upper_rate(sample const& seen)
+{
+    auto const count = static_cast<double>(seen.answers) + 1;
+    auto const rate = (static_cast<double>(seen.bad) + 0.5) / count;
+    return rate + rate_deviations * std::sqrt(std::max(rate * (1 - rate), 0.0) / count);
+}
+
+/// Chernoff's bound on the probability of so many bad answers at the given rate, as a negative
+/// logarithm; 0 if there are not more than expected.
+double evidence_against(sample const& seen, double rate)
+{
+    auto const observed = rate_of(seen);
+    if (seen.answers == 0 || observed <= rate)
+        return 0;
+    auto divergence = observed * std::log(observed / rate);
+    if (observed < 1)
+        divergence += (1 - observed) * std::log((1 - observed) / (1 - rate));
+    return static_cast<double>(seen.answers) * divergence;
+}
+
+outcome_counts find_counts(evidence_table const& table, evidence_key const& key)
+{
+    auto const found = table.find(key);
+    return found == table.end() ? outcome_counts{} : found->second;
+}
+
+/// Counts of one route within a span.
+struct route_sample
+{
+    sample target;
+    sample others;
+    std::array<sample, rollout_evidence::group_count> groups;
+};
+
+} // namespace
+
+outcome_counts& outcome_counts::operator+=(outcome_counts const& other) noexcept
+{
+    sent += other.sent;
+    answers += other.answers;
+    failures += other.failures;
+    slow += other.slow;
+    return *this;
+}
+
+outcome_counts outcome_counts::operator-(outcome_counts const& other) const noexcept
+{
+    return {sent - other.sent, answers - other.answers, failures - other.failures,
+            slow - other.slow};
+}
+
+void rollout_evidence::add(evidence_key const& key, outcome_counts const& counts)
+{
+    m_own[key] += counts;
+    m_totals[key] += counts;
+}
+
+void rollout_evidence::merge(evidence_source const& source, evidence_table const& counts)
+{
+    auto const zone_source = evidence_source{source.zone, "", 0};
+    if (!source.is_zone() && m_reported.contains(zone_source))
+        return;
+    if (source.is_zone() && !m_reported.contains(source))
+        for (auto& [other, table] : m_reported)
+            if (other.zone == source.zone)
+            {
+                for (auto const& [key, value] : table)
+                    m_totals[key] = m_totals[key] - value;
+                table.clear();
+            }
+    auto& known = m_reported[source];
+    for (auto const& [key, value] : counts)
+    {
+        auto& stored = known[key];
+        outcome_counts const grown{
+            std::max(stored.sent, value.sent), std::max(stored.answers, value.answers),
+            std::max(stored.failures, value.failures), std::max(stored.slow, value.slow)};
+        m_totals[key] += grown - stored;
+        stored = grown;
+    }
+}
+
+evidence_table rollout_evidence::zone_sum() const
+{
+    auto sum = m_own;
+    for (auto const& [source, table] : m_reported)
+        if (!source.is_zone())
+            for (auto const& [key, value] : table)
+                sum[key] += value;
+    return sum;
+}
+
+version_sums rollout_evidence::sums() const
+{
+    version_sums result;
+    for (auto const& [key, value] : m_totals)
+        (key.is_target ? result.target : result.others) += value;
+    return result;
+}
+
+bool rollout_evidence::has_seen_routes(std::int64_t answers, double share) const
+{
+    std::map<std::int32_t, version_sums> routes;
+    for (auto const& [key, value] : m_totals)
+        (key.is_target ? routes[key.route].target : routes[key.route].others) += value;
+    return std::all_of(routes.begin(), routes.end(),
+                       [&](auto const& item)
+                       {
+                           auto const expected = static_cast<std::int64_t>(
+                               expected_answer_fraction * share *
+                               static_cast<double>(item.second.others.answers));
+                           return item.second.target.answers >= std::min(answers, expected);
+                       });
+}
+
+void rollout_evidence::take_snapshot(base::time_point now)
+{
+    if (!m_history.empty() && now < m_history.back().time + snapshot_interval)
+        return;
+    m_history.push_back({now, m_totals});
+    while (m_history.size() > 1 && m_history[1].time + spans.back() <= now)
+        m_history.pop_front();
+}
+
+std::optional<rollout_finding> rollout_evidence::judge(base::time_point now,
+                                                       bool has_several_servers) const
+{
+    std::set<std::int32_t> routes;
+    for (auto const& [key, value] : m_totals)
+        if (key.is_target)
+            routes.insert(key.route);
+    evidence_table const nothing;
+    auto const sample_route = [&](evidence_table const& before, std::int32_t route, bad_sign sign)
+    {
+        route_sample result;
+        auto const difference = [&](evidence_key const& key)
+        { return make_sample(find_counts(m_totals, key) - find_counts(before, key), sign); };
+        result.others = difference({false, route, 0});
+        for (std::int32_t group = 0; group < group_count; ++group)
+        {
+            auto& seen = result.groups[static_cast<std::size_t>(group)];
+            seen = difference({true, route, group});
+            result.target.answers += seen.answers;
+            result.target.bad += seen.bad;
+        }
+        return result;
+    };
+    auto const compare = [&](evidence_table const& before, milliseconds span, std::int32_t route,
+                             bad_sign sign) -> std::optional<rollout_finding>
+    {
+        bool const is_failure = sign == bad_sign::failures;
+        auto const seen = sample_route(before, route, sign);
+        if (seen.target.bad < minimum_bad_answers)
+            return std::nullopt;
+        bool const matched = seen.others.answers >= minimum_matched_answers;
+        auto const baseline = matched ? seen.others : sample_route(nothing, route, sign).others;
+        auto const floor = is_failure ? (matched ? minimum_failure_rate : unmatched_failure_rate)
+                                      : (matched ? minimum_slow_rate : unmatched_slow_rate);
+        auto const rate = std::min(std::max(upper_rate(baseline), floor), 0.99);
+        auto const excess = is_failure ? minimum_failure_excess : minimum_slow_excess;
+        if (rate_of(seen.target) < rate_of(baseline) + excess ||
+            evidence_against(seen.target, rate) < required_evidence)
+            return std::nullopt;
+        if (has_several_servers)
+        {
+            auto rest = seen.target;
+            auto const worst =
+                std::max_element(seen.groups.begin(), seen.groups.end(),
+                                 [](auto const& a, auto const& b) { return a.bad < b.bad; });
+            rest.answers -= worst->answers;
+            rest.bad -= worst->bad;
+            if (rest.bad < minimum_bad_answers_without_worst_group ||
+                evidence_against(rest, rate) < required_evidence_without_worst_group)
+                return std::nullopt;
+        }
+        return rollout_finding{
+            route,       sign, span, seen.target.answers, seen.target.bad, baseline.answers,
+            baseline.bad};
+    };
+    for (auto const route : routes)
+        for (auto const sign : {bad_sign::failures, bad_sign::slow_answers})
+        {
+            if (auto found = compare(nothing, milliseconds(0), route, sign))
+                return found;
+            for (auto const span : spans)
+            {
+                auto const before =
+                    std::find_if(m_history.rbegin(), m_history.rend(),
+                                 [&](auto const& item) { return item.time + span <= now; });
+                if (before == m_history.rend())
+                    break;
+                if (auto found = compare(before->totals, span, route, sign))
+                    return found;
+            }
+        }
+    return std::nullopt;
+}
+
+} // namespace jasminepier::serving
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -32,6 +32,8 @@
     std::int64_t started_unix_milliseconds = 0;
     /// The store's revision of the entry.
     std::int64_t revision = 0;
+    /// Version of the server's software; empty if the entry states none.
+    std::string version{};
 };
 
 enum class server_phase
--- a/libraries/store/http_object_store.hpp
+++ b/libraries/store/http_object_store.hpp
@@ -81,6 +81,12 @@
     {
         return write(Dialect::update(without_epoch(changed)), changed);
     }
+    /// Replaces the object's status, which `changed.value` holds, under the same condition. Only
+    /// for dialects whose objects have a status.
+    write_outcome update_status(object const& changed)
+    {
+        return write(Dialect::update_status(without_epoch(changed)), changed);
+    }
     /// Deletes the object if the stored version is still `existing.version`.
     write_outcome remove(object const& existing)
     {
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -174,6 +174,7 @@
     context.demand.priority = context.customer && context.customer->priority
                                   ? *context.customer->priority
                                   : route.priority;
+    context.demand.route = route.name;
     context.deadline =
         context.arrival + std::min(context.metadata.timeout.value_or(route.timeout), route.timeout);
     auto const now = base::steady_clock_source{}.now();
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -10,6 +10,7 @@
 #include "services/node/node_state.hpp"
 #include "services/node/peer_link.hpp"
 #include "services/node/peer_object_sync.hpp"
+#include "services/node/rollout_agent.hpp"
 #include "services/node/server_crashes.hpp"
 #include "services/node/server_prober.hpp"
 #include "services/node/settings_reloader.hpp"
@@ -136,6 +137,9 @@
                                       { peers.publish_changes(changes); });
     node::peer_object_sync const object_sync(state);
     node::server_prober const prober(state);
+    std::optional<node::rollout_agent> rollouts;
+    if (settings.rollouts)
+        rollouts.emplace(state);
     base::periodic_thread const maintenance(std::chrono::milliseconds(1000),
                                             [&]
                                             {
--- a/services/node/node_settings.hpp
+++ b/services/node/node_settings.hpp
@@ -3,8 +3,10 @@
 
 #include "base/clock.hpp"
 #include "serving/node_retry_budget.hpp"
+#include "serving/rollout.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,8 @@
     /// Maximum time for which callers may cache a list of addresses.
     base::milliseconds maximum_address_ttl{5000};
     serving::retry_budget_limits retry_limits;
+    /// Unset if the deployment has no roll-outs.
+    std::optional<serving::rollout_limits> rollouts;
 };
 
 } // namespace jasminepier::node
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -35,6 +35,8 @@
                                       std::chrono::system_clock::now().time_since_epoch())
                                       .count())
 {
+    if (m_settings->rollouts)
+        m_tables.dispatcher.rollouts().enable(*m_settings->rollouts, m_tables.random());
     m_tables.dispatcher.set_fleet_view({{m_settings->name}, 1, false});
 }
 
--- a/services/node/object_updates.cpp
+++ b/services/node/object_updates.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "platform/objects.hpp"
 #include "services/node/node_metrics.hpp"
+#include "services/node/rollout_agent.hpp"
 #include "store/object_version.hpp"
 
 #include <algorithm>
@@ -215,6 +216,8 @@
         apply_zone_changes(state, page);
     else if (kind == platform::node_kind)
         apply_node_changes(state, page);
+    else if (kind == platform::rollout_kind)
+        apply_rollout_changes(state, page);
 }
 
 } // namespace
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "inner_protocol/conversion.hpp"
 #include "services/node/node_metrics.hpp"
 #include "services/node/object_updates.hpp"
+#include "services/node/rollout_reports.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -172,7 +173,10 @@
             report = make_report(tables);
             // Changes and loads together could exceed a datagram.
             if (changes.empty())
+            {
                 report.uses = to_messages(tables.dispatcher.local_loads(now));
+                add_rollouts(report, tables.dispatcher.rollouts(), false, now);
+            }
             peers = tables.nodes.report_recipients();
             // Each zone also has followers of its own; this covers their failure.
             if (!changes.empty())
@@ -275,6 +279,7 @@
                     part.uses.push_back(to_message(loads[k]));
                 parts.push_back(std::move(part));
             }
+            add_rollouts(parts.back(), tables.dispatcher.rollouts(), true, now);
         });
     if (!parts.empty())
         add_crashes(parts.back());
@@ -407,6 +412,9 @@
             if (!is_new || !report.news.empty())
                 return;
             bool const same_zone = report.zone == tables.nodes.self().zone;
+            if (!(is_summary && same_zone) &&
+                (is_summary || same_zone || !tables.nodes.is_large_fleet()))
+                apply_rollouts(report, tables.dispatcher.rollouts(), now);
             if (is_summary && !same_zone)
             {
                 tables.nodes.apply_zone_summary(
--- a/services/node/store_watcher.cpp
+++ b/services/node/store_watcher.cpp
@@ -43,6 +43,8 @@
 {
     for (auto const& kind : watched_kinds())
         std::thread([this, &kind] { watch_kind(kind); }).detach();
+    if (m_state.settings()->rollouts)
+        std::thread([this] { watch_kind(platform::rollout_kind); }).detach();
 }
 
 bool store_watcher::wait_until_follower(std::string const& kind)
