--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/engine_calls.hpp"
 #include "platform/headers.hpp"
 #include "platform/objects.hpp"
+#include "platform/rollouts.hpp"
 #include "platform/settings.hpp"
 #include "platform/store_dialect.hpp"
 #include "services/node/peer_link.hpp"
@@ -228,6 +229,32 @@
         EXPECT_FALSE(parse_server({"servers", "i-1", 3, text, false})) << text;
 }
 
+// Guards against orders that move a service by mistake, and against a state of an earlier order.
+TEST(platform_objects, decodes_orders_of_rollouts)
+{
+    auto const parse = [](std::string const& value) {
+        return parse_rollout({rollout_kind, "shop", 9, value, false});
+    };
+    std::string const spec = R"({"spec":{"service":"shop","to":"v2","duration_s":60},)";
+    auto const order =
+        parse(spec + R"("status":{"state":"rolled_back","to":"v2","started_ms":5},"created":3})");
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->duration, base::milliseconds(60000));
+    EXPECT_EQ(order->written, serving::rollout_state::rolled_back);
+    auto const again = parse(spec + R"("status":{"state":"completed","to":"v1"},"created":4})");
+    ASSERT_TRUE(again);
+    EXPECT_FALSE(again->written);
+    EXPECT_NE(again->id, order->id);
+    for (auto const* const text :
+         {"", "{}", R"({"spec":{"service":"shop","to":"v2","duration_s":0}})",
+          R"({"spec":{"service":"shop","to":"v2","duration_s":-1}})",
+          R"({"spec":{"service":"shop","to":"v2","duration_s":"60"}})",
+          R"({"spec":{"service":"shop","to":"","duration_s":60}})",
+          R"({"spec":{"service":"shop","to":2,"duration_s":60}})",
+          R"({"spec":{"service":"other","to":"v2","duration_s":60}})"})
+        EXPECT_FALSE(parse(text)) << text;
+}
+
 TEST(platform_store, builds_requests_and_parses_pages)
 {
     EXPECT_EQ(store_dialect::list("servers", "i-1").path, "/objects/servers?after_revision=i-1");
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -170,6 +170,8 @@
 {
     auto const id = std::string(request.headers.find("Attempt-Id").value_or(""));
     auto fields = make_fields(id);
+    if (action == "ok" && m_fails)
+        return send(socket, 500, fields, "failed");
     if (action == "ok" || action == "copied" || action == "refusal-copied")
         return send(socket, 200, fields, "response to " + id);
     if (action == "error")
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -67,6 +67,8 @@
     bool has_crashed() const noexcept { return m_crashed; }
     /// Adds these header fields to every response.
     void set_extra_fields(http::header_list fields);
+    /// Answers `ok` as `error`, like a faulty version.
+    void fail_requests() { m_fails = true; }
     /// Makes /report return the state `draining`.
     void start_draining() { m_draining = true; }
 
@@ -123,6 +125,7 @@
     /// Requests whose generation stops here, since the last copy has been taken.
     std::set<std::string> m_handed_over_ids;
     std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_fails{false};
     std::atomic<bool> m_crashed{false};
     std::atomic<int> m_disconnect_count{0};
     std::atomic<int> m_copy_count{0};
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -26,10 +26,11 @@
 }
 
 std::string make_object_json(std::string const& name, std::int64_t revision,
-                             std::string const& spec)
+                             std::string const& spec, std::string const& status = "")
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(revision) +
-           R"(},"spec":)" + (spec.empty() ? "null" : spec) + "}";
+           R"(},"spec":)" + (spec.empty() ? "null" : spec) +
+           (status.empty() ? "" : ",\"status\":" + status) + "}";
 }
 
 } // namespace
@@ -49,8 +50,10 @@
 void fake_store::put(std::string const& kind, std::string const& name, std::string const& spec)
 {
     std::lock_guard lock(m_mutex);
-    m_objects[kind][name] = {++m_revision, spec};
-    m_history.push_back({m_revision, kind, name, spec, false});
+    auto& object = m_objects[kind][name];
+    object.revision = ++m_revision;
+    object.spec = spec;
+    m_history.push_back({m_revision, kind, name, spec, false, object.status});
     m_changed.notify_all();
 }
 
@@ -143,6 +146,13 @@
     return found == m_objects[kind].end() ? std::string{} : found->second.spec;
 }
 
+std::string fake_store::find_status(std::string const& kind, std::string const& name)
+{
+    std::lock_guard lock(m_mutex);
+    auto const found = m_objects[kind].find(name);
+    return found == m_objects[kind].end() ? std::string{} : found->second.status;
+}
+
 void fake_store::serve(Poco::Net::StreamSocket& socket)
 {
     while (auto const request = read_request(socket))
@@ -178,8 +188,8 @@
     std::string items;
     for (auto const& [name, object] : m_objects[kind])
         if (!m_hidden_kinds.contains(kind))
-            items +=
-                (items.empty() ? "" : ",") + make_object_json(name, object.revision, object.spec);
+            items += (items.empty() ? "" : ",") +
+                     make_object_json(name, object.revision, object.spec, object.status);
     return R"({"items":[)" + items + R"(],"has_more":false,"at":)" + std::to_string(m_revision) +
            "}";
 }
@@ -195,9 +205,11 @@
         for (auto const& change : m_history)
             if (change.kind == kind && change.revision > after_revision &&
                 !m_hidden_kinds.contains(kind))
-                events += std::string(events.empty() ? "" : ",") + R"({"deleted":)" +
-                          (change.deleted ? "true" : "false") + R"(,"object":)" +
-                          make_object_json(change.name, change.revision, change.spec) + "}";
+                events +=
+                    std::string(events.empty() ? "" : ",") + R"({"deleted":)" +
+                    (change.deleted ? "true" : "false") + R"(,"object":)" +
+                    make_object_json(change.name, change.revision, change.spec, change.status) +
+                    "}";
         return !events.empty() || after_revision < m_history_start || after_revision > m_revision ||
                m_shutting_down || m_mode != store_mode::serving;
     };
@@ -251,7 +263,18 @@
     if (exists && expected_revision != std::to_string(existing->second.revision))
     {
         status = 409;
-        return make_object_json(name, existing->second.revision, existing->second.spec);
+        return make_object_json(name, existing->second.revision, existing->second.spec,
+                                existing->second.status);
+    }
+    if (path_segments.size() > 3 && path_segments[3] == "status")
+    {
+        auto& object = existing->second;
+        auto const start = request.body.find("\"status\":") + 9;
+        object.status = request.body.substr(start, request.body.size() - start - 1);
+        object.revision = ++m_revision;
+        m_history.push_back({m_revision, kind, name, object.spec, false, object.status});
+        m_changed.notify_all();
+        return make_object_json(name, m_revision, object.spec, object.status);
     }
     if (request.method == "DELETE")
     {
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -60,6 +60,8 @@
     void write_again(std::vector<lost_write> const& lost);
     /// Returns the spec of the object; empty if there is none.
     std::string find_spec(std::string const& kind, std::string const& name);
+    /// Returns the status of the object as JSON; empty if none was written.
+    std::string find_status(std::string const& kind, std::string const& name);
     int request_count() const noexcept { return m_request_count; }
 
 private:
@@ -67,6 +69,7 @@
     {
         std::int64_t revision = 0;
         std::string spec;
+        std::string status{};
     };
     struct object_change
     {
@@ -75,6 +78,7 @@
         std::string name;
         std::string spec;
         bool deleted = false;
+        std::string status{};
     };
 
     void serve(Poco::Net::StreamSocket& socket);
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -10,8 +10,10 @@
 namespace jasminepier::tests
 {
 
-node_process::node_process(std::string name, node_ports ports, std::uint16_t store_port)
+node_process::node_process(std::string name, node_ports ports, std::uint16_t store_port,
+                           std::string extra_bounds)
     : m_name(std::move(name)), m_ports(std::move(ports)), m_store_port(store_port),
+      m_extra_bounds(std::move(extra_bounds)),
       m_settings_path("/tmp/jasminepier_node_" + m_name + "_" + std::to_string(::getpid()) +
                       ".toml")
 {
@@ -47,8 +49,10 @@
          << "readiness = " << quoted_address(m_ports.caller_host, m_ports.readiness)
          << "registry = " << quoted_address(m_ports.caller_host, m_ports.addresses)
          << "[bounds]\ngrace_s = 6\nretry_budget_ratio = 0.2\nretry_window_s = 10\n"
-         << "budget_slack = 56\nttl_max_s = 5\n[platform]\naddress = "
-         << quoted_address(loopback_host, m_store_port) << extra_settings;
+         << "budget_slack = 56\nttl_max_s = 5\n"
+         << m_extra_bounds
+         << "[platform]\naddress = " << quoted_address(loopback_host, m_store_port)
+         << extra_settings;
 }
 
 bool node_process::is_ready() const
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -31,7 +31,9 @@
 class node_process
 {
 public:
-    node_process(std::string name, node_ports ports, std::uint16_t store_port);
+    /// `extra_bounds` are further lines of the settings' table of bounds.
+    node_process(std::string name, node_ports ports, std::uint16_t store_port,
+                 std::string extra_bounds = "");
     ~node_process();
     process& program() { return *m_process; }
     node_ports const& ports() const noexcept { return m_ports; }
@@ -47,6 +49,7 @@
     std::string m_name;
     node_ports m_ports;
     std::uint16_t m_store_port;
+    std::string m_extra_bounds;
     std::string m_settings_path;
     std::unique_ptr<process> m_process;
     std::string m_earlier_output;
