--- a/libraries/serving/rollout_evidence.cpp
+++ b/libraries/serving/rollout_evidence.cpp
@@ -207,13 +207,16 @@
         auto const seen = sample_route(before, route, sign);
         if (seen.target.bad < minimum_bad_answers)
             return std::nullopt;
+        // A short span of the old version may show fewer failures than it usually has.
+        auto const usual = sample_route(nothing, route, sign).others;
         bool const matched = seen.others.answers >= minimum_matched_answers;
-        auto const baseline = matched ? seen.others : sample_route(nothing, route, sign).others;
+        auto const& baseline = matched ? seen.others : usual;
         auto const floor = is_failure ? (matched ? minimum_failure_rate : unmatched_failure_rate)
                                       : (matched ? minimum_slow_rate : unmatched_slow_rate);
-        auto const rate = std::min(std::max(upper_rate(baseline), floor), 0.99);
+        auto const rate =
+            std::min(std::max({upper_rate(baseline), upper_rate(usual), floor}), 0.99);
         auto const excess = is_failure ? minimum_failure_excess : minimum_slow_excess;
-        if (rate_of(seen.target) < rate_of(baseline) + excess ||
+        if (rate_of(seen.target) < std::max(rate_of(baseline), rate_of(usual)) + excess ||
             evidence_against(seen.target, rate) < required_evidence)
             return std::nullopt;
         if (has_several_servers)
