--- a/libraries/serving/rollout_evidence.cpp
+++ b/libraries/serving/rollout_evidence.cpp
@@ -18,8 +18,12 @@
 // Negative logarithm of the probability that a good version shows what was seen. A roll-out makes
 // some thousands of comparisons, most of them of nearly the same counts.
 constexpr double required_evidence = 14;
-// The same without the worst group of servers.
-constexpr double required_evidence_without_worst_group = 6;
+// The same for the whole time since the order, in which successive comparisons differ little.
+constexpr double required_evidence_of_whole = 11;
+// The same for a single comparison.
+constexpr double required_evidence_of_last_look = 6;
+// Part of the required evidence that has to stand without the worst group of servers.
+constexpr double fraction_without_worst_group = 0.4;
 constexpr std::int64_t minimum_bad_answers = 5;
 constexpr std::int64_t minimum_bad_answers_without_worst_group = 3;
 // Smaller differences are not a fault of the version.
@@ -79,6 +83,14 @@
     return found == table.end() ? outcome_counts{} : found->second;
 }
 
+version_sums add_up(evidence_table const& table)
+{
+    version_sums result;
+    for (auto const& [key, value] : table)
+        (key.is_target ? result.target : result.others) += value;
+    return result;
+}
+
 /// Counts of one route within a span.
 struct route_sample
 {
@@ -147,10 +159,12 @@
 
 version_sums rollout_evidence::sums() const
 {
-    version_sums result;
-    for (auto const& [key, value] : m_totals)
-        (key.is_target ? result.target : result.others) += value;
-    return result;
+    return add_up(m_totals);
+}
+
+version_sums rollout_evidence::own_sums() const
+{
+    return add_up(m_own);
 }
 
 bool rollout_evidence::has_seen_routes(std::int64_t answers, double share) const
@@ -177,8 +191,8 @@
         m_history.pop_front();
 }
 
-std::optional<rollout_finding> rollout_evidence::judge(base::time_point now,
-                                                       bool has_several_servers) const
+std::optional<rollout_finding>
+rollout_evidence::judge(base::time_point now, bool has_several_servers, bool is_last_look) const
 {
     std::set<std::int32_t> routes;
     for (auto const& [key, value] : m_totals)
@@ -204,6 +218,9 @@
                              bad_sign sign) -> std::optional<rollout_finding>
     {
         bool const is_failure = sign == bad_sign::failures;
+        auto const required = is_last_look              ? required_evidence_of_last_look
+                              : span == milliseconds(0) ? required_evidence_of_whole
+                                                        : required_evidence;
         auto const seen = sample_route(before, route, sign);
         if (seen.target.bad < minimum_bad_answers)
             return std::nullopt;
@@ -217,7 +234,7 @@
             std::min(std::max({upper_rate(baseline), upper_rate(usual), floor}), 0.99);
         auto const excess = is_failure ? minimum_failure_excess : minimum_slow_excess;
         if (rate_of(seen.target) < std::max(rate_of(baseline), rate_of(usual)) + excess ||
-            evidence_against(seen.target, rate) < required_evidence)
+            evidence_against(seen.target, rate) < required)
             return std::nullopt;
         if (has_several_servers)
         {
@@ -228,7 +245,7 @@
             rest.answers -= worst->answers;
             rest.bad -= worst->bad;
             if (rest.bad < minimum_bad_answers_without_worst_group ||
-                evidence_against(rest, rate) < required_evidence_without_worst_group)
+                evidence_against(rest, rate) < fraction_without_worst_group * required)
                 return std::nullopt;
         }
         return rollout_finding{
--- a/libraries/serving/rollout_evidence.hpp
+++ b/libraries/serving/rollout_evidence.hpp
@@ -96,6 +96,7 @@
     /// The sum of this node and of the nodes of its zone, for the other zones.
     evidence_table zone_sum() const;
     version_sums sums() const;
+    version_sums own_sums() const;
     /// True if each route has `answers` answers of the target version, or as many as can be
     /// expected of its traffic when the version gets `share` of it.
     bool has_seen_routes(std::int64_t answers, double share) const;
@@ -104,8 +105,10 @@
     void take_snapshot(base::time_point now);
     /// Returns evidence that the target version is worse than the others. `has_several_servers`
     /// tells that the version has servers of several groups in use; the evidence then has to stand
-    /// without the worst group, too.
-    std::optional<rollout_finding> judge(base::time_point now, bool has_several_servers) const;
+    /// without the worst group, too. `is_last_look` asks for less evidence: it is meant for one
+    /// look, before the version gets all requests.
+    std::optional<rollout_finding> judge(base::time_point now, bool has_several_servers,
+                                         bool is_last_look = false) const;
 
 private:
     struct snapshot
--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -33,7 +33,6 @@
 
 constexpr std::string_view reason_failures = "failures";
 constexpr std::string_view reason_slow = "slow_answers";
-constexpr std::string_view reason_peer = "peer";
 constexpr std::string_view reason_capacity = "too_few_servers";
 constexpr std::string_view reason_evidence = "too_few_answers";
 
@@ -105,7 +104,8 @@
         m_rollouts[order.service] = std::move(item);
     }
     auto const& current = m_rollouts[order.service].order;
-    if (current.has_ended())
+    // Not for an end that has to be written again: the store doesn't hold it yet.
+    if (order.has_ended())
         m_known_ends[order.service] = {current.target, current.duration, *current.written,
                                        store::epoch_of(current.revision)};
 }
@@ -395,7 +395,9 @@
                                 item.stop_reason.empty();
         if (is_running)
         {
-            item.finding = item.evidence.judge(now, item.has_several_groups);
+            bool const is_last_look =
+                item.stage == rollout_stage::drain && previous_stage != rollout_stage::drain;
+            item.finding = item.evidence.judge(now, item.has_several_groups, is_last_look);
             item.evidence.take_snapshot(now);
             if (item.finding)
                 item.stop_reason =
@@ -424,72 +426,4 @@
     return steps;
 }
 
-std::vector<rollout_write> rollout_table::pending_writes(base::time_point now) const
-{
-    std::vector<rollout_write> writes;
-    for (auto const& [service, item] : m_rollouts)
-    {
-        std::optional<rollout_state> wanted;
-        if (item.order.has_ended())
-            wanted = item.order.written;
-        else if (!item.stop_reason.empty())
-            wanted = rollout_state::rolled_back;
-        else if (item.may_complete)
-            wanted = rollout_state::completed;
-        else if (item.stage != rollout_stage::waiting)
-            wanted = rollout_state::in_progress;
-        if (wanted && wanted != item.stored)
-            writes.push_back({service, item.order.target, item.order.id, *wanted,
-                              std::chrono::duration_cast<milliseconds>(now - item.start)});
-    }
-    return writes;
-}
-
-std::vector<rollout_report> rollout_table::reports(bool of_zone, base::time_point now) const
-{
-    std::vector<rollout_report> result;
-    for (auto const& [service, item] : m_rollouts)
-    {
-        if (item.ended && now >= *item.ended + ended_report_duration)
-            continue;
-        rollout_report report;
-        report.service_hash = short_hash(service);
-        report.order = item.order.id;
-        if (!item.start_is_uncertain)
-            report.age = std::chrono::duration_cast<milliseconds>(now - item.start);
-        report.stopped = item.stage == rollout_stage::rolled_back;
-        report.counts = of_zone ? item.evidence.zone_sum() : item.evidence.own();
-        result.push_back(std::move(report));
-    }
-    return result;
-}
-
-void rollout_table::apply_report(evidence_source const& source, rollout_report const& report,
-                                 base::time_point now)
-{
-    if (!enabled())
-        return;
-    auto const found =
-        std::find_if(m_rollouts.begin(), m_rollouts.end(),
-                     [&](auto const& item) { return item.second.order.id == report.order; });
-    if (found == m_rollouts.end())
-    {
-        if (!m_unknown_since)
-            m_unknown_since = now;
-        return;
-    }
-    auto& item = found->second;
-    item.evidence.merge(source, report.counts);
-    if (report.age)
-    {
-        auto const start = now - *report.age;
-        if (item.start_is_uncertain || start < item.start)
-            item.start = start;
-        item.start_is_uncertain = false;
-    }
-    bool const has_news = report.stopped && item.stop_reason.empty() && !item.order.has_ended();
-    if (has_news)
-        item.stop_reason = reason_peer;
-}
-
 } // namespace jasminepier::serving
--- a/libraries/serving/rollout_table.hpp
+++ b/libraries/serving/rollout_table.hpp
@@ -114,6 +114,9 @@
     /// How long an ended roll-out is reported.
     static constexpr base::milliseconds ended_report_duration{30000};
 
+    /// The reason for a stop that a peer has reported.
+    static constexpr std::string_view stopped_by_peer = "peer";
+
     /// `seed` is different at each node.
     void enable(rollout_limits const& limits, std::uint64_t seed);
     bool enabled() const noexcept { return m_limits.has_value(); }
@@ -155,6 +158,8 @@
     std::vector<rollout_report> reports(bool of_zone, base::time_point now) const;
     void apply_report(evidence_source const& source, rollout_report const& report,
                       base::time_point now);
+    /// What this node has counted since the last call, by service, for its metrics.
+    std::map<std::string, version_sums> take_own_counts();
     /// When a peer first reported an order that this node doesn't know.
     std::optional<base::time_point> unknown_order_since() const noexcept { return m_unknown_since; }
     void forget_unknown_orders() noexcept { m_unknown_since.reset(); }
@@ -192,6 +197,7 @@
         int maximum_old_servers = 0;
         int maximum_old_slots = 0;
         bool has_several_groups = false;
+        version_sums taken;
     };
     struct known_end
     {
--- a/libraries/serving/usual_times.hpp
+++ b/libraries/serving/usual_times.hpp
@@ -22,7 +22,7 @@
     /// and answers explain less.
     static constexpr double slow_factor = 3;
     /// With fewer times, no answer is called slow.
-    static constexpr std::size_t minimum_times = 8;
+    static constexpr std::size_t minimum_times = 4;
     static constexpr std::size_t kept_times = 64;
 
     /// Seconds to the answer or to its first event, and seconds for each expected token after it.
--- a/services/node/node_metrics.cpp
+++ b/services/node/node_metrics.cpp
@@ -34,6 +34,9 @@
     family<metrics::counter> events{"jasminepier_events_total",
                                     "Decisions and changes of belief by name and result.",
                                     {{"event", 32}, {"result", 32}}};
+    family<metrics::counter> versions{"jasminepier_version_requests_total",
+                                      "Requests and answers of each version during a roll-out.",
+                                      {{"service", 64}, {"version", 4}, {"result", 8}}};
 };
 
 node_families& families()
@@ -59,6 +62,14 @@
     families().events.with_labels({std::string(event), std::string(result)}).add();
 }
 
+void observe_version(std::string_view service, std::string_view role, std::string_view result,
+                     std::uint64_t count)
+{
+    families()
+        .versions.with_labels({std::string(service), std::string(role), std::string(result)})
+        .add(count);
+}
+
 std::string write_node_metrics()
 {
     std::string out;
@@ -67,6 +78,7 @@
     metrics::write_family(out, series.request_duration, request_duration_buckets);
     metrics::write_family(out, series.first_event, first_event_buckets);
     metrics::write_family(out, series.events);
+    metrics::write_family(out, series.versions);
     return out;
 }
 
--- a/services/node/node_metrics.hpp
+++ b/services/node/node_metrics.hpp
@@ -4,6 +4,7 @@
 #include "base/clock.hpp"
 #include "metrics/instruments.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,11 @@
 /// Counts an event by name and result, for example a completed handover. Thread-safe.
 void observe_event(std::string_view event, std::string_view result);
 
+/// Counts requests and answers of a version during a roll-out: `role` is `new` or `old`, `result`
+/// is `sent`, `answered`, `failed` or `slow`. Thread-safe.
+void observe_version(std::string_view service, std::string_view role, std::string_view result,
+                     std::uint64_t count);
+
 /// Returns all metrics in the Prometheus text format.
 std::string write_node_metrics();
 
--- a/services/node/rollout_agent.cpp
+++ b/services/node/rollout_agent.cpp
@@ -146,11 +146,26 @@
     }
     if (!steps.empty())
         m_state.report_due().signal();
+    count_versions();
     read_missed_orders(now);
     if (now >= m_next_write)
         write_states(now);
 }
 
+void rollout_agent::count_versions()
+{
+    auto const counts = m_state.with([](node_state::tables& tables)
+                                     { return tables.dispatcher.rollouts().take_own_counts(); });
+    for (auto const& [service, sums] : counts)
+        for (auto const& [role, version] : {std::pair("new", sums.target), {"old", sums.others}})
+            for (auto const& [result, count] : {std::pair("sent", version.sent),
+                                                {"answered", version.answers},
+                                                {"failed", version.failures},
+                                                {"slow", version.slow}})
+                if (count > 0)
+                    observe_version(service, role, result, static_cast<std::uint64_t>(count));
+}
+
 bool rollout_agent::decides(std::uint64_t order, base::time_point now)
 {
     return m_state.with(
--- a/services/node/rollout_agent.hpp
+++ b/services/node/rollout_agent.hpp
@@ -25,6 +25,7 @@
 
 private:
     void advance();
+    void count_versions();
     /// True if this node writes the order's state: it is the first live node that reaches the store
     /// in the rendezvous order of the order.
     bool decides(std::uint64_t order, base::time_point now);
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -328,6 +328,114 @@
                   << " ms after the 50th bad answer\n";
 }
 
+/// One node with an old and a new server of the service "shop".
+class rollout_table_test : public testing::Test
+{
+protected:
+    void SetUp() override { m_table.enable(limits, 1); }
+
+    void apply(std::int64_t revision, std::optional<rollout_state> written = std::nullopt,
+               std::string const& target = "v2", std::uint64_t id = 7)
+    {
+        m_table.apply_order({"shop", target, duration, id, revision, written}, false, at(m_now));
+        advance(250);
+    }
+    std::vector<rollout_step> advance(std::int64_t ms)
+    {
+        m_now += ms;
+        return m_table.advance(m_servers, at(m_now));
+    }
+    version_admission admit(std::string const& version)
+    {
+        return m_table.admit("shop", version, version + "-1", false, at(m_now));
+    }
+    std::optional<rollout_state> pending() const
+    {
+        auto const writes = m_table.pending_writes(at(m_now));
+        return writes.empty() ? std::nullopt : std::optional(writes.front().state);
+    }
+
+    rollout_table m_table;
+    std::int64_t m_now = 1000;
+    std::vector<rollout_server> m_servers{{"v1-1", "shop", "v1", true, false, 4, 0},
+                                          {"v2-1", "shop", "v2", true, false, 4, 0}};
+};
+
+// Guards against requests that a written end forbids, and against an end that is turned round.
+TEST_F(rollout_table_test, follows_the_written_state)
+{
+    apply(10);
+    EXPECT_EQ(pending(), rollout_state::in_progress);
+    apply(11, rollout_state::in_progress);
+    EXPECT_EQ(pending(), std::nullopt);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_EQ(admit(""), version_admission::excluded);
+    apply(12, rollout_state::completed);
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_TRUE(m_table.retires("shop", "v1"));
+    apply(11, rollout_state::in_progress);
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_EQ(pending(), std::nullopt);
+    apply(13, rollout_state::rolled_back, "v1", 8);
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_EQ(admit("v2"), version_admission::normal);
+    m_table.remove_order("shop");
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+}
+
+// Guards against a finished roll-out that starts again when the store returns an earlier copy.
+TEST_F(rollout_table_test, end_is_written_again_after_the_store_was_restored)
+{
+    apply(10, rollout_state::rolled_back);
+    auto const later_epoch = std::int64_t{1} << 40;
+    apply(later_epoch + 9, rollout_state::in_progress);
+    EXPECT_EQ(pending(), rollout_state::rolled_back);
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    // The copy lacks the order, and the operator writes it again.
+    m_table.remove_order("shop");
+    apply(later_epoch + 12, std::nullopt, "v2", 9);
+    EXPECT_EQ(pending(), rollout_state::rolled_back);
+    apply(later_epoch + 13, rollout_state::rolled_back, "v2", 9);
+    // An order of the same epoch is a new one.
+    m_table.remove_order("shop");
+    apply(later_epoch + 14, std::nullopt, "v2", 10);
+    EXPECT_EQ(pending(), rollout_state::in_progress);
+}
+
+// Guards against a full share for servers whose order arrives after them, and against a service
+// without servers because of an order for a version that nobody has.
+TEST_F(rollout_table_test, versions_without_order_or_servers)
+{
+    m_servers.pop_back();
+    advance(0);
+    m_servers.push_back({"v2-1", "shop", "v2", true, false, 4, 0});
+    advance(250);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_EQ(admit("v2"), version_admission::held);
+    advance(rollout_table::order_grace_period.count());
+    EXPECT_EQ(admit("v2"), version_admission::normal);
+    apply(10, std::nullopt, "v3");
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_EQ(admit(""), version_admission::normal);
+    EXPECT_EQ(pending(), std::nullopt);
+    rollout_table unused;
+    EXPECT_EQ(unused.admit("shop", "v2", "v2-1", false, at(m_now)), version_admission::normal);
+}
+
+// Guards against a version that goes on receiving requests here after a peer has seen it fail.
+TEST_F(rollout_table_test, stops_when_a_peer_reports_a_stop)
+{
+    apply(10, rollout_state::in_progress);
+    rollout_report report{0, 7, milliseconds(5000), true, {}};
+    m_table.apply_report({"z", "n2", 1}, report, at(m_now));
+    auto const steps = advance(250);
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_EQ(steps[0].stage, rollout_stage::rolled_back);
+    EXPECT_EQ(steps[0].age, milliseconds(5250));
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    EXPECT_EQ(pending(), rollout_state::rolled_back);
+}
+
 INSTANTIATE_TEST_SUITE_P(fleets, rollout_fleet_test, testing::Values(8, 80));
 
 } // namespace
