--- a/services/node/node_settings.hpp
+++ b/services/node/node_settings.hpp
@@ -3,9 +3,11 @@
 
 #include "base/clock.hpp"
 #include "serving/node_retry_budget.hpp"
+#include "serving/rollout.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,8 @@
     int sockets = 0;
     /// Maximum number of callers' connections served at once.
     int workers = 1024;
+    /// Unset if the deployment has no roll-outs.
+    std::optional<serving::rollout_limits> rollouts;
 };
 
 } // namespace jasminepier::node
--- a/services/node/node_state.cpp
+++ b/services/node/node_state.cpp
@@ -37,6 +37,8 @@
       m_caller_memory(http::derive_account_limits(
           {m_settings->memory_bytes, m_settings->sockets, m_settings->workers}))
 {
+    if (m_settings->rollouts)
+        m_tables.dispatcher.rollouts().enable(*m_settings->rollouts, m_tables.random());
     m_tables.dispatcher.set_fleet_view({{m_settings->name}, 1, false});
 }
 
