Serving: Servers' stated pace and predicted gaps count in the selection of an engine

Long streams came late because new prompts were read on slow servers beside them; the selection knew neither.

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "serving/dispatcher.hpp"
 
 #include "decision/cold_start.hpp"
+#include "serving/stream_gap_model.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -43,6 +44,17 @@
 constexpr double unreachable_report_weight = 0.5;
 constexpr base::milliseconds cold_rate_window{1000};
 
+// Weight of a stream that is expected to miss its permitted gap. Above the range of the other parts
+// of the score: an engine that is almost full costs about 1.2, and more would keep short requests
+// waiting.
+constexpr double late_stream_weight = 3;
+
+bool is_gap_bounded(request_demand const& demand) noexcept
+{
+    return demand.maximum_event_gap.count() > 0 &&
+           demand.expected_output_tokens >= minimum_long_stream_tokens;
+}
+
 bool is_usable(server_phase phase) noexcept
 {
     return phase == server_phase::ready || phase == server_phase::expired;
@@ -243,7 +255,7 @@
 
 double dispatcher::score(listed_server const& server, service const& target_service,
                          combined_load const& load, selection_query const& query,
-                         double mean_failure_rate) const
+                         double mean_failure_rate, base::time_point now) const
 {
     auto const attempts = load.attempts + prior_attempt_count;
     auto const failure_rate = (load.failures + prior_attempt_count * mean_failure_rate) / attempts;
@@ -265,9 +277,24 @@
     total_score += static_cast<double>(load.total.unread_prompt_tokens) / prefill_backlog_scale;
     total_score += batch_occupancy_weight * load.total.running /
                    std::max(target_service.engine->batch_size, 1);
+    total_score += late_stream_weight * estimate_late_streams(server, load, query, now);
     return total_score;
 }
 
+double dispatcher::estimate_late_streams(listed_server const& server, combined_load const& load,
+                                         selection_query const& query, base::time_point now) const
+{
+    if (!m_paces.any() || query.demand.maximum_event_gap.count() <= 0)
+        return 0;
+    // A handover copies the KV cache, so that the prompt is not read again.
+    auto const read_tokens =
+        query.purpose == selection_purpose::handover ? 0 : query.demand.prompt_tokens;
+    return expected_late_streams({m_paces.estimate(server.hash, now).value_or(usual_pace_percent),
+                                  query.demand.maximum_event_gap, read_tokens,
+                                  query.demand.prompt_tokens, query.demand.expected_output_tokens,
+                                  load.total.gap_bounded_streams});
+}
+
 server_selection dispatcher::select_server(selection_query const& query, base::time_point now,
                                            base::random_source& random) const
 {
@@ -324,7 +351,7 @@
     for (auto const& item : candidates)
     {
         auto const candidate_score =
-            score(*item.server, *target_service, item.load, query, mean_failure_rate) +
+            score(*item.server, *target_service, item.load, query, mean_failure_rate, now) +
             noise(random);
         if (candidate_score >= best_score)
             continue;
@@ -340,7 +367,9 @@
                             candidate_score,
                             item.load.total.running,
                             static_cast<double>(item.load.total.reserved_tokens) / cache_tokens,
-                            m_peer_loads.oldest_report_age(item.server->hash, now)};
+                            m_peer_loads.oldest_report_age(item.server->hash, now),
+                            m_paces.estimate(item.server->hash, now),
+                            estimate_late_streams(*item.server, item.load, query, now)};
         result.reason = exclusion_reason::none;
     }
     return result;
@@ -354,6 +383,7 @@
     ++local_usage.running;
     local_usage.reserved_tokens += demand.prompt_tokens + demand.expected_output_tokens;
     local_usage.unread_prompt_tokens += demand.prompt_tokens;
+    local_usage.gap_bounded_streams += is_gap_bounded(demand) ? 1 : 0;
     m_attempts.emplace(id, attempt_record{server, demand, false, false, std::move(on_leaving)});
     auto& recent_attempt_times = m_server_health[server].recent_attempt_times;
     while (!recent_attempt_times.empty() &&
@@ -398,6 +428,7 @@
     auto& local_usage = m_local_usage[server];
     --local_usage.running;
     local_usage.reserved_tokens -= demand.prompt_tokens + demand.expected_output_tokens;
+    local_usage.gap_bounded_streams -= is_gap_bounded(demand) ? 1 : 0;
     if (local_usage.running == 0)
         m_local_usage.erase(server);
     m_attempts.erase(found);
@@ -429,6 +460,16 @@
     health.outcomes.add(outcome != attempt_outcome::succeeded, now);
 }
 
+void dispatcher::record_pace(std::string const& server, int percent, base::time_point now)
+{
+    auto const found = m_directory.servers().find(server);
+    if (found == m_directory.servers().end())
+        return;
+    auto const* target_service = m_configuration->find_service(found->second.entry.service);
+    if (target_service != nullptr && target_service->engine)
+        m_paces.record(found->second.hash, {percent, now});
+}
+
 void dispatcher::record_pause(std::string const& server, base::milliseconds pause,
                               base::time_point now)
 {
@@ -456,6 +497,7 @@
         [&](load_source const& source, peer_load_table::source_report const& report)
         { return source.is_zone_summary() && now >= report.received + zone_summary_timeout; });
     m_rate_limits.expire(now);
+    m_paces.expire(now);
     std::erase_if(m_server_health,
                   [&](auto const& item) { return !m_directory.servers().contains(item.first); });
     return changed;
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "serving/peer_load_table.hpp"
 #include "serving/server_directory.hpp"
 #include "serving/server_load.hpp"
+#include "serving/server_pace.hpp"
 #include "serving/server_rate_limits.hpp"
 
 #include <deque>
@@ -31,6 +32,8 @@
     std::int64_t expected_output_tokens = 0;
     /// 0 is the most urgent.
     int priority = 0;
+    /// Longest gap between events that the caller accepts; 0 if the response has no events.
+    base::milliseconds maximum_event_gap{0};
 };
 
 /// Why a server cannot be selected for a request.
@@ -89,6 +92,11 @@
     double occupancy = 0;
     /// Age of the oldest peer report among the inputs.
     base::milliseconds load_age{0};
+    /// Estimated time that work takes on the server's VM, in percent of the usual time; nothing if
+    /// the server states none.
+    std::optional<double> pace_percent = std::nullopt;
+    /// Streams that are expected to miss their permitted gap because of this selection.
+    double expected_late_streams = 0;
 };
 
 /// Holds either a server or the reason why none was selected.
@@ -207,6 +215,8 @@
     {
         return m_rate_limits.record(hash_server(server), {requests_per_second, now});
     }
+    /// Records the pace that an engine has stated in a response, in percent of the usual time.
+    void record_pace(std::string const& server, int percent, base::time_point now);
     /// Records that the server wants no requests from this node for `pause`. A shorter pause does
     /// not end a longer one.
     void record_pause(std::string const& server, base::milliseconds pause, base::time_point now);
@@ -264,6 +274,7 @@
         int running = 0;
         std::int64_t reserved_tokens = 0;
         std::int64_t unread_prompt_tokens = 0;
+        int gap_bounded_streams = 0;
     };
     struct server_health
     {
@@ -308,9 +319,13 @@
                                            service const& target_service, combined_load const& load,
                                            selection_query const& query,
                                            base::time_point now) const;
+    /// Streams that are expected to miss their permitted gap if the query's request is placed on
+    /// the server. 0 if no server states a pace.
+    double estimate_late_streams(listed_server const& server, combined_load const& load,
+                                 selection_query const& query, base::time_point now) const;
     double score(listed_server const& server, service const& target_service,
-                 combined_load const& load, selection_query const& query,
-                 double mean_failure_rate) const;
+                 combined_load const& load, selection_query const& query, double mean_failure_rate,
+                 base::time_point now) const;
     bool below_cold_rate_limit(listed_server const& server, service const& target_service,
                                base::time_point now) const;
 
@@ -328,6 +343,7 @@
     std::unordered_map<std::string, server_health> m_server_health;
     peer_load_table m_peer_loads;
     server_rate_limits m_rate_limits;
+    server_pace_table m_paces;
     std::map<std::string, node_retry_budget> m_retry_budgets;
     std::map<std::string, std::multiset<int>> m_waiting;
 };
--- a/libraries/serving/dispatcher_reports.cpp
+++ b/libraries/serving/dispatcher_reports.cpp
@@ -29,6 +29,7 @@
     load.total.running += static_cast<int>(peers.running);
     load.total.reserved_tokens += peers.reserved_tokens;
     load.total.unread_prompt_tokens += peers.unread_prompt_tokens;
+    load.total.gap_bounded_streams += static_cast<int>(peers.gap_bounded_streams);
     load.attempts += static_cast<double>(peers.recent_attempts) / count_scale;
     load.failures += static_cast<double>(peers.recent_failures) / count_scale;
     load.unreachable_report_count = peers.unreachable_reports;
@@ -51,6 +52,7 @@
             load.running = local->second.running;
             load.reserved_tokens = local->second.reserved_tokens;
             load.unread_prompt_tokens = local->second.unread_prompt_tokens;
+            load.gap_bounded_streams = local->second.gap_bounded_streams;
         }
         if (auto const health = m_server_health.find(id); health != m_server_health.end())
         {
@@ -69,10 +71,12 @@
             limit != nullptr && !limit->from_peer)
             load.rate_limit = {limit->requests_per_second,
                                std::chrono::duration_cast<base::milliseconds>(now - limit->stated)};
+        load.pace = m_paces.find_report(server.hash, now);
         bool const draining_or_removed =
             server.phase == server_phase::draining || server.phase == server_phase::removed;
         load.leaving = draining_or_removed && now < server.phase_since + leaving_report_duration;
-        if (load.running > 0 || load.recent_attempts > 0 || load.leaving || load.rate_limit)
+        if (load.running > 0 || load.recent_attempts > 0 || load.leaving || load.rate_limit ||
+            load.pace)
             loads.push_back(load);
     }
     return loads;
@@ -87,6 +91,8 @@
         if (load.rate_limit)
             m_rate_limits.record(load.server, {load.rate_limit->requests_per_second,
                                                now - load.rate_limit->age, true});
+        if (load.pace)
+            m_paces.record(load.server, {load.pace->percent, now - load.pace->age, true});
         if (!load.leaving)
             continue;
         for (auto const& [id, server] : m_directory.servers())
@@ -125,6 +131,7 @@
         sum.recent_attempts += load.recent_attempts;
         sum.recent_failures += load.recent_failures;
         sum.handover_candidates += load.handover_candidates;
+        sum.gap_bounded_streams += load.gap_bounded_streams;
         // `unreachable` stays unset: a fault between this zone and the server says nothing about
         // the paths from other zones.
         sum.leaving = sum.leaving || load.leaving;
@@ -134,6 +141,8 @@
         if (has_newer_limit)
             sum.rate_limit = {load.rate_limit->requests_per_second,
                               load.rate_limit->age + report_age};
+        if (load.pace && (!sum.pace || load.pace->age + report_age < sum.pace->age))
+            sum.pace = {load.pace->percent, load.pace->age + report_age};
     };
     for (auto const& load : local_loads(now))
         add(load, base::milliseconds(0));
--- a/libraries/serving/peer_load_table.cpp
+++ b/libraries/serving/peer_load_table.cpp
@@ -48,6 +48,7 @@
         sum.running += sign * load.running;
         sum.reserved_tokens += sign * load.reserved_tokens;
         sum.unread_prompt_tokens += sign * load.unread_prompt_tokens;
+        sum.gap_bounded_streams += sign * load.gap_bounded_streams;
         sum.recent_attempts += sign * load.recent_attempts;
         sum.recent_failures += sign * load.recent_failures;
         sum.unreachable_reports += static_cast<int>(sign) * (load.unreachable ? 1 : 0);
--- a/libraries/serving/peer_load_table.hpp
+++ b/libraries/serving/peer_load_table.hpp
@@ -45,6 +45,7 @@
         std::int64_t running = 0;
         std::int64_t reserved_tokens = 0;
         std::int64_t unread_prompt_tokens = 0;
+        std::int64_t gap_bounded_streams = 0;
         /// In hundredths; see server_load.
         std::int64_t recent_attempts = 0;
         std::int64_t recent_failures = 0;
--- a/libraries/serving/request_metadata.hpp
+++ b/libraries/serving/request_metadata.hpp
@@ -64,6 +64,9 @@
     /// Running and queued requests, if the server reports them.
     std::optional<int> running;
     std::optional<int> waiting;
+    /// Time that work takes on the server's VM at the moment, in percent of the usual time, if the
+    /// server states it.
+    std::optional<int> pace_percent;
     /// Seconds after which the server closes an idle connection, if the server reports them.
     std::optional<int> keep_alive_seconds;
     /// The server says that it is about to stop.
--- a/libraries/serving/server_load.hpp
+++ b/libraries/serving/server_load.hpp
@@ -28,6 +28,15 @@
     base::milliseconds age{0};
 };
 
+/// What a response said about the pace of its server.
+struct pace_report
+{
+    /// Time that work takes on the server's VM, in percent of the usual time.
+    int percent = 0;
+    /// Time since the response arrived at the node that reports it.
+    base::milliseconds age{0};
+};
+
 /// Load that one node puts on one server, and the node's view of the server.
 struct server_load
 {
@@ -48,6 +57,10 @@
     std::int32_t handover_candidates = 0;
     /// Set if no other node is known to have heard of the server's limit later.
     std::optional<rate_limit_report> rate_limit;
+    /// Set if no other node is known to have heard of the server's pace later.
+    std::optional<pace_report> pace;
+    /// Running streams that last long and whose callers accept only a bounded gap between events.
+    std::int32_t gap_bounded_streams = 0;
 };
 
 } // namespace jasminepier::serving
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -171,6 +171,7 @@
         else if (route.requires_key)
             return base::fail(error_kind::unauthorized, "the API key is unknown");
     }
+    context.demand.maximum_event_gap = route.maximum_event_gap;
     context.demand.priority = context.customer && context.customer->priority
                                   ? *context.customer->priority
                                   : route.priority;
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -53,6 +53,13 @@
         use.__set_rate_limit_age_milliseconds(
             static_cast<std::int32_t>(load.rate_limit->age.count()));
     }
+    if (load.pace)
+    {
+        use.__set_pace_percent(load.pace->percent);
+        use.__set_pace_age_milliseconds(static_cast<std::int32_t>(load.pace->age.count()));
+    }
+    if (load.gap_bounded_streams > 0)
+        use.__set_gap_bounded_streams(load.gap_bounded_streams);
     return use;
 }
 
@@ -93,6 +100,10 @@
             load.rate_limit->requests_per_second = use.rate_limit / rate_limit_scale;
         load.rate_limit->age = base::milliseconds(std::max(use.rate_limit_age_milliseconds, 0));
     }
+    if (use.__isset.pace_percent)
+        load.pace = {use.pace_percent, base::milliseconds(std::max(use.pace_age_milliseconds, 0))};
+    if (use.__isset.gap_bounded_streams)
+        load.gap_bounded_streams = use.gap_bounded_streams;
     return load;
 }
 
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -330,6 +330,8 @@
         [&](node_state::tables& tables)
         {
             limit_changed = tables.dispatcher.record_rate_limit(server.id, limit, now);
+            if (response.pace_percent)
+                tables.dispatcher.record_pace(server.id, *response.pace_percent, now);
             if (response.pause)
                 tables.dispatcher.record_pause(server.id, *response.pause, now);
             leaving_announced =
@@ -338,6 +340,8 @@
             if (leaving_announced)
                 tables.dispatcher.notify_leaving();
         });
+    if (response.pace_percent)
+        stated_pace = response.pace_percent;
     if (response.pause)
     {
         observe_event("server_response", "pause");
@@ -376,6 +380,8 @@
         .field("running", server.running)
         .field("occupancy", server.occupancy)
         .field("load_age_ms", server.load_age.count())
+        .field("pace_percent", server.pace_percent.value_or(0))
+        .field("expected_late", server.expected_late_streams)
         .field("prompt_tokens", demand.prompt_tokens)
         .field("expected_tokens", demand.expected_output_tokens)
         .field("maximum_tokens", metadata.maximum_output_tokens);
@@ -455,6 +461,17 @@
         .field("configuration", configuration ? configuration->version : 0);
     if (first_event)
         line.field("first_event_ms", elapsed(*first_event));
+    if (stated_pace)
+        line.field("pace_percent", *stated_pace);
+    if (largest_event_gap)
+        line.field("largest_gap_ms",
+                   std::chrono::duration_cast<base::milliseconds>(*largest_event_gap).count())
+            .field("largest_gap_cause", largest_gap_cause);
+    bool const missed_gap = largest_event_gap && route != nullptr &&
+                            route->maximum_event_gap.count() > 0 &&
+                            *largest_event_gap > route->maximum_event_gap;
+    if (missed_gap)
+        observe_event("event_gap_missed", largest_gap_cause);
     if (state.shutting_down())
         line.field("arrived_after_stop_ms", state.shutdown().admission().elapsed(arrival).count());
     observe_request({route == nullptr ? "none" : route->name, std::string(to_string(outcome)),
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -87,6 +87,13 @@
     std::string last_server;
     std::optional<base::time_point> first_event;
     int handovers = 0;
+    /// The pace that the latest server stated, in percent of the usual time of work.
+    std::optional<int> stated_pace;
+    /// Longest time between two events that went to the caller.
+    std::optional<base::time_point::duration> largest_event_gap;
+    /// What happened during this time: a handover, a copy of the generation while it ran, or
+    /// nothing that the node did.
+    std::string_view largest_gap_cause;
 
     base::milliseconds time_left() const;
     /// Returns the time at which this process must have answered: `deadline`, or the end of its
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -149,6 +149,20 @@
         m_context.route->idempotency == serving::request_idempotency::non_idempotent);
 }
 
+void stream_relay::record_event_time(base::time_point at)
+{
+    if (m_last_event_time && at - *m_last_event_time > m_context.largest_event_gap.value_or(
+                                                           base::time_point::duration(0)))
+    {
+        m_context.largest_event_gap = at - *m_last_event_time;
+        m_context.largest_gap_cause = m_handovers_at_last_event < m_context.handovers ? "handover"
+                                      : m_handover                                    ? "copy"
+                                                                                      : "server";
+    }
+    m_last_event_time = at;
+    m_handovers_at_last_event = m_context.handovers;
+}
+
 bool stream_relay::forward_events(std::string_view bytes)
 {
     std::string out;
@@ -166,6 +180,7 @@
         {
             m_last_event_number = number;
             m_last_progress = now();
+            record_event_time(m_last_progress);
         }
         out += event.bytes;
     }
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -50,6 +50,8 @@
     std::optional<stream_outcome> validate_head();
     /// Records that the current attempt's server has begun to answer.
     void record_first_event();
+    /// Records the time of an event that goes to the caller.
+    void record_event_time(base::time_point at);
     bool forward_events(std::string_view bytes);
     bool send_head();
     /// Sends comments that follow the last event, and the end of the response.
@@ -83,6 +85,9 @@
     std::optional<std::int64_t> m_last_event_number;
     /// Time of the last event that the caller did not have yet, or the start of the attempt.
     base::time_point m_last_progress{};
+    /// Time of the last event that went to the caller.
+    std::optional<base::time_point> m_last_event_time;
+    int m_handovers_at_last_event = 0;
 };
 
 } // namespace jasminepier::node
