Serving: Gap model from the engines' steps, first events and uncertain paces

The expected late streams now count late first events, and a gap counts by the time for which a prompt is read.

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -44,10 +44,10 @@
 constexpr double unreachable_report_weight = 0.5;
 constexpr base::milliseconds cold_rate_window{1000};
 
-// Weight of a stream that is expected to miss its permitted gap. Above the range of the other parts
-// of the score: an engine that is almost full costs about 1.2, and more would keep short requests
-// waiting.
-constexpr double late_stream_weight = 3;
+// Weight of a stream that is expected to be late. A stream that is certainly late costs far more
+// than a full engine, whose other parts of the score sum up to about 2, and one that is probably in
+// time costs less.
+constexpr double late_stream_weight = 8;
 
 bool is_gap_bounded(request_demand const& demand) noexcept
 {
@@ -286,13 +286,12 @@
 {
     if (!m_paces.any() || query.demand.maximum_event_gap.count() <= 0)
         return 0;
-    // A handover copies the KV cache, so that the prompt is not read again.
-    auto const read_tokens =
-        query.purpose == selection_purpose::handover ? 0 : query.demand.prompt_tokens;
-    return expected_late_streams({m_paces.estimate(server.hash, now).value_or(usual_pace_percent),
-                                  query.demand.maximum_event_gap, read_tokens,
-                                  query.demand.prompt_tokens, query.demand.expected_output_tokens,
-                                  load.total.gap_bounded_streams});
+    auto const& demand = query.demand;
+    return expected_late_streams({m_paces.estimate(server.hash, now), demand.maximum_event_gap,
+                                  demand.latency_objective, demand.prompt_tokens,
+                                  demand.expected_output_tokens,
+                                  query.purpose == selection_purpose::handover,
+                                  load.total.unread_prompt_tokens, load.total.gap_bounded_streams});
 }
 
 server_selection dispatcher::select_server(selection_query const& query, base::time_point now,
@@ -368,7 +367,7 @@
                             item.load.total.running,
                             static_cast<double>(item.load.total.reserved_tokens) / cache_tokens,
                             m_peer_loads.oldest_report_age(item.server->hash, now),
-                            m_paces.estimate(item.server->hash, now),
+                            m_paces.estimate(item.server->hash, now).percent,
                             estimate_late_streams(*item.server, item.load, query, now)};
         result.reason = exclusion_reason::none;
     }
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -34,6 +34,8 @@
     int priority = 0;
     /// Longest gap between events that the caller accepts; 0 if the response has no events.
     base::milliseconds maximum_event_gap{0};
+    /// Time to the first event that the caller accepts.
+    base::milliseconds latency_objective{0};
 };
 
 /// Why a server cannot be selected for a request.
@@ -92,10 +94,9 @@
     double occupancy = 0;
     /// Age of the oldest peer report among the inputs.
     base::milliseconds load_age{0};
-    /// Estimated time that work takes on the server's VM, in percent of the usual time; nothing if
-    /// the server states none.
-    std::optional<double> pace_percent = std::nullopt;
-    /// Streams that are expected to miss their permitted gap because of this selection.
+    /// Estimated time that work takes on the server's VM, in percent of the usual time.
+    double pace_percent = usual_pace_percent;
+    /// Streams that are expected to be late because of this selection.
     double expected_late_streams = 0;
 };
 
@@ -319,8 +320,8 @@
                                            service const& target_service, combined_load const& load,
                                            selection_query const& query,
                                            base::time_point now) const;
-    /// Streams that are expected to miss their permitted gap if the query's request is placed on
-    /// the server. 0 if no server states a pace.
+    /// Streams that are expected to be late if the query's request is placed on the server. 0 if no
+    /// server states a pace or the request has no bounded gap.
     double estimate_late_streams(listed_server const& server, combined_load const& load,
                                  selection_query const& query, base::time_point now) const;
     double score(listed_server const& server, service const& target_service,
--- a/libraries/serving/server_pace.cpp
+++ b/libraries/serving/server_pace.cpp
@@ -23,9 +23,10 @@
 // Reports are sent several times a second, so each statement is reported a few times.
 constexpr base::milliseconds report_lifetime{1500};
 
-double decayed(double log_ratio, base::time_point::duration age)
+/// Part of an estimate's distance from the usual pace that is left after `age`.
+double remaining_fraction(base::time_point::duration age)
 {
-    return log_ratio * std::exp(-std::chrono::duration<double>(age) / memory);
+    return std::exp(-std::chrono::duration<double>(age) / memory);
 }
 
 } // namespace
@@ -46,20 +47,20 @@
     if (statement.stated <= entry.latest.stated + margin)
         return;
     auto const elapsed = statement.stated - entry.latest.stated;
-    auto const weight =
-        std::max(statement_weight, 1 - std::exp(-std::chrono::duration<double>(elapsed) / memory));
+    auto const weight = std::max(statement_weight, 1 - remaining_fraction(elapsed));
     entry.log_ratio += weight * (log_ratio - entry.log_ratio);
     entry.latest = statement;
 }
 
-std::optional<double> server_pace_table::estimate(server_hash server, base::time_point now) const
+pace_estimate server_pace_table::estimate(server_hash server, base::time_point now) const
 {
     auto const found = m_estimates.find(server);
     if (found == m_estimates.end())
-        return std::nullopt;
+        return {};
     auto const& entry = found->second;
-    auto const age = std::max(now - entry.latest.stated, base::time_point::duration(0));
-    return usual_pace_percent * std::exp(decayed(entry.log_ratio, age));
+    auto const certainty =
+        remaining_fraction(std::max(now - entry.latest.stated, base::time_point::duration(0)));
+    return {usual_pace_percent * std::exp(entry.log_ratio * certainty), certainty};
 }
 
 std::optional<pace_report> server_pace_table::find_report(server_hash server,
--- a/libraries/serving/server_pace.hpp
+++ b/libraries/serving/server_pace.hpp
@@ -13,6 +13,14 @@
 /// Pace of a server on which work takes its usual time, in percent.
 constexpr double usual_pace_percent = 100;
 
+/// What is known of a server's pace.
+struct pace_estimate
+{
+    double percent = usual_pace_percent;
+    /// Certainty from 0, for a server that has stated no pace for long or never, to 1.
+    double certainty = 0;
+};
+
 /// What a response said about its server's pace.
 struct pace_statement
 {
@@ -37,8 +45,7 @@
     /// Takes over a statement unless it is invalid or older than the latest one. Peers repeat their
     /// last statement in each report, so one that is hardly newer counts as the same.
     void record(server_hash server, pace_statement const& statement);
-    /// Returns the estimate in percent; nothing if the server has stated no pace.
-    std::optional<double> estimate(server_hash server, base::time_point now) const;
+    pace_estimate estimate(server_hash server, base::time_point now) const;
     /// Returns the server's latest statement if this node heard it itself and it is recent enough
     /// to be reported.
     std::optional<pace_report> find_report(server_hash server, base::time_point now) const;
--- a/libraries/serving/stream_gap_model.hpp
+++ b/libraries/serving/stream_gap_model.hpp
@@ -1,7 +1,9 @@
-/// Predicts the gaps between the events of a stream on an engine that reads prompts beside it.
+/// Predicts which streams of an engine are late because of a new request: those that run there, by
+/// the gaps that reading its prompt makes, and the request's own.
 #pragma once
 
 #include "base/clock.hpp"
+#include "serving/server_pace.hpp"
 
 #include <cstdint>
 
@@ -12,31 +14,31 @@
 /// be read beside it. Shorter ones end within the gap that their own prompt has made.
 constexpr std::int64_t minimum_long_stream_tokens = 64;
 
-/// What a placement means for the gaps of the streams on one server.
-struct gap_placement
+/// A request that may be placed on an engine, and what counts for the promises to callers there.
+struct stream_placement
 {
-    /// Estimated pace of the server in percent.
-    double pace_percent = 100;
-    /// Longest gap that the service's callers accept.
+    pace_estimate pace;
+    /// Longest gap between events that callers accept.
     base::milliseconds maximum_gap{0};
-    /// Tokens of the prompt that the server will read for the request; 0 if it continues a copy.
-    std::int64_t read_tokens = 0;
-    /// Tokens of the prompts that are expected to be read there later.
-    std::int64_t later_read_tokens = 0;
+    /// Time from the request to its first event that its caller accepts.
+    base::milliseconds latency_objective{0};
+    std::int64_t prompt_tokens = 0;
     /// Output tokens that are expected of the request.
     std::int64_t output_tokens = 0;
-    /// Long streams that run on the server.
+    /// The request continues a copy, so that its prompt is not read.
+    bool continues_copy = false;
+    /// Prompt tokens that the engine reads first.
+    std::int64_t unread_prompt_tokens = 0;
+    /// Long streams that run on the engine.
     int long_streams = 0;
 };
 
-/// Returns the gap between two events on an engine at its usual pace while it reads a prompt of
-/// `read_tokens` tokens, in milliseconds.
-double predict_gap(std::int64_t read_tokens) noexcept;
-/// Returns the probability that the gap is longer than `maximum_gap`, which must be positive.
-double gap_excess_probability(std::int64_t read_tokens, double pace_percent,
+/// Returns the probability that reading a prompt of `tokens` tokens makes a gap longer than
+/// `maximum_gap`, which must be positive, between two events of a stream beside it.
+double gap_excess_probability(std::int64_t tokens, pace_estimate const& pace,
                               base::milliseconds maximum_gap) noexcept;
-/// Returns the expected number of streams, including the request's own, that get a longer gap than
-/// their callers accept because the request is placed on the server.
-double expected_late_streams(gap_placement const& placement) noexcept;
+/// Returns the expected number of streams, including the request's own, that are late because the
+/// request is placed on the engine.
+double expected_late_streams(stream_placement const& placement) noexcept;
 
 } // namespace jasminepier::serving
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -172,6 +172,7 @@
             return base::fail(error_kind::unauthorized, "the API key is unknown");
     }
     context.demand.maximum_event_gap = route.maximum_event_gap;
+    context.demand.latency_objective = route.latency_objective;
     context.demand.priority = context.customer && context.customer->priority
                                   ? *context.customer->priority
                                   : route.priority;
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -380,7 +380,7 @@
         .field("running", server.running)
         .field("occupancy", server.occupancy)
         .field("load_age_ms", server.load_age.count())
-        .field("pace_percent", server.pace_percent.value_or(0))
+        .field("pace_percent", server.pace_percent)
         .field("expected_late", server.expected_late_streams)
         .field("prompt_tokens", demand.prompt_tokens)
         .field("expected_tokens", demand.expected_output_tokens)
