--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -347,6 +347,7 @@
     auto const mean_failure_rate = attempts > 0 ? failures / attempts : 0;
     std::uniform_real_distribution<double> noise(0, score_noise);
     double best_score = std::numeric_limits<double>::max();
+    candidate const* best = nullptr;
     for (auto const& item : candidates)
     {
         auto const candidate_score =
@@ -355,22 +356,26 @@
         if (candidate_score >= best_score)
             continue;
         best_score = candidate_score;
-        auto const cache_tokens = target_service->engine
-                                      ? static_cast<double>(std::max<std::int64_t>(
-                                            target_service->engine->cache_tokens, 1))
-                                      : 1;
-        result.server =
-            selected_server{item.server->entry.id,
-                            item.server->entry.address,
-                            item.server->entry.zone,
-                            candidate_score,
-                            item.load.total.running,
-                            static_cast<double>(item.load.total.reserved_tokens) / cache_tokens,
-                            m_peer_loads.oldest_report_age(item.server->hash, now),
-                            m_paces.estimate(item.server->hash, now).percent,
-                            estimate_late_streams(*item.server, item.load, query, now)};
-        result.reason = exclusion_reason::none;
+        best = &item;
     }
+    if (best == nullptr)
+        return result;
+    auto const& entry = best->server->entry;
+    auto const cache_tokens =
+        target_service->engine
+            ? static_cast<double>(std::max<std::int64_t>(target_service->engine->cache_tokens, 1))
+            : 1;
+    result.server =
+        selected_server{entry.id,
+                        entry.address,
+                        entry.zone,
+                        best_score,
+                        best->load.total.running,
+                        static_cast<double>(best->load.total.reserved_tokens) / cache_tokens,
+                        m_peer_loads.oldest_report_age(best->server->hash, now),
+                        m_paces.estimate(best->server->hash, now).percent,
+                        estimate_late_streams(*best->server, best->load, query, now)};
+    result.reason = exclusion_reason::none;
     return result;
 }
 
