--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "serving/dispatcher.hpp"
 
 #include "decision/cold_start.hpp"
-#include "serving/stream_gap_model.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -11,9 +10,6 @@
 namespace
 {
 
-// An engine whose KV cache is full preempts running generations. The rest of the cache absorbs
-// outputs that are longer than expected.
-constexpr double usable_cache_fraction = 0.92;
 // A plain server queues a few requests. With up to three for each slot the wait stays below the
 // latency objectives of plain requests (about 30 ms of work against 100 to 150 ms).
 constexpr int maximum_plain_requests_per_slot = 3;
@@ -47,18 +43,7 @@
 // Weight of a stream that is expected to be late. A stream that is certainly late costs far more
 // than a full engine, whose other parts of the score sum up to about 2, and one that is probably in
 // time costs less.
-constexpr double late_stream_weight = 8;
-
-bool is_gap_bounded(request_demand const& demand) noexcept
-{
-    return demand.maximum_event_gap.count() > 0 &&
-           demand.expected_output_tokens >= minimum_long_stream_tokens;
-}
-
-bool is_usable(server_phase phase) noexcept
-{
-    return phase == server_phase::ready || phase == server_phase::expired;
-}
+constexpr double late_stream_weight = 16;
 
 /// Ranks exclusion reasons by how soon they are expected to pass.
 int recovery_rank(exclusion_reason reason) noexcept
@@ -277,23 +262,11 @@
     total_score += static_cast<double>(load.total.unread_prompt_tokens) / prefill_backlog_scale;
     total_score += batch_occupancy_weight * load.total.running /
                    std::max(target_service.engine->batch_size, 1);
-    total_score += late_stream_weight * estimate_late_streams(server, load, query, now);
+    total_score +=
+        late_stream_weight * estimate_late_streams(server, target_service, load, query, now);
     return total_score;
 }
 
-double dispatcher::estimate_late_streams(listed_server const& server, combined_load const& load,
-                                         selection_query const& query, base::time_point now) const
-{
-    if (!m_paces.any() || query.demand.maximum_event_gap.count() <= 0)
-        return 0;
-    auto const& demand = query.demand;
-    return expected_late_streams({m_paces.estimate(server.hash, now), demand.maximum_event_gap,
-                                  demand.latency_objective, demand.prompt_tokens,
-                                  demand.expected_output_tokens,
-                                  query.purpose == selection_purpose::handover,
-                                  load.total.unread_prompt_tokens, load.total.gap_bounded_streams});
-}
-
 server_selection dispatcher::select_server(selection_query const& query, base::time_point now,
                                            base::random_source& random) const
 {
@@ -365,16 +338,16 @@
         target_service->engine
             ? static_cast<double>(std::max<std::int64_t>(target_service->engine->cache_tokens, 1))
             : 1;
-    result.server =
-        selected_server{entry.id,
-                        entry.address,
-                        entry.zone,
-                        best_score,
-                        best->load.total.running,
-                        static_cast<double>(best->load.total.reserved_tokens) / cache_tokens,
-                        m_peer_loads.oldest_report_age(best->server->hash, now),
-                        m_paces.estimate(best->server->hash, now).percent,
-                        estimate_late_streams(*best->server, best->load, query, now)};
+    result.server = selected_server{
+        entry.id,
+        entry.address,
+        entry.zone,
+        best_score,
+        best->load.total.running,
+        static_cast<double>(best->load.total.reserved_tokens) / cache_tokens,
+        m_peer_loads.oldest_report_age(best->server->hash, now),
+        m_paces.estimate(best->server->hash, now).percent,
+        estimate_late_streams(*best->server, *target_service, best->load, query, now)};
     result.reason = exclusion_reason::none;
     return result;
 }
@@ -387,7 +360,7 @@
     ++local_usage.running;
     local_usage.reserved_tokens += demand.prompt_tokens + demand.expected_output_tokens;
     local_usage.unread_prompt_tokens += demand.prompt_tokens;
-    local_usage.gap_bounded_streams += is_gap_bounded(demand) ? 1 : 0;
+    local_usage.gap_bounded_streams += demand.has_bounded_gaps() ? 1 : 0;
     m_attempts.emplace(id, attempt_record{server, demand, false, false, std::move(on_leaving)});
     auto& recent_attempt_times = m_server_health[server].recent_attempt_times;
     while (!recent_attempt_times.empty() &&
@@ -432,7 +405,7 @@
     auto& local_usage = m_local_usage[server];
     --local_usage.running;
     local_usage.reserved_tokens -= demand.prompt_tokens + demand.expected_output_tokens;
-    local_usage.gap_bounded_streams -= is_gap_bounded(demand) ? 1 : 0;
+    local_usage.gap_bounded_streams -= demand.has_bounded_gaps() ? 1 : 0;
     if (local_usage.running == 0)
         m_local_usage.erase(server);
     m_attempts.erase(found);
@@ -464,16 +437,6 @@
     health.outcomes.add(outcome != attempt_outcome::succeeded, now);
 }
 
-void dispatcher::record_pace(std::string const& server, int percent, base::time_point now)
-{
-    auto const found = m_directory.servers().find(server);
-    if (found == m_directory.servers().end())
-        return;
-    auto const* target_service = m_configuration->find_service(found->second.entry.service);
-    if (target_service != nullptr && target_service->engine)
-        m_paces.record(found->second.hash, {percent, now});
-}
-
 void dispatcher::record_pause(std::string const& server, base::milliseconds pause,
                               base::time_point now)
 {
@@ -481,19 +444,6 @@
     paused_until = std::max<base::time_point>(paused_until, now + pause);
 }
 
-bool dispatcher::is_leaving(std::string const& server) const
-{
-    auto const found = m_directory.servers().find(server);
-    return found == m_directory.servers().end() || !is_usable(found->second.phase);
-}
-
-void dispatcher::notify_leaving()
-{
-    for (auto const& [attempt_key, attempt] : m_attempts)
-        if (attempt.on_leaving && is_leaving(attempt.server))
-            attempt.on_leaving();
-}
-
 bool dispatcher::expire(base::time_point now)
 {
     bool const changed = m_directory.expire(now);
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -36,6 +36,9 @@
     base::milliseconds maximum_event_gap{0};
     /// Time to the first event that the caller accepts.
     base::milliseconds latency_objective{0};
+
+    /// True for a stream that lasts long and whose caller accepts only a bounded gap.
+    bool has_bounded_gaps() const noexcept;
 };
 
 /// Why a server cannot be selected for a request.
@@ -262,6 +265,10 @@
     bool more_urgent_waiting(std::string const& service, int priority) const;
 
 private:
+    /// An engine whose KV cache is full preempts running generations. The rest of the cache absorbs
+    /// outputs that are longer than expected.
+    static constexpr double usable_cache_fraction = 0.92;
+
     struct attempt_record
     {
         std::string server;
@@ -322,8 +329,9 @@
                                            base::time_point now) const;
     /// Streams that are expected to be late if the query's request is placed on the server. 0 if no
     /// server states a pace or the request has no bounded gap.
-    double estimate_late_streams(listed_server const& server, combined_load const& load,
-                                 selection_query const& query, base::time_point now) const;
+    double estimate_late_streams(listed_server const& server, service const& target_service,
+                                 combined_load const& load, selection_query const& query,
+                                 base::time_point now) const;
     double score(listed_server const& server, service const& target_service,
                  combined_load const& load, selection_query const& query, double mean_failure_rate,
                  base::time_point now) const;
--- a/libraries/serving/dispatcher_handover.cpp
+++ b/libraries/serving/dispatcher_handover.cpp
@@ -113,4 +113,17 @@
         found->second.can_hand_over = can_hand_over;
 }
 
+bool dispatcher::is_leaving(std::string const& server) const
+{
+    auto const found = m_directory.servers().find(server);
+    return found == m_directory.servers().end() || !is_usable(found->second.phase);
+}
+
+void dispatcher::notify_leaving()
+{
+    for (auto const& [attempt_key, attempt] : m_attempts)
+        if (attempt.on_leaving && is_leaving(attempt.server))
+            attempt.on_leaving();
+}
+
 } // namespace jasminepier::serving
--- /dev/null
+++ b/libraries/serving/dispatcher_pace.cpp
@@ -0,0 +1,49 @@
+#include "serving/dispatcher.hpp"
+#include "serving/stream_gap_model.hpp"
+
+namespace jasminepier::serving
+{
+namespace
+{
+
+// Part of the cache that a request with a short answer takes: about 2,500 of 27,000 tokens.
+constexpr double short_request_cache_fraction = 0.1;
+
+} // namespace
+
+bool request_demand::has_bounded_gaps() const noexcept
+{
+    return maximum_event_gap.count() > 0 && expected_output_tokens >= minimum_long_stream_tokens;
+}
+
+void dispatcher::record_pace(std::string const& server, int percent, base::time_point now)
+{
+    auto const found = m_directory.servers().find(server);
+    if (found == m_directory.servers().end())
+        return;
+    auto const* target_service = m_configuration->find_service(found->second.entry.service);
+    if (target_service != nullptr && target_service->engine)
+        m_paces.record(found->second.hash, {percent, now});
+}
+
+double dispatcher::estimate_late_streams(listed_server const& server, service const& target_service,
+                                         combined_load const& load, selection_query const& query,
+                                         base::time_point now) const
+{
+    if (!m_paces.any() || query.demand.maximum_event_gap.count() <= 0)
+        return 0;
+    auto const& demand = query.demand;
+    auto const reserved_tokens =
+        load.total.reserved_tokens + demand.prompt_tokens + demand.expected_output_tokens;
+    bool const leaves_no_room =
+        target_service.engine && static_cast<double>(reserved_tokens) >
+                                     (usable_cache_fraction - short_request_cache_fraction) *
+                                         static_cast<double>(target_service.engine->cache_tokens);
+    return expected_late_streams(
+        {m_paces.estimate(server.hash, now), demand.maximum_event_gap, demand.latency_objective,
+         demand.prompt_tokens, demand.expected_output_tokens,
+         query.purpose == selection_purpose::handover, load.total.unread_prompt_tokens,
+         load.total.gap_bounded_streams, leaves_no_room});
+}
+
+} // namespace jasminepier::serving
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -44,6 +44,12 @@
     removed,
 };
 
+/// True if a server in this phase may get requests.
+constexpr bool is_usable(server_phase phase) noexcept
+{
+    return phase == server_phase::ready || phase == server_phase::expired;
+}
+
 struct listed_server
 {
     server_entry entry;
--- a/libraries/serving/stream_gap_model.cpp
+++ b/libraries/serving/stream_gap_model.cpp
@@ -35,8 +35,13 @@
 constexpr double unknown_pace_deviation = 0.3;
 // The same for the time to the first event, from the observed p90, which is 1.8 times the median.
 constexpr double first_event_deviation = 0.45;
-// Expected number of prompts that are read beside a stream of this many output tokens.
-constexpr double tokens_per_neighbour = 1500;
+// While a stream makes this many output tokens, one prompt is expected to be read beside it: on
+// slow servers a fourth of the streams of 750 tokens were late.
+constexpr double tokens_per_neighbour = 400;
+// Streams that are expected to be late because short requests find no room on the server: until one
+// of its streams has ended, about one of them goes to another server and is read beside streams
+// there.
+constexpr double last_room_cost = 0.15;
 
 /// Returns the probability that a value with this logarithm of its ratio to the limit is above it.
 double excess_probability(double log_ratio, double deviation) noexcept
@@ -71,10 +76,9 @@
     bool const is_long = placement.output_tokens >= minimum_long_stream_tokens;
     bool const gaps_count = placement.maximum_gap.count() > 0 &&
                             (is_long || (placement.long_streams > 0 && !placement.continues_copy));
-    auto const harm = gaps_count
-                          ? gap_excess_probability(placement.prompt_tokens, placement.pace,
-                                                   placement.maximum_gap)
-                          : 0;
+    auto const harm = gaps_count ? gap_excess_probability(placement.prompt_tokens, placement.pace,
+                                                          placement.maximum_gap)
+                                 : 0;
     double late = 0;
     // Streams beside which prompts were read may be late already: the last one is still in time,
     // the one before it with the probability that the last prompt did no harm, and so on.
@@ -82,9 +86,11 @@
         late += 1 - std::pow(1 - harm, placement.long_streams);
     // Later prompts are expected to be like this one.
     if (is_long)
-        late +=
-            harm *
-            (1 - std::exp(-static_cast<double>(placement.output_tokens) / tokens_per_neighbour));
+        late += 1 - std::pow(1 - harm,
+                             static_cast<double>(placement.output_tokens) / tokens_per_neighbour);
+    // The room that is left keeps short requests away from servers where they would do harm.
+    if (is_long && placement.leaves_no_room)
+        late += last_room_cost;
     if (!placement.continues_copy && placement.latency_objective.count() > 0)
     {
         auto const tokens = placement.unread_prompt_tokens + placement.prompt_tokens;
--- a/libraries/serving/stream_gap_model.hpp
+++ b/libraries/serving/stream_gap_model.hpp
@@ -31,6 +31,8 @@
     std::int64_t unread_prompt_tokens = 0;
     /// Long streams that run on the engine.
     int long_streams = 0;
+    /// The engine's memory has no room for a short request besides this one.
+    bool leaves_no_room = false;
 };
 
 /// Returns the probability that reading a prompt of `tokens` tokens makes a gap longer than
