--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -36,7 +36,11 @@
     base::milliseconds maximum_event_gap{0};
     /// Time to the first event that the caller accepts.
     base::milliseconds latency_objective{0};
+    /// The caller's limit of the output.
+    std::int64_t maximum_output_tokens = 0;
 
+    /// Output tokens for which the gaps between events are expected to count.
+    std::int64_t streamed_tokens() const noexcept;
     /// True for a stream that lasts long and whose caller accepts only a bounded gap.
     bool has_bounded_gaps() const noexcept;
 };
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -98,6 +98,7 @@
     for (std::size_t i = 0; i < tracked_parts; ++i)
         prompt_parts.push_back(decision::fingerprint_prompt_part(metadata.shared_prompt_parts[i]));
     demand.prompt_tokens = metadata.prompt_tokens;
+    demand.maximum_output_tokens = metadata.maximum_output_tokens;
     demand.expected_output_tokens = static_cast<std::int64_t>(
         expected_output_fraction * static_cast<double>(metadata.maximum_output_tokens));
     if (metadata.estimated_output_tokens)
--- a/tests/server_pace_test.cpp
+++ b/tests/server_pace_test.cpp
@@ -120,6 +120,22 @@
     EXPECT_EQ(place({900, 10, 0, milliseconds(180)}), "s0");
 }
 
+// Estimates of the output are often far off: a stream that may become long is protected although
+// its caller expects a short one.
+TEST_F(server_pace_test, protects_streams_whose_estimate_is_short)
+{
+    auto misjudged = plan;
+    misjudged.expected_output_tokens = 40;
+    misjudged.maximum_output_tokens = 1780;
+    for (auto const* server : {"s0", "s1", "s2", "s3"})
+        state_pace(server, slow_pace);
+    for (auto const* server : {"s0", "s1", "s2"})
+        run(server, misjudged);
+    run("s3", short_answer);
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(place(short_answer), "s3");
+}
+
 // Peers' long streams count like the node's own.
 TEST_F(server_pace_test, counts_long_streams_and_paces_that_peers_report)
 {
