--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-// An engine whose KV cache is full preempts running generations. The rest of the cache absorbs
-// outputs that are longer than expected.
-constexpr double usable_cache_fraction = 0.92;
 // A plain server queues a few requests. With up to three for each slot the wait stays below the
 // latency objectives of plain requests (about 30 ms of work against 100 to 150 ms).
 constexpr int maximum_plain_requests_per_slot = 3;
@@ -43,10 +40,10 @@
 constexpr double unreachable_report_weight = 0.5;
 constexpr base::milliseconds cold_rate_window{1000};
 
-bool is_usable(server_phase phase) noexcept
-{
-    return phase == server_phase::ready || phase == server_phase::expired;
-}
+// Weight of a stream that is expected to be late. A stream that is certainly late costs far more
+// than a full engine, whose other parts of the score sum up to about 2, and one that is probably in
+// time costs less.
+constexpr double late_stream_weight = 16;
 
 /// Ranks exclusion reasons by how soon they are expected to pass.
 int recovery_rank(exclusion_reason reason) noexcept
@@ -244,7 +241,7 @@
 
 double dispatcher::score(listed_server const& server, service const& target_service,
                          combined_load const& load, selection_query const& query,
-                         double mean_failure_rate) const
+                         double mean_failure_rate, base::time_point now) const
 {
     auto const attempts = load.attempts + prior_attempt_count;
     auto const failure_rate = (load.failures + prior_attempt_count * mean_failure_rate) / attempts;
@@ -266,6 +263,8 @@
     total_score += static_cast<double>(load.total.unread_prompt_tokens) / prefill_backlog_scale;
     total_score += batch_occupancy_weight * load.total.running /
                    std::max(target_service.engine->batch_size, 1);
+    total_score +=
+        late_stream_weight * estimate_late_streams(server, target_service, load, query, now);
     return total_score;
 }
 
@@ -324,28 +323,35 @@
     auto const mean_failure_rate = attempts > 0 ? failures / attempts : 0;
     std::uniform_real_distribution<double> noise(0, score_noise);
     double best_score = std::numeric_limits<double>::max();
+    candidate const* best = nullptr;
     for (auto const& item : candidates)
     {
         auto const candidate_score =
-            score(*item.server, *target_service, item.load, query, mean_failure_rate) +
+            score(*item.server, *target_service, item.load, query, mean_failure_rate, now) +
             noise(random);
         if (candidate_score >= best_score)
             continue;
         best_score = candidate_score;
-        auto const cache_tokens = target_service->engine
-                                      ? static_cast<double>(std::max<std::int64_t>(
-                                            target_service->engine->cache_tokens, 1))
-                                      : 1;
-        result.server =
-            selected_server{item.server->entry.id,
-                            item.server->entry.address,
-                            item.server->entry.zone,
-                            candidate_score,
-                            item.load.total.running,
-                            static_cast<double>(item.load.total.reserved_tokens) / cache_tokens,
-                            m_peer_loads.oldest_report_age(item.server->hash, now)};
-        result.reason = exclusion_reason::none;
+        best = &item;
     }
+    if (best == nullptr)
+        return result;
+    auto const& entry = best->server->entry;
+    auto const cache_tokens =
+        target_service->engine
+            ? static_cast<double>(std::max<std::int64_t>(target_service->engine->cache_tokens, 1))
+            : 1;
+    result.server = selected_server{
+        entry.id,
+        entry.address,
+        entry.zone,
+        best_score,
+        best->load.total.running,
+        static_cast<double>(best->load.total.reserved_tokens) / cache_tokens,
+        m_peer_loads.oldest_report_age(best->server->hash, now),
+        m_paces.estimate(best->server->hash, now).percent,
+        estimate_late_streams(*best->server, *target_service, best->load, query, now)};
+    result.reason = exclusion_reason::none;
     return result;
 }
 
@@ -357,6 +363,7 @@
     ++local_usage.running;
     local_usage.reserved_tokens += demand.prompt_tokens + demand.expected_output_tokens;
     local_usage.unread_prompt_tokens += demand.prompt_tokens;
+    local_usage.gap_bounded_streams += demand.has_bounded_gaps() ? 1 : 0;
     m_attempts.emplace(id,
                        attempt_record{server, demand, false, false, std::move(on_leaving), now});
     record_version_sent(server, demand);
@@ -404,6 +411,7 @@
     auto& local_usage = m_local_usage[server];
     --local_usage.running;
     local_usage.reserved_tokens -= demand.prompt_tokens + demand.expected_output_tokens;
+    local_usage.gap_bounded_streams -= demand.has_bounded_gaps() ? 1 : 0;
     if (local_usage.running == 0)
         m_local_usage.erase(server);
     record_version_answer(found->second, outcome, now);
@@ -443,20 +451,6 @@
     paused_until = std::max<base::time_point>(paused_until, now + pause);
 }
 
-bool dispatcher::is_leaving(std::string const& server) const
-{
-    auto const found = m_directory.servers().find(server);
-    return found == m_directory.servers().end() || !is_usable(found->second.phase) ||
-           m_rollouts.retires(found->second.entry.service, found->second.entry.version);
-}
-
-void dispatcher::notify_leaving()
-{
-    for (auto const& [attempt_key, attempt] : m_attempts)
-        if (attempt.on_leaving && is_leaving(attempt.server))
-            attempt.on_leaving();
-}
-
 bool dispatcher::expire(base::time_point now)
 {
     bool const changed = m_directory.expire(now);
@@ -464,6 +458,7 @@
         [&](load_source const& source, peer_load_table::source_report const& report)
         { return source.is_zone_summary() && now >= report.received + zone_summary_timeout; });
     m_rate_limits.expire(now);
+    m_paces.expire(now);
     std::erase_if(m_server_health,
                   [&](auto const& item) { return !m_directory.servers().contains(item.first); });
     return changed;
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "serving/rollout_table.hpp"
 #include "serving/server_directory.hpp"
 #include "serving/server_load.hpp"
+#include "serving/server_pace.hpp"
 #include "serving/server_rate_limits.hpp"
 
 #include <deque>
@@ -32,6 +33,17 @@
     std::int64_t expected_output_tokens = 0;
     /// 0 is the most urgent.
     int priority = 0;
+    /// Longest gap between events that the caller accepts; 0 if the response has no events.
+    base::milliseconds maximum_event_gap{0};
+    /// Time to the first event that the caller accepts.
+    base::milliseconds latency_objective{0};
+    /// The caller's limit of the output.
+    std::int64_t maximum_output_tokens = 0;
+
+    /// Output tokens for which the gaps between events are expected to count.
+    std::int64_t streamed_tokens() const noexcept;
+    /// True for a stream that lasts long and whose caller accepts only a bounded gap.
+    bool has_bounded_gaps() const noexcept;
     /// Name of the route, by which versions of a service are compared.
     std::string route{};
 };
@@ -92,6 +104,10 @@
     double occupancy = 0;
     /// Age of the oldest peer report among the inputs.
     base::milliseconds load_age{0};
+    /// Estimated time that work takes on the server's VM, in percent of the usual time.
+    double pace_percent = usual_pace_percent;
+    /// Streams that are expected to be late because of this selection.
+    double expected_late_streams = 0;
 };
 
 /// Holds either a server or the reason why none was selected.
@@ -210,6 +226,8 @@
     {
         return m_rate_limits.record(hash_server(server), {requests_per_second, now});
     }
+    /// Records the pace that an engine has stated in a response, in percent of the usual time.
+    void record_pace(std::string const& server, int percent, base::time_point now);
     /// Records that the server wants no requests from this node for `pause`. A shorter pause does
     /// not end a longer one.
     void record_pause(std::string const& server, base::milliseconds pause, base::time_point now);
@@ -262,6 +280,10 @@
     bool more_urgent_waiting(std::string const& service, int priority) const;
 
 private:
+    /// An engine whose KV cache is full preempts running generations. The rest of the cache absorbs
+    /// outputs that are longer than expected.
+    static constexpr double usable_cache_fraction = 0.92;
+
     struct attempt_record
     {
         std::string server;
@@ -277,6 +299,7 @@
         int running = 0;
         std::int64_t reserved_tokens = 0;
         std::int64_t unread_prompt_tokens = 0;
+        int gap_bounded_streams = 0;
     };
     struct server_health
     {
@@ -327,9 +350,14 @@
                                            service const& target_service, combined_load const& load,
                                            selection_query const& query,
                                            base::time_point now) const;
+    /// Streams that are expected to be late if the query's request is placed on the server. 0 if no
+    /// server states a pace or the request has no bounded gap.
+    double estimate_late_streams(listed_server const& server, service const& target_service,
+                                 combined_load const& load, selection_query const& query,
+                                 base::time_point now) const;
     double score(listed_server const& server, service const& target_service,
-                 combined_load const& load, selection_query const& query,
-                 double mean_failure_rate) const;
+                 combined_load const& load, selection_query const& query, double mean_failure_rate,
+                 base::time_point now) const;
     bool below_cold_rate_limit(listed_server const& server, service const& target_service,
                                base::time_point now) const;
 
@@ -348,6 +376,7 @@
     peer_load_table m_peer_loads;
     server_rate_limits m_rate_limits;
     mutable rollout_table m_rollouts;
+    server_pace_table m_paces;
     std::map<std::string, node_retry_budget> m_retry_budgets;
     std::map<std::string, std::multiset<int>> m_waiting;
 };
