Serving: Order waiting requests over all nodes

Cause: more_urgent_waiting knew the queue of its own node only, so a node with one or two waiting requests gave room to whatever came; every request waited for half of its latency objective, whatever its deadline permitted; Retry-After was always 400 ms; a server that had rejected a request as full was asked again at once; and a hedge waited for room while its first attempt's response was ready.

Change: admission_order ranks requests by the customer's or the route's priority, then the route's, then by whether they can still be in time; waiting_table holds what waits here and at other nodes (node_report.waiting, also in zone summaries) and guards kinds that are served too rarely. While something of better rank waits, others use only the room that it leaves. A request waits as long as it can be in time, at least a quarter of its timeout, and is rejected at once if room is expected later. Full servers rest for 40 ms and more. Hedges and repeats after a server's error response take only room for which nobody waits. An attempt that reached no server needs no retry from the budget: it is not a repeat for the service. The table and its reports change no choice while nothing waits.

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -10,12 +10,6 @@
 namespace
 {
 
-// An engine whose KV cache is full preempts running generations. The rest of the cache absorbs
-// outputs that are longer than expected.
-constexpr double usable_cache_fraction = 0.92;
-// A plain server queues a few requests. With up to three for each slot the wait stays below the
-// latency objectives of plain requests (about 30 ms of work against 100 to 150 ms).
-constexpr int maximum_plain_requests_per_slot = 3;
 // Prompt tokens waiting for prefill that count as much as a full KV cache: about half a second of
 // prefill at the engines' specified 14 tokens/ms.
 constexpr double prefill_backlog_scale = 7000;
@@ -175,11 +169,11 @@
                                                          base::time_point now) const
 {
     auto const first_delay = std::chrono::ceil<base::milliseconds>(first_start - now);
-    auto const waiting = m_waiting.find(std::string(service));
-    if (waiting == m_waiting.end() || share == 0)
+    auto const waiting = m_waiting.count_local(service);
+    if (waiting == 0 || share == 0)
         return first_delay;
-    return first_delay + static_cast<int>(waiting->second.size()) *
-                             base::milliseconds(server_rate_limits::window) / share;
+    return first_delay +
+           static_cast<int>(waiting) * base::milliseconds(server_rate_limits::window) / share;
 }
 
 bool dispatcher::below_cold_rate_limit(listed_server const& server, service const& target_service,
@@ -219,6 +213,8 @@
             return exclusion_reason::paused;
         if (now < health->second.unreachable_until)
             return exclusion_reason::unreachable;
+        if (now < health->second.full_until)
+            return exclusion_reason::full;
     }
     if (!below_cold_rate_limit(server, target_service, now))
         return exclusion_reason::cold;
@@ -354,7 +350,8 @@
     ++local_usage.running;
     local_usage.reserved_tokens += demand.prompt_tokens + demand.expected_output_tokens;
     local_usage.unread_prompt_tokens += demand.prompt_tokens;
-    m_attempts.emplace(id, attempt_record{server, demand, false, false, std::move(on_leaving)});
+    m_attempts.emplace(id,
+                       attempt_record{server, demand, now, false, false, std::move(on_leaving)});
     auto& recent_attempt_times = m_server_health[server].recent_attempt_times;
     while (!recent_attempt_times.empty() &&
            recent_attempt_times.front() <= now - server_rate_limits::window)
@@ -378,12 +375,16 @@
     return addresses;
 }
 
-void dispatcher::record_first_event(attempt_id id)
+void dispatcher::record_first_event(attempt_id id, std::optional<base::time_point> now)
 {
     auto const found = m_attempts.find(id);
     if (found == m_attempts.end() || found->second.first_event)
         return;
     found->second.first_event = true;
+    if (now)
+        m_waiting.record_response(
+            service_of(found->second.server),
+            std::chrono::duration_cast<base::milliseconds>(*now - found->second.started));
     m_local_usage[found->second.server].unread_prompt_tokens -= found->second.demand.prompt_tokens;
 }
 
@@ -392,8 +393,13 @@
     auto const found = m_attempts.find(id);
     if (found == m_attempts.end())
         return;
-    record_first_event(id);
+    bool const succeeded = outcome == attempt_outcome::succeeded;
+    record_first_event(id, succeeded ? std::optional(now) : std::nullopt);
     auto const server = found->second.server;
+    if (succeeded)
+        m_waiting.record_duration(
+            service_of(server),
+            std::chrono::duration_cast<base::milliseconds>(now - found->second.started));
     auto const& demand = found->second.demand;
     auto& local_usage = m_local_usage[server];
     --local_usage.running;
@@ -420,6 +426,8 @@
         ++health.consecutive_connect_failures;
         break;
     case attempt_outcome::succeeded:
+        health.consecutive_rejections = 0;
+        [[fallthrough]];
     case attempt_outcome::declined:
     case attempt_outcome::failed:
         health.consecutive_connect_failures = 0;
@@ -471,22 +479,4 @@
     return m_retry_budgets[service].try_spend(m_settings.retry_limits, m_fleet.fleet_size, now);
 }
 
-void dispatcher::add_waiting(std::string const& service, int priority)
-{
-    m_waiting[service].insert(priority);
-}
-
-void dispatcher::remove_waiting(std::string const& service, int priority)
-{
-    auto& waiting = m_waiting[service];
-    if (auto const found = waiting.find(priority); found != waiting.end())
-        waiting.erase(found);
-}
-
-bool dispatcher::more_urgent_waiting(std::string const& service, int priority) const
-{
-    auto const found = m_waiting.find(service);
-    return found != m_waiting.end() && !found->second.empty() && *found->second.begin() < priority;
-}
-
 } // namespace jasminepier::serving
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "serving/server_directory.hpp"
 #include "serving/server_load.hpp"
 #include "serving/server_rate_limits.hpp"
+#include "serving/waiting_table.hpp"
 
 #include <deque>
 #include <functional>
@@ -194,8 +195,9 @@
     void set_can_hand_over(attempt_id id, bool can_hand_over);
     /// Addresses of the engines that run this node's requests, by server id.
     std::map<std::string, std::string> servers_in_use() const;
-    /// Records that the prompt has been read, which ends its share of the prefill backlog.
-    void record_first_event(attempt_id id);
+    /// Records that the prompt has been read, which ends its share of the prefill backlog. With
+    /// `now`, the time since the start of the attempt counts as the service's time to respond.
+    void record_first_event(attempt_id id, std::optional<base::time_point> now = std::nullopt);
     void end_attempt(attempt_id id, attempt_outcome outcome, base::time_point now);
     /// Records an outcome without ending an attempt.
     void record_outcome(std::string const& server, attempt_outcome outcome, base::time_point now);
@@ -210,6 +212,9 @@
     /// Records that the server wants no requests from this node for `pause`. A shorter pause does
     /// not end a longer one.
     void record_pause(std::string const& server, base::milliseconds pause, base::time_point now);
+    /// Records that the server rejected a request because it is full, without running it. It gets
+    /// nothing from this node for a moment, longer each time.
+    void record_full(std::string const& server, base::time_point now);
     /// True if the server drains or was removed.
     bool is_leaving(std::string const& server) const;
     /// Calls `on_leaving` of every attempt whose server drains or was removed.
@@ -244,17 +249,34 @@
     /// zones. Only meaningful if the nodes of a zone report among themselves.
     std::vector<server_load> zone_loads(base::time_point now) const;
 
-    /// The priorities of waiting requests. A request must not be sent while a more urgent one
-    /// waits for the same service.
-    void add_waiting(std::string const& service, int priority);
-    void remove_waiting(std::string const& service, int priority);
-    bool more_urgent_waiting(std::string const& service, int priority) const;
+    /// The requests that wait for room, here and at other nodes.
+    waiting_table& waiting() noexcept { return m_waiting; }
+    waiting_table const& waiting() const noexcept { return m_waiting; }
+    /// Returns whether the request may be sent now although others wait: if room is left beside
+    /// those of better rank, or if requests of its kind are underserved. `own` is its place in the
+    /// list of waiting requests, if it has one.
+    bool may_take_room(std::string_view service, admission_request const& request,
+                       std::optional<waiting_ticket> own, base::time_point now) const;
+    /// Returns when room is expected for a request behind those that wait before it; nothing
+    /// without observations.
+    std::optional<base::milliseconds> expected_wait(std::string_view service,
+                                                    admission_request const& request,
+                                                    std::optional<waiting_ticket> own,
+                                                    base::time_point now) const;
 
 private:
+    // An engine whose KV cache is full preempts running generations. The rest of the cache absorbs
+    // outputs that are longer than expected.
+    static constexpr double usable_cache_fraction = 0.92;
+    // A plain server queues a few requests. With up to three for each slot the wait stays below the
+    // latency objectives of plain requests (about 30 ms of work against 100 to 150 ms).
+    static constexpr int maximum_plain_requests_per_slot = 3;
+
     struct attempt_record
     {
         std::string server;
         request_demand demand;
+        base::time_point started{};
         bool first_event = false;
         bool can_hand_over = false;
         std::function<void()> on_leaving;
@@ -270,6 +292,8 @@
         outcome_history outcomes;
         base::time_point unreachable_until{};
         base::time_point paused_until{};
+        base::time_point full_until{};
+        int consecutive_rejections = 0;
         int consecutive_connect_failures = 0;
         /// Start times of the attempts of the last few seconds, in order, for limits of their rate.
         std::deque<base::time_point> recent_attempt_times;
@@ -308,6 +332,10 @@
                                            service const& target_service, combined_load const& load,
                                            selection_query const& query,
                                            base::time_point now) const;
+    /// Requests of the given size that fit on the server beside those that run there.
+    std::int64_t count_places(listed_server const& server, service const& target_service,
+                              std::int64_t tokens_each, base::time_point now) const;
+    std::string_view service_of(std::string const& server) const;
     double score(listed_server const& server, service const& target_service,
                  combined_load const& load, selection_query const& query,
                  double mean_failure_rate) const;
@@ -329,7 +357,7 @@
     peer_load_table m_peer_loads;
     server_rate_limits m_rate_limits;
     std::map<std::string, node_retry_budget> m_retry_budgets;
-    std::map<std::string, std::multiset<int>> m_waiting;
+    waiting_table m_waiting;
 };
 
 } // namespace jasminepier::serving
--- a/libraries/serving/dispatcher_reports.cpp
+++ b/libraries/serving/dispatcher_reports.cpp
@@ -110,6 +110,7 @@
 void dispatcher::remove_peer(std::string const& zone, std::string const& node)
 {
     m_peer_loads.remove({zone, node});
+    m_waiting.remove_source({zone, node});
 }
 
 std::vector<server_load> dispatcher::zone_loads(base::time_point now) const
--- a/libraries/serving/request_metadata.hpp
+++ b/libraries/serving/request_metadata.hpp
@@ -57,6 +57,8 @@
     bool has_signature = false;
     /// The server guarantees that it did not run the request and will not run it.
     bool declined = false;
+    /// It declined because it has no room at the moment.
+    bool full = false;
     /// The body has a content encoding. Servers send plain bodies, so the response isn't theirs.
     bool encoded = false;
     /// A server with another id has the address now.
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "inner_protocol/conversion.hpp"
 #include "services/node/node_metrics.hpp"
 #include "services/node/object_updates.hpp"
+#include "services/node/waiting_messages.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -172,7 +173,10 @@
             report = make_report(tables);
             // Changes and loads together could exceed a datagram.
             if (changes.empty())
+            {
                 report.uses = to_messages(tables.dispatcher.local_loads(now));
+                add_waiting_work(tables.dispatcher.waiting().local_reports(now), report);
+            }
             peers = tables.nodes.report_recipients();
             // Each zone also has followers of its own; this covers their failure.
             if (!changes.empty())
@@ -273,6 +277,8 @@
                 auto const end = std::min(begin + maximum_loads_per_summary, loads.size());
                 for (auto k = begin; k < end; ++k)
                     part.uses.push_back(to_message(loads[k]));
+                if (i == 0)
+                    add_waiting_work(tables.dispatcher.waiting().zone_reports(now), part);
                 parts.push_back(std::move(part));
             }
         });
@@ -396,6 +402,7 @@
     std::vector<serving::server_load> loads;
     for (auto const& use : report.uses)
         loads.push_back(from_message(use));
+    auto const waiting = read_waiting_work(report);
     bool is_new = false;
     m_state.with(
         [&](node_state::tables& tables)
@@ -414,10 +421,15 @@
                     {static_cast<std::size_t>(report.zone_nodes), report.zone_addresses}, now);
                 tables.dispatcher.merge_zone_summary(
                     report.zone, {report.summary_part, report.summary_parts}, loads, now);
+                if (report.summary_part == 0)
+                    tables.dispatcher.waiting().merge({report.zone, ""}, waiting, now);
             }
             // The summary of a node's zone already contains its loads.
             if (!is_summary && (same_zone || !tables.nodes.is_large_fleet()))
+            {
                 tables.dispatcher.merge_peer({report.zone, report.node}, loads, now);
+                tables.dispatcher.waiting().merge({report.zone, report.node}, waiting, now);
+            }
             // The peer may have reported that a server is leaving or that its own generations have
             // left that server.
             tables.dispatcher.notify_leaving();
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -67,7 +67,7 @@
     m_hedged = true;
     if (!try_spend_attempt())
         return std::nullopt;
-    auto attempt = m_context.acquire_server();
+    auto attempt = m_context.acquire_server(room_use::spare);
     if (!attempt)
         return std::nullopt;
     observe_event("hedge", "sent");
@@ -93,6 +93,7 @@
     {
         log_failure("not_connected");
         --m_context.possible_executions;
+        ++m_context.unreached_attempts;
         current.attempt.end(attempt_outcome::unreachable);
         return attempt_result::not_run;
     }
@@ -119,6 +120,8 @@
     {
         log_failure("declined");
         --m_context.possible_executions;
+        if (metadata.full)
+            m_context.record_full_server(server);
         current.attempt.end(metadata.wrong_server ? attempt_outcome::unreachable
                                                   : attempt_outcome::declined);
         return attempt_result::not_run;
@@ -234,7 +237,10 @@
 {
     while (true)
     {
-        auto attempt = m_context.acquire_server();
+        // A request that fails at one server mostly fails at the next one, too: it takes no room
+        // that others wait for.
+        auto attempt =
+            m_context.acquire_server(m_error_response ? room_use::spare : room_use::ranked);
         if (!attempt && m_may_have_executed)
             return respond_after_failure();
         if (!attempt)
@@ -258,7 +264,7 @@
                 return base::fail(error_kind::timed_out, "the server did not respond in time");
             return base::fail(error_kind::deadline_exceeded, "no server could be reached in time");
         case attempt_result::not_run:
-            if (try_spend_attempt())
+            if (m_context.never_reached() ? m_context.may_try_further() : try_spend_attempt())
                 break;
             if (m_may_have_executed)
                 return respond_after_failure();
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -8,6 +8,7 @@
 #include "services/node/server_attempt.hpp"
 #include "serving/request_metadata.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,16 @@
     bool answered = false;
 };
 
+/// Which room a request may use at the servers.
+enum class room_use
+{
+    /// What its rank permits, after waiting for it if necessary.
+    ranked,
+    /// Only room for which nobody waits, at once: for a second attempt whose first one may still
+    /// succeed, or has a response that can be delivered.
+    spare,
+};
+
 /// Used by the thread that serves the request.
 class request_context
 {
@@ -77,6 +88,8 @@
     int possible_executions = 0;
     /// Number of all attempts.
     int attempts = 0;
+    /// Number of attempts of which no server got a byte.
+    int unreached_attempts = 0;
 
     /// Whether the connection stays open for another request.
     bool keep_connection = true;
@@ -101,24 +114,33 @@
     /// Waits for the first configuration, for a part of the caller's timeout. Returns false if none
     /// has arrived.
     bool wait_for_configuration();
-    /// Selects a server and begins an attempt there. While all servers are full, cold or at their
-    /// rate limit, waits in the queue up to a fraction of the latency objective, unless the rate
-    /// limits certainly last longer. Fails with `overloaded` if they remain
-    /// so, with `no_server` if waiting would not help, and with `node_stopping` if this process may
-    /// exit before the response has ended.
-    base::result<server_attempt> acquire_server();
+    /// Selects a server and begins an attempt there. While all servers are full, waits in the order
+    /// of admission for as long as that can serve the caller, unless room is certainly too far off;
+    /// while they are cold or at their rate limit, for a fraction of the latency objective. Fails
+    /// with `overloaded` if they remain so, with `no_server` if waiting would not help, and with
+    /// `node_stopping` if this process may exit before the response has ended.
+    base::result<server_attempt> acquire_server(room_use use = room_use::ranked);
     /// Selects a server for a generation that moves away from `source`, without waiting.
     std::optional<server_attempt>
     acquire_handover_target(serving::selected_server const& source,
                             std::vector<std::string> const& excluded_targets);
     /// Takes one retry from the service's budget. Returns false if the budget is exhausted.
     bool try_spend_retry();
+    /// True if no server got a byte of this request. The next attempt is then no repeat and needs
+    /// no retry from the budget.
+    bool never_reached() const noexcept { return unreached_attempts == attempts; }
+    /// Returns whether a request that no server could be reached for goes on to another one: as
+    /// long as it would wait for room.
+    bool may_try_further();
     /// Returns the metadata to send to `server` along with the request.
     serving::forwarded_metadata
     make_forwarded_metadata(serving::selected_server const& server) const;
     /// Takes over what a response to this request says about its server.
     void record_server_state(serving::selected_server const& server,
                              serving::response_metadata const& response);
+    /// Records that `server` rejected this request because it is full, without running it. Another
+    /// attempt there may succeed a moment later.
+    void record_full_server(serving::selected_server const& server);
     /// Records that the connection to `server` ended before the response was complete, for poison
     /// request detection.
     void record_lost_answer(serving::selected_server const& server, answer_loss const& loss);
@@ -141,9 +163,19 @@
 private:
     /// Waits until `done()` returns true. Returns false when `wait_deadline` has passed or the
     /// caller has disconnected.
-    template <class Condition>
-    bool wait_until(base::time_point wait_deadline, Condition&& done);
-    std::optional<server_attempt> try_acquire_server(serving::server_selection& selection);
+    bool wait_until(base::time_point wait_deadline, std::function<bool()> const& done);
+    serving::admission_request make_admission_request(base::time_point now) const;
+    std::optional<server_attempt> try_acquire_server(serving::server_selection& selection,
+                                                     room_use use);
+    /// Waits for room and returns an attempt, or nothing with the last reason in `selection`.
+    std::optional<server_attempt> wait_for_server(serving::server_selection& selection,
+                                                  base::time_point wait_end);
+    /// Returns how long this request waits, which lies in the past if it is rejected at once.
+    base::time_point find_wait_end(serving::server_selection const& selection,
+                                   base::time_point now) const;
+    /// Records the end of the wait for the log, the metrics and the shares of kinds of requests.
+    void record_admission(serving::server_selection const& selection, base::time_point wait_start,
+                          bool admitted);
     /// Returns false if the request has crashed several servers and this is no trial of it.
     bool may_run();
     /// Returns false if a part of the prompt crashes servers and this request is no trial of it.
@@ -153,6 +185,9 @@
     void log_selected_server(serving::selected_server const& server,
                              std::string_view purpose) const;
 
+    /// This request as the order of admission sees it, while a server is acquired.
+    serving::admission_request m_order;
+    std::optional<serving::waiting_ticket> m_ticket;
     /// When a caller may come back after a rejection, if this node knows.
     std::optional<base::milliseconds> m_retry_delay;
     /// This request may run once although it has crashed several servers.
--- a/services/node/server_attempt.hpp
+++ b/services/node/server_attempt.hpp
@@ -68,8 +68,9 @@
     {
         if (m_state != nullptr)
         {
+            auto const now = base::steady_clock_source{}.now();
             m_state->with([&](node_state::tables& tables)
-                          { tables.dispatcher.record_first_event(m_id); });
+                          { tables.dispatcher.record_first_event(m_id, now); });
             m_state->report_due().signal();
         }
     }
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -313,6 +313,8 @@
         break;
     }
     m_context.excluded_servers.push_back(m_attempt->server().id);
+    if (outcome == stream_outcome::not_run && metadata.full)
+        m_context.record_full_server(m_attempt->server());
     base::log_line(base::log_level::info, "attempt_failed")
         .field("request_id", m_context.metadata.request_id)
         .field("server", m_attempt->server().id)
@@ -394,7 +396,10 @@
         bool const not_run = outcome == stream_outcome::not_run && !m_is_continuation;
         if (not_run)
             --m_context.possible_executions;
-        bool const retry = not_run && m_context.attempts < maximum_attempts_per_request
+        if (not_run && !m_exchange->any_bytes_sent())
+            ++m_context.unreached_attempts;
+        bool const retry = not_run && m_context.never_reached() ? m_context.may_try_further()
+                           : not_run && m_context.attempts < maximum_attempts_per_request
                                ? m_context.try_spend_retry()
                                : try_spend_resume();
         if (retry)
