--- a/tests/node_limit_test.cpp
+++ b/tests/node_limit_test.cpp
@@ -110,5 +110,31 @@
         EXPECT_EQ(call("POST", "/order/ok").status, 200);
 }
 
+// Load: most servers of a service refuse connections at once. Guards against requests that are
+// rejected, although a server has room, because attempts that no server got use up the retries.
+TEST_F(node_limit_test, requests_pass_servers_that_cannot_be_reached)
+{
+    constexpr int dead_servers = 10;
+    for (int i = 1; i <= dead_servers; ++i)
+        m_store.put("servers", "i-dead-" + std::to_string(i),
+                    make_server_entry("shop", "127.0.0.1:" + std::to_string(i)));
+    start_until_ready();
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(call("POST", "/order/ok").status, 200);
+}
+
+// Load: both servers of a service are full for a moment. Guards against repeats to servers that
+// have just rejected a request, and against a rejection while there is time to wait.
+TEST_F(node_limit_test, requests_wait_while_full_servers_reject_them)
+{
+    start_until_ready();
+    auto const earlier = m_shop_1.requests().size() + m_shop_2.requests().size();
+    auto const start = std::chrono::steady_clock::now();
+    EXPECT_EQ(call("POST", "/order/shed").status, 503);
+    // The fourth attempt follows a pause of each server.
+    EXPECT_GE(std::chrono::steady_clock::now() - start, milliseconds(40));
+    EXPECT_EQ(m_shop_1.requests().size() + m_shop_2.requests().size(), earlier + 4);
+}
+
 } // namespace
 } // namespace jasminepier::tests
