--- a/libraries/serving/waiting_table.cpp
+++ b/libraries/serving/waiting_table.cpp
@@ -128,6 +128,9 @@
         if (other_rank < own_rank || earlier)
             better += {1, entry.request.tokens};
     }
+    // A place for plain work is free again before a report of who waits for it arrives.
+    if (request.tokens == 0)
+        return better;
     auto const hash = hash_server(service);
     for (auto const& [source, reports] : m_reports)
         if (counts(source, reports, now))
--- a/services/node/request_admission.cpp
+++ b/services/node/request_admission.cpp
@@ -106,9 +106,12 @@
         {
             auto const& dispatcher = tables.dispatcher;
             auto const response = dispatcher.waiting().expected_response(service->name);
+            // Plain servers that are full for longer are overloaded: a longer wait there delays
+            // those that could still be in time.
+            auto const order_end = service->engine ? serving::find_wait_end(m_order, response)
+                                                   : base::time_point(usual_end);
             auto const wait_end = std::min<base::time_point>(
-                std::max(serving::find_wait_end(m_order, response), usual_end),
-                deadline - response);
+                std::max<base::time_point>(order_end, usual_end), deadline - response);
             auto const expected =
                 dispatcher.expected_wait(service->name, m_order, std::nullopt, now);
             return expected && now + *expected > wait_end ? now : wait_end;
