--- a/tests/server_pace_test.cpp
+++ b/tests/server_pace_test.cpp
@@ -77,7 +77,7 @@
 
     std::string place(request_demand const& demand)
     {
-        auto const server = select(demand);
+        auto server = select(demand);
         if (!server.empty())
             run(server, demand);
         return server;
