--- a/libraries/serving/dispatcher_rollouts.cpp
+++ b/libraries/serving/dispatcher_rollouts.cpp
@@ -38,6 +38,13 @@
         {attempt.started, attempt.first_event_time, now, attempt.demand.expected_output_tokens});
 }
 
+void dispatcher::notify_leaving()
+{
+    for (auto const& [attempt_key, attempt] : m_attempts)
+        if (attempt.on_leaving && is_leaving(attempt.server))
+            attempt.on_leaving();
+}
+
 void dispatcher::apply_rollout(rollout_order const& order, base::time_point now,
                                std::int64_t unix_milliseconds)
 {
