Serving, Node: Mend findings of the review of pace and admission

Cause: shown by the reviewer in memory: a fast server that fails got 40 of 40 long streams; a request of 25,000 tokens elsewhere held back one of 600 here; a request was rejected at once although a full server is asked again after 40 ms; less urgent work took the only start that a limited server permits; a pace stated by one service changed the choices of another; hedges spent retries without being sent; plain waits sent reports that nobody uses; a waiting entry stayed after an exception. Change: failures weigh as much as lateness where gaps count, and gaps count per service; sizes are limited to what an engine holds; a server that was full a moment ago ends the estimate of the wait; limited and cold servers count as one place; spare room is looked up before a retry is spent; only generations notify peers; the entry leaves the list in a destructor; ranks of peers are checked.

--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -244,7 +244,9 @@
 {
     auto const attempts = load.attempts + prior_attempt_count;
     auto const failure_rate = (load.failures + prior_attempt_count * mean_failure_rate) / attempts;
-    auto total_score = failure_weight * std::max(0.0, failure_rate - mean_failure_rate);
+    // A failed stream costs its caller at least as much as a late one.
+    auto const weight = query.weighs_gaps ? late_stream_weight : failure_weight;
+    auto total_score = weight * std::max(0.0, failure_rate - mean_failure_rate);
     total_score += unreachable_report_weight * load.unreachable_report_count;
     bool const crosses_zones =
         !query.preferred_zone.empty() && server.entry.zone != query.preferred_zone;
@@ -267,9 +269,10 @@
     return total_score;
 }
 
-server_selection dispatcher::select_server(selection_query const& query, base::time_point now,
+server_selection dispatcher::select_server(selection_query const& requested, base::time_point now,
                                            base::random_source& random) const
 {
+    auto query = requested;
     server_selection result;
     result.reason = exclusion_reason::leaving;
     auto const* target_service = m_configuration->find_service(query.service);
@@ -313,6 +316,10 @@
             result.reason = reason;
     }
     keep_highest_admission(candidates);
+    query.weighs_gaps =
+        query.demand.maximum_event_gap.count() > 0 && m_paces.any() &&
+        std::any_of(candidates.begin(), candidates.end(),
+                    [&](auto const& item) { return m_paces.knows(item.server->hash); });
     if (candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated &&
         m_directory.may_miss_servers(now))
         result.reason = exclusion_reason::unlisted;
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -90,6 +90,8 @@
     selection_purpose purpose = selection_purpose::new_work;
     /// The local node's zone for new work, the source server's zone for a handover.
     std::string_view preferred_zone;
+    /// Whether late streams count; set for requests with a bounded gap if a server states its pace.
+    bool weighs_gaps = false;
 };
 
 /// The selected server and the inputs of its score, for the log.
--- a/libraries/serving/dispatcher_admission.cpp
+++ b/libraries/serving/dispatcher_admission.cpp
@@ -29,6 +29,10 @@
 std::int64_t dispatcher::count_places(listed_server const& server, service const& target_service,
                                       std::int64_t tokens_each, base::time_point now) const
 {
+    // Room for a request of most of a cache appears only when an engine is idle, and holding back
+    // the others doesn't bring that about.
+    if (target_service.engine)
+        tokens_each = std::min(tokens_each, target_service.engine->cache_tokens / 2);
     selection_query const any_request{.service = target_service.name,
                                       .demand = {tokens_each, 0, 0},
                                       .excluded_servers = {},
@@ -38,6 +42,12 @@
     if (find_exclusion_reason(server, target_service, load, any_request, now) !=
         exclusion_reason::none)
         return 0;
+    // Such a server takes one request after another; how many is not known before they are sent.
+    bool const starts_are_limited =
+        m_rate_limits.find_limit(server.hash).has_value() ||
+        (now < server.cold_until && target_service.cold_requests_per_second > 0);
+    if (starts_are_limited)
+        return 1;
     if (!target_service.engine)
         return server.entry.slots * maximum_plain_requests_per_slot - load.total.running;
     auto const free_runs = std::max(target_service.engine->batch_size, 1) - load.total.running;
@@ -75,8 +85,15 @@
 {
     std::int64_t running = 0;
     for (auto const& [id, server] : m_directory.servers())
-        if (server.entry.service == service)
-            running += combine_loads(server, now).total.running;
+    {
+        if (server.entry.service != service || !is_usable(server.phase))
+            continue;
+        // A server that has rejected a request is asked again in a moment.
+        auto const health = m_server_health.find(id);
+        if (health != m_server_health.end() && now < health->second.full_until)
+            return std::nullopt;
+        running += combine_loads(server, now).total.running;
+    }
     return estimate_wait(m_waiting.better_than(service, request, own, now).requests, running,
                          m_waiting.mean_duration(service));
 }
--- a/libraries/serving/dispatcher_pace.cpp
+++ b/libraries/serving/dispatcher_pace.cpp
@@ -42,7 +42,7 @@
                                          combined_load const& load, selection_query const& query,
                                          base::time_point now) const
 {
-    if (!m_paces.any() || query.demand.maximum_event_gap.count() <= 0)
+    if (!query.weighs_gaps)
         return 0;
     auto const& demand = query.demand;
     auto const reserved_tokens =
--- a/libraries/serving/server_pace.hpp
+++ b/libraries/serving/server_pace.hpp
@@ -53,6 +53,7 @@
     void expire(base::time_point now);
     /// True if any server has stated a pace.
     bool any() const noexcept { return !m_estimates.empty(); }
+    bool knows(server_hash server) const { return m_estimates.contains(server); }
 
 private:
     struct record_entry
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -77,7 +77,7 @@
 std::optional<plain_relay::pending_attempt> plain_relay::start_hedge()
 {
     m_hedged = true;
-    if (!try_spend_attempt())
+    if (!m_context.has_spare_room() || !try_spend_attempt())
         return std::nullopt;
     auto attempt = m_context.acquire_server(room_use::spare);
     if (!attempt)
@@ -300,7 +300,8 @@
             return base::fail(error_kind::server_unreachable, "no server accepted the request");
         case attempt_result::failed:
         case attempt_result::error_response:
-            if (is_idempotent() && try_spend_attempt())
+            if (is_idempotent() && (!m_error_response || m_context.has_spare_room()) &&
+                try_spend_attempt())
                 break;
             return respond_after_failure();
         }
--- a/services/node/request_admission.cpp
+++ b/services/node/request_admission.cpp
@@ -5,6 +5,7 @@
 #include "serving/response_time_bound.hpp"
 
 #include <algorithm>
+#include <memory>
 
 namespace jasminepier::node
 {
@@ -26,13 +27,24 @@
 
 } // namespace
 
+std::int64_t request_context::needed_tokens() const
+{
+    if (!service->engine)
+        return 0;
+    // Callers state the counts, so they are limited to what an engine holds.
+    auto const most = std::max<std::int64_t>(service->engine->cache_tokens, 1);
+    auto const prompt = std::min(demand.prompt_tokens, most);
+    return std::clamp<std::int64_t>(prompt + std::min(demand.expected_output_tokens, most), 1,
+                                    most);
+}
+
 serving::admission_request request_context::make_admission_request(base::time_point now) const
 {
     // A stream that has begun is due from now on.
     auto const begin = first_event ? now : arrival;
     return {.priority = demand.priority,
             .route_priority = route->priority,
-            .tokens = service->engine ? demand.prompt_tokens + demand.expected_output_tokens : 0,
+            .tokens = needed_tokens(),
             .arrival = begin,
             .objective_end = begin + route->latency_objective,
             .deadline = deadline};
@@ -132,8 +144,25 @@
         });
     if (!m_ticket)
         return std::nullopt;
-    // Other nodes leave room for this request from now on.
-    state.report_due().signal();
+    // Other nodes leave room for a waiting generation from now on.
+    auto const notify_peers = [&]
+    {
+        if (service->engine)
+            state.report_due().signal();
+    };
+    notify_peers();
+    // Also after an exception: an entry that stays would hold back requests of all nodes.
+    auto const leave_list = [&](void const*)
+    {
+        state.with(
+            [&](node_state::tables& tables)
+            {
+                tables.waiting_requests.erase(&wake);
+                tables.dispatcher.waiting().remove(*m_ticket);
+            });
+        m_ticket.reset();
+    };
+    std::unique_ptr<request_context, decltype(leave_list)> entry(this, leave_list);
     std::optional<server_attempt> attempt;
     wait_until(wait_end,
                [&]
@@ -148,17 +177,19 @@
                    attempt = try_acquire_server(selection, room_use::ranked);
                    return attempt || !selection.worth_waiting();
                });
-    state.with(
-        [&](node_state::tables& tables)
-        {
-            tables.waiting_requests.erase(&wake);
-            tables.dispatcher.waiting().remove(*m_ticket);
-        });
-    m_ticket.reset();
-    state.report_due().signal();
+    entry.reset();
+    notify_peers();
     return attempt;
 }
 
+bool request_context::has_spare_room()
+{
+    auto const now = base::steady_clock_source{}.now();
+    return state.with(
+        [&](node_state::tables& tables)
+        { return tables.dispatcher.waiting().all(service->name, now).requests == 0; });
+}
+
 void request_context::record_admission(serving::server_selection const& selection,
                                        base::time_point wait_start, bool admitted)
 {
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -127,6 +127,8 @@
     /// with `overloaded` if they remain so, with `no_server` if waiting would not help, and with
     /// `node_stopping` if this process may exit before the response has ended.
     base::result<server_attempt> acquire_server(room_use use = room_use::ranked);
+    /// True if no request waits for room at the service, here or elsewhere.
+    bool has_spare_room();
     /// Selects a server for a generation that moves away from `source`, without waiting.
     std::optional<server_attempt>
     acquire_handover_target(serving::selected_server const& source,
@@ -171,6 +173,8 @@
     /// Waits until `done()` returns true. Returns false when `wait_deadline` has passed or the
     /// caller has disconnected.
     bool wait_until(base::time_point wait_deadline, std::function<bool()> const& done);
+    /// Engine memory that the request needs; 0 for plain work.
+    std::int64_t needed_tokens() const;
     serving::admission_request make_admission_request(base::time_point now) const;
     std::optional<server_attempt> try_acquire_server(serving::server_selection& selection,
                                                      room_use use);
--- a/services/node/waiting_messages.cpp
+++ b/services/node/waiting_messages.cpp
@@ -13,6 +13,7 @@
 // More waiting requests or memory than any fleet has.
 constexpr std::int32_t maximum_requests = 100'000;
 constexpr std::int64_t maximum_tokens = 1'000'000'000;
+constexpr std::int32_t maximum_rank = 10'000;
 
 } // namespace
 
@@ -44,7 +45,8 @@
     for (auto const& work : message.waiting)
     {
         bool const valid = work.requests > 0 && work.requests <= maximum_requests &&
-                           work.tokens >= 0 && work.tokens <= maximum_tokens && work.rank >= 0;
+                           work.tokens >= 0 && work.tokens <= maximum_tokens && work.rank >= 0 &&
+                           work.rank <= maximum_rank;
         if (valid && reports.size() < maximum_entries)
             reports.push_back({work.service_hash, work.rank, {work.requests, work.tokens}});
     }
--- a/tests/admission_order_test.cpp
+++ b/tests/admission_order_test.cpp
@@ -260,5 +260,35 @@
     EXPECT_EQ(calm.better_than("engines", large, {}, start), waiting_demand{});
 }
 
+// Guards against a caller that states a huge request and so holds back all others.
+TEST(admission_order_test, a_huge_request_elsewhere_holds_back_no_small_one)
+{
+    auto node = make_node("n0", 4, 1);
+    auto other = make_node("n1", 4, 0);
+    other.waiting().add("engines", make_request(0, 25000, milliseconds(1500), seconds(6)), start);
+    node.waiting().merge({"a", "n1"}, other.waiting().local_reports(start), start);
+    EXPECT_TRUE(
+        node.may_take_room("engines", make_request(2, 600, seconds(4), seconds(39)), {}, start));
+}
+
+// Guards against a rejection at once although the full server is asked again in a moment.
+TEST(admission_order_test, a_request_waits_for_a_server_that_was_full_a_moment_ago)
+{
+    auto node = make_node("n0", 1, 1);
+    node.waiting().record_duration("engines", seconds(8));
+    EXPECT_TRUE(node.expected_wait("engines", triage(), {}, start));
+    node.record_full("s0", start);
+    EXPECT_FALSE(node.expected_wait("engines", triage(), {}, start));
+}
+
+// Guards against less urgent work that takes the only request that a limited server permits.
+TEST(admission_order_test, the_only_permitted_start_goes_to_the_more_urgent_request)
+{
+    auto node = make_node("n0", 1, 0);
+    node.record_rate_limit("s0", 1.0, start);
+    node.waiting().add("engines", triage(), start);
+    EXPECT_FALSE(node.may_take_room("engines", narrative(), {}, start));
+}
+
 } // namespace
 } // namespace jasminepier::serving
--- a/tests/server_pace_test.cpp
+++ b/tests/server_pace_test.cpp
@@ -180,6 +180,24 @@
 
 // A figure that flips every 50 ms between a fast and a very slow pace: the estimate stays between
 // them and does not jump with each answer.
+// Guards against a fast server that fails everything and so gets every long stream.
+TEST_F(server_pace_test, does_not_prefer_a_fast_server_that_fails)
+{
+    state_pace("s0", fast_pace);
+    for (auto const* const slow : {"s1", "s2", "s3"})
+    {
+        state_pace(slow, slow_pace);
+        for (int i = 0; i < 4; ++i)
+            run(slow, plan);
+        for (int i = 0; i < 20; ++i)
+            m_node.record_outcome(slow, attempt_outcome::succeeded, start);
+    }
+    for (int i = 0; i < 20; ++i)
+        m_node.record_outcome("s0", attempt_outcome::failed, start);
+    for (int i = 0; i < 10; ++i)
+        EXPECT_NE(select(plan), "s0");
+}
+
 TEST(server_pace_table_test, estimates_a_flipping_pace)
 {
     server_pace_table table;
