Serving: Only a version with evidence and servers takes all requests

From the end of the ramp the stage depended on time alone: a version without answers got all requests, and there was no way back when its servers crashed in the retire stage. The stage now stays the canary's until the version has answers on each route and servers; it falls back with them, and the roll-out is rolled back at the end. Evidence counts when the drain begins, not while the service is quiet at its start. The last look is made also when the drain begins late. A version with one answering group of servers is judged by it.

--- a/libraries/serving/rollout_evidence.cpp
+++ b/libraries/serving/rollout_evidence.cpp
@@ -26,6 +26,8 @@
 constexpr double fraction_without_worst_group = 0.4;
 constexpr std::int64_t minimum_bad_answers = 5;
 constexpr std::int64_t minimum_bad_answers_without_worst_group = 3;
+// Without answers of other groups, so many stand alone.
+constexpr std::int64_t sufficient_bad_answers_of_group = 40;
 // Smaller differences are not a fault of the version.
 constexpr double minimum_failure_excess = 0.06;
 constexpr double minimum_slow_excess = 0.12;
@@ -244,8 +246,12 @@
                                  [](auto const& a, auto const& b) { return a.bad < b.bad; });
             rest.answers -= worst->answers;
             rest.bad -= worst->bad;
-            if (rest.bad < minimum_bad_answers_without_worst_group ||
-                evidence_against(rest, rate) < fraction_without_worst_group * required)
+            // Servers that answer nothing cannot clear the version.
+            bool const rest_is_silent = rest.answers < minimum_bad_answers_without_worst_group &&
+                                        seen.target.bad >= sufficient_bad_answers_of_group;
+            if (!rest_is_silent &&
+                (rest.bad < minimum_bad_answers_without_worst_group ||
+                 evidence_against(rest, rate) < fraction_without_worst_group * required))
                 return std::nullopt;
         }
         return rollout_finding{
--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -314,15 +314,15 @@
         return rollout_stage::waiting;
     if (item.start_is_uncertain && now < item.learned + start_report_period)
         return rollout_stage::canary;
-    return find_rollout_stage(item.schedule,
-                              std::chrono::duration_cast<milliseconds>(now - item.start));
+    auto const stage = find_rollout_stage(
+        item.schedule, std::chrono::duration_cast<milliseconds>(now - item.start));
+    // Only a version with evidence and room takes all requests.
+    return stage >= rollout_stage::drain && !item.may_drain ? rollout_stage::canary : stage;
 }
 
 void rollout_table::decide_end(rollout& item, std::span<rollout_server const> servers,
                                base::time_point now)
 {
-    if (item.stage != rollout_stage::retire)
-        return;
     int old_running = 0;
     int target_slots = 0;
     for (auto const& server : servers)
@@ -334,21 +334,30 @@
         else
             old_running += server.running;
     }
-    if (old_running > 0)
+    auto const sums = item.evidence.sums();
+    bool const has_servers = target_slots >= required_capacity * item.maximum_old_slots;
+    bool const has_evidence =
+        sums.target.sent + sums.others.sent < busy_service_requests ||
+        (sums.target.answers >= minimum_answers &&
+         item.evidence.has_seen_routes(answers_per_route, m_limits->exposure_share / 2));
+    // A service is quiet at the start; what counts is the evidence when the drain begins.
+    item.may_drain = has_servers && (has_evidence || item.stage >= rollout_stage::drain);
+    item.may_complete = false;
+    auto const planned = find_rollout_stage(
+        item.schedule, std::chrono::duration_cast<milliseconds>(now - item.start));
+    // A wall clock that is wrong must not end the roll-out.
+    bool const is_last_moment =
+        !(item.start_is_uncertain && now < item.learned + start_report_period) &&
+        now >= item.start + item.schedule.retire_end;
+    if (is_last_moment && !item.may_drain)
+        item.stop_reason = has_servers ? reason_evidence : reason_capacity;
+    if (planned != rollout_stage::retire || !item.may_drain || old_running > 0)
         item.idle_since.reset();
     else if (!item.idle_since)
         item.idle_since = now;
-    bool const is_last_moment = now >= item.start + item.schedule.retire_end;
     bool const is_idle = item.idle_since && now >= *item.idle_since + idle_duration;
-    bool const has_servers = target_slots >= required_capacity * item.maximum_old_slots;
-    auto const sums = item.evidence.sums();
-    bool const has_evidence = sums.target.answers >= minimum_answers ||
-                              sums.target.sent + sums.others.sent < busy_service_requests;
-    item.may_complete = has_servers && has_evidence && (is_idle || is_last_moment);
-    if (is_last_moment && !has_servers)
-        item.stop_reason = reason_capacity;
-    else if (is_last_moment && !has_evidence)
-        item.stop_reason = reason_evidence;
+    item.may_complete =
+        item.stage == rollout_stage::retire && item.may_drain && (is_idle || is_last_moment);
 }
 
 rollout_step rollout_table::make_step(rollout const& item, base::time_point now) const
@@ -403,8 +412,9 @@
                                 item.stop_reason.empty();
         if (is_running)
         {
-            bool const is_last_look =
-                item.stage == rollout_stage::drain && previous_stage != rollout_stage::drain;
+            bool const takes_all = item.stage >= rollout_stage::drain;
+            bool const is_last_look = takes_all && !item.had_last_look;
+            item.had_last_look = takes_all;
             item.finding = item.evidence.judge(now, item.has_several_groups, is_last_look);
             item.evidence.take_snapshot(now);
             if (item.finding)
--- a/libraries/serving/rollout_table.hpp
+++ b/libraries/serving/rollout_table.hpp
@@ -188,6 +188,9 @@
         double credit = 0;
         std::string_view stop_reason;
         std::optional<rollout_finding> finding;
+        /// The version has evidence and servers enough to take all requests.
+        bool may_drain = false;
+        bool had_last_look = false;
         bool may_complete = false;
         std::optional<base::time_point> idle_since;
         std::optional<base::time_point> ended;
--- /dev/null
+++ b/tests/rollout_table_test.cpp
@@ -0,0 +1,112 @@
+/// Single rules of roll-outs at one node.
+#include "serving/rollout_table.hpp"
+
+#include <gtest/gtest.h>
+
+namespace jasminepier::serving
+{
+namespace
+{
+
+using base::milliseconds;
+using base::time_point;
+
+constexpr milliseconds duration{60000};
+constexpr rollout_limits limits{0.1, 50, milliseconds(5000)};
+
+time_point at(std::int64_t ms)
+{
+    return time_point(std::chrono::milliseconds(ms));
+}
+
+/// One node with an old and a new server of the service "shop".
+class rollout_rules_test : public testing::Test
+{
+protected:
+    void SetUp() override { m_table.enable(limits, 1); }
+
+    rollout_order order(std::int64_t revision, std::optional<rollout_state> written = std::nullopt,
+                        std::string const& target = "v2", std::uint64_t id = 7)
+    {
+        return {"shop", target, duration, id, revision, written};
+    }
+    void apply(rollout_order const& changed)
+    {
+        m_table.apply_order(changed, false, at(m_now));
+        advance(250);
+    }
+    std::vector<rollout_step> advance(std::int64_t ms)
+    {
+        m_now += ms;
+        return m_table.advance(m_servers, at(m_now));
+    }
+    void advance_until(std::int64_t ms)
+    {
+        while (m_now < ms)
+            advance(250);
+    }
+    version_admission admit(std::string const& version)
+    {
+        return m_table.admit("shop", version, version + "-1", false, at(m_now));
+    }
+    std::optional<rollout_state> pending() const
+    {
+        auto const writes = m_table.pending_writes(at(m_now));
+        return writes.empty() ? std::nullopt : std::optional(writes.front().state);
+    }
+    void answer(std::string const& version, answer_evidence evidence, answer_times const& times)
+    {
+        m_table.record_answer("shop", version, version + "-1", "main", evidence, times);
+    }
+    void send(std::string const& version, int requests, int answers)
+    {
+        for (int i = 0; i < requests; ++i)
+            m_table.record_sent("shop", version, version + "-1", "main");
+        for (int i = 0; i < answers; ++i)
+            answer(version, answer_evidence::good, {at(m_now - 10), std::nullopt, at(m_now), 0});
+    }
+
+    rollout_table m_table;
+    std::int64_t m_now = 1000;
+    std::vector<rollout_server> m_servers{{"v1-1", "shop", "v1", true, false, 4, 0},
+                                          {"v2-1", "shop", "v2", true, false, 4, 0}};
+};
+
+constexpr std::int64_t in_drain = 52000;
+constexpr std::int64_t in_retire = 54500;
+
+// Guards against all requests for a version that has answered none.
+TEST_F(rollout_rules_test, version_without_answers_does_not_take_all_requests)
+{
+    apply(order(10, rollout_state::in_progress));
+    send("v1", 1000, 1000);
+    send("v2", 100, 0);
+    advance_until(in_drain);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    advance_until(in_retire);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    advance_until(1000 + duration.count());
+    EXPECT_EQ(pending(), rollout_state::rolled_back);
+}
+
+// Guards against a service without servers because the new ones crash when they have everything.
+TEST_F(rollout_rules_test, old_version_returns_when_the_new_servers_crash_in_the_end)
+{
+    apply(order(10, rollout_state::in_progress));
+    send("v1", 1000, 1000);
+    send("v2", 100, 100);
+    m_servers[0].running = 1;
+    advance_until(in_retire);
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_EQ(admit("v2"), version_admission::preferred);
+    m_servers[1].usable = false;
+    advance(250);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_FALSE(m_table.retires("shop", "v1"));
+    advance_until(1000 + duration.count());
+    EXPECT_EQ(pending(), rollout_state::rolled_back);
+}
+
+} // namespace
+} // namespace jasminepier::serving
