Node: Reports of many orders fit into a datagram; evidence of a zone has its own part

Each of n orders had at least one entry, so about 30 orders made every report of the node too long to be sent. A report now has at most 10 entries and goes on with the orders and the entries where the last of its kind ended; the position was the report's sequence, which both kinds share. The entries of a zone's summary went into its last part, whose loads they displaced; they are a part of their own now, only when there is an order. rollout_table_test checks 25 orders with 5 routes: 10 entries at most, all seen in 15 reports.

--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -187,7 +187,7 @@
             if (changes.empty())
             {
                 report.uses = to_messages(tables.dispatcher.local_loads(now));
-                add_rollouts(report, tables.dispatcher.rollouts(), false, now);
+                add_rollouts(report, tables.dispatcher.rollouts(), false, m_rollout_position, now);
                 add_waiting_work(tables.dispatcher.waiting().local_reports(now), report);
             }
             peers = tables.nodes.report_recipients();
@@ -294,7 +294,20 @@
                     add_waiting_work(tables.dispatcher.waiting().zone_reports(now), part);
                 parts.push_back(std::move(part));
             }
-            add_rollouts(parts.back(), tables.dispatcher.rollouts(), true, now);
+            // A part of their own, so that no loads are lost to make room.
+            inner_protocol::node_report entries;
+            if (!add_rollouts(entries, tables.dispatcher.rollouts(), true, m_zone_rollout_position,
+                              now))
+                return;
+            auto part = make_report(tables);
+            part.__set_versions(std::move(entries.versions));
+            part.zone_nodes = parts.back().zone_nodes;
+            part.zone_addresses = parts.back().zone_addresses;
+            part.relay = true;
+            part.summary_part = static_cast<std::int32_t>(parts.size());
+            parts.push_back(std::move(part));
+            for (auto& each : parts)
+                each.summary_parts = static_cast<std::int32_t>(parts.size());
         });
     if (!parts.empty())
         add_crashes(parts.back());
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include "inner_protocol/datagram.hpp"
 #include "services/node/node_state.hpp"
+#include "services/node/rollout_reports.hpp"
 
 #include <atomic>
 #include <span>
@@ -50,6 +51,9 @@
     node_state& m_state;
     inner_protocol::datagram_socket m_socket;
     std::atomic<std::int64_t> m_sequence{0};
+    /// Used with the node's tables locked.
+    rollout_report_position m_rollout_position;
+    rollout_report_position m_zone_rollout_position;
 };
 
 } // namespace jasminepier::node
--- a/services/node/rollout_reports.cpp
+++ b/services/node/rollout_reports.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
 
 namespace jasminepier::node
 {
@@ -37,35 +36,47 @@
 
 } // namespace
 
-void add_rollouts(inner_protocol::node_report& report, serving::rollout_table const& rollouts,
-                  bool of_zone, base::time_point now)
+bool add_rollouts(inner_protocol::node_report& report, serving::rollout_table const& rollouts,
+                  bool of_zone, rollout_report_position& position, base::time_point now)
 {
     auto const known = rollouts.reports(of_zone, now);
     if (known.empty())
-        return;
-    auto const entries_per_order = std::max<std::size_t>(maximum_entries / known.size(), 1);
-    for (auto const& rollout : known)
+        return false;
+    auto const order_count = std::min(known.size(), maximum_entries);
+    auto const entries_per_order = maximum_entries / order_count;
+    // Each report begins where the one before has ended.
+    for (std::size_t i = 0; i < order_count; ++i)
     {
+        auto const& rollout = known[(position.order + i) % known.size()];
         std::vector<inner_protocol::version_outcomes> entries;
         for (auto const& [key, counts] : rollout.counts)
             entries.push_back(to_message(rollout, key, counts));
         if (entries.empty())
             entries.push_back(to_message(rollout, {}, {}));
-        // Each report begins where the one before has ended.
         if (entries.size() > entries_per_order)
         {
-            auto const first = static_cast<std::size_t>(report.sequence) * entries_per_order;
-            std::rotate(entries.begin(),
-                        entries.begin() + static_cast<std::ptrdiff_t>(first % entries.size()),
+            auto& first = position.entries[rollout.order];
+            first %= entries.size();
+            std::rotate(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(first),
                         entries.end());
             entries.resize(entries_per_order);
+            first += entries_per_order;
         }
         if (rollout.age)
             entries.front().__set_age_milliseconds(narrow(rollout.age->count()));
         entries.front().__set_stopped(rollout.stopped);
         report.versions.insert(report.versions.end(), entries.begin(), entries.end());
     }
+    position.order = (position.order + order_count) % known.size();
+    std::erase_if(position.entries,
+                  [&](auto const& item)
+                  {
+                      return std::none_of(known.begin(), known.end(),
+                                          [&](auto const& rollout)
+                                          { return rollout.order == item.first; });
+                  });
     report.__isset.versions = true;
+    return true;
 }
 
 void apply_rollouts(inner_protocol::node_report const& report, serving::rollout_table& rollouts,
--- a/tests/rollout_table_test.cpp
+++ b/tests/rollout_table_test.cpp
@@ -1,4 +1,6 @@
 /// Single rules of roll-outs at one node.
+#include "inner_protocol/datagram.hpp"
+#include "services/node/rollout_reports.hpp"
 #include "serving/rollout_table.hpp"
 
 #include <gtest/gtest.h>
@@ -108,5 +110,32 @@
     EXPECT_EQ(pending(), rollout_state::rolled_back);
 }
 
+// Guards against reports that many orders make too long to be sent, and against counts or orders
+// that never get their turn.
+TEST_F(rollout_rules_test, reports_of_many_orders_fit_and_carry_everything)
+{
+    for (std::uint64_t id = 1; id <= 25; ++id)
+    {
+        auto const service = "s" + std::to_string(id);
+        m_table.apply_order({service, "v2", duration, id, 10, std::nullopt}, false, at(m_now));
+        for (int route = 0; route < 5; ++route)
+            m_table.record_sent(service, "v1", "v1-1", "route-" + std::to_string(route));
+    }
+    std::set<std::pair<std::int64_t, std::int32_t>> seen;
+    node::rollout_report_position position;
+    for (int i = 0; i < 15; ++i)
+    {
+        inner_protocol::node_report report;
+        // Reports of the node and of its zone share one sequence.
+        report.sequence = 2 * i;
+        EXPECT_TRUE(node::add_rollouts(report, m_table, false, position, at(m_now)));
+        EXPECT_LE(report.versions.size(), 10U);
+        EXPECT_LT(inner_protocol::encode_node_report(report).size(), 600U);
+        for (auto const& entry : report.versions)
+            seen.emplace(entry.order_revision, entry.route_hash);
+    }
+    EXPECT_EQ(seen.size(), 125U);
+}
+
 } // namespace
 } // namespace jasminepier::serving
