Serving, Node, Platform: Refused versions stay refused, repeated orders are new ones

A version that was rolled back, or whose order was replaced or deleted before its end, became a normal one. It stays excluded now until its servers leave the list or it is ordered again, as long as another version has usable servers. An order that cannot be read keeps the one before. After the end only versions listed during the order are excluded, so a later release without an order gets its requests.

rollout_test expected that a version rolled back is a normal one as soon as its order is deleted, which is the fault; the line now expects that it is excluded.

--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -1,7 +1,6 @@
 #include "serving/rollout_table.hpp"
 
 #include "base/hash.hpp"
-#include "store/object_version.hpp"
 
 #include <algorithm>
 
@@ -54,132 +53,6 @@
 
 } // namespace
 
-void rollout_table::enable(rollout_limits const& limits, std::uint64_t seed)
-{
-    m_limits = limits;
-    m_random.seed(seed);
-}
-
-void rollout_table::apply_order(rollout_order const& order, bool has_engines, base::time_point now,
-                                std::optional<std::int64_t> unix_milliseconds)
-{
-    if (!enabled())
-        return;
-    m_unknown_since.reset();
-    auto const found = m_rollouts.find(order.service);
-    if (found != m_rollouts.end() && found->second.order.id == order.id)
-    {
-        auto& item = found->second;
-        if (order.revision < item.order.revision)
-            return;
-        item.stored = order.written;
-        item.order.revision = order.revision;
-        if (order.started_unix_milliseconds)
-            item.order.started_unix_milliseconds = order.started_unix_milliseconds;
-        // A store restored from a copy lacks an end that was written before.
-        if (order.has_ended() || !item.order.has_ended())
-            item.order.written = order.written;
-    }
-    else
-    {
-        rollout item;
-        item.order = order;
-        item.stored = order.written;
-        item.schedule = make_rollout_schedule(order.duration, has_engines);
-        item.start = now;
-        item.learned = now;
-        item.credit = std::uniform_real_distribution<double>(0, 1)(m_random);
-        if (unix_milliseconds && order.started_unix_milliseconds)
-        {
-            item.start -=
-                std::clamp(milliseconds(*unix_milliseconds - *order.started_unix_milliseconds),
-                           milliseconds(0), order.duration);
-            item.start_is_uncertain = true;
-        }
-        auto const end = m_known_ends.find(order.service);
-        bool const was_restored = end != m_known_ends.end() && !order.has_ended() &&
-                                  end->second.target == order.target &&
-                                  end->second.duration == order.duration &&
-                                  store::epoch_of(order.revision) > end->second.epoch;
-        if (was_restored)
-            item.order.written = end->second.state;
-        m_rollouts[order.service] = std::move(item);
-    }
-    auto const& current = m_rollouts[order.service].order;
-    // Not for an end that has to be written again: the store doesn't hold it yet.
-    if (order.has_ended())
-        m_known_ends[order.service] = {current.target, current.duration, *current.written,
-                                       store::epoch_of(current.revision)};
-}
-
-void rollout_table::remove_order(std::string const& service)
-{
-    m_rollouts.erase(service);
-}
-
-rollout_order const* rollout_table::find_order(std::string_view service) const
-{
-    auto const found = m_rollouts.find(service);
-    return found == m_rollouts.end() ? nullptr : &found->second.order;
-}
-
-version_admission rollout_table::admit(std::string const& service, std::string const& version,
-                                       std::string const& server, bool is_handover,
-                                       base::time_point now)
-{
-    if (!enabled())
-        return version_admission::normal;
-    auto const found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-    {
-        auto& versions = m_versions[service];
-        auto const first_listed =
-            versions.try_emplace(version, now, true).first->second.first_listed;
-        bool const is_newer =
-            std::any_of(versions.begin(), versions.end(),
-                        [&](auto const& other) {
-                            return other.second.usable && other.second.first_listed < first_listed;
-                        });
-        return is_newer && now < first_listed + order_grace_period ? version_admission::excluded
-                                                                   : version_admission::normal;
-    }
-    auto const& item = found->second;
-    if (version.empty() && item.stage != rollout_stage::waiting)
-        return version_admission::excluded;
-    bool const is_target = version == item.order.target;
-    switch (item.stage)
-    {
-    case rollout_stage::waiting:
-    case rollout_stage::rolled_back:
-        return is_target ? version_admission::excluded : version_admission::normal;
-    case rollout_stage::canary:
-    case rollout_stage::ramp:
-        if (!is_target)
-            return version_admission::normal;
-        return !is_handover && item.credit >= 1 && item.selected_targets.contains(server)
-                   ? version_admission::preferred
-                   : version_admission::excluded;
-    case rollout_stage::drain:
-        return is_target ? version_admission::preferred : version_admission::normal;
-    case rollout_stage::retire:
-    case rollout_stage::completed:
-        break;
-    }
-    return is_target ? version_admission::preferred : version_admission::excluded;
-}
-
-bool rollout_table::retires(std::string const& service, std::string const& version) const
-{
-    auto const found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-        return false;
-    bool const is_target = version == found->second.order.target;
-    auto const stage = found->second.stage;
-    return stage == rollout_stage::rolled_back ? is_target
-                                               : !is_target && (stage == rollout_stage::retire ||
-                                                                stage == rollout_stage::completed);
-}
-
 void rollout_table::add_request(std::string const& service)
 {
     if (auto const found = m_rollouts.find(service); found != m_rollouts.end())
@@ -360,6 +233,20 @@
         item.stage == rollout_stage::retire && item.may_drain && (is_idle || is_last_moment);
 }
 
+void rollout_table::note_replaced_versions(rollout& item, base::time_point now)
+{
+    // A node that learns of an ended order takes what is listed then for what was replaced.
+    if (item.order.has_ended() &&
+        (!item.was_learned_ended || now >= item.learned + order_grace_period))
+        return;
+    auto const listed = m_versions.find(item.order.service);
+    if (listed == m_versions.end() || !listed->second.contains(item.order.target))
+        return;
+    for (auto const& [version, seen] : listed->second)
+        if (version != item.order.target)
+            item.replaced.insert(version);
+}
+
 rollout_step rollout_table::make_step(rollout const& item, base::time_point now) const
 {
     rollout_step step{item.order.service,
@@ -401,10 +288,12 @@
             seen.first_listed = version->second.first_listed;
     }
     m_versions = std::move(versions);
+    forget_unlisted_refusals();
     for (auto& [service, item] : m_rollouts)
     {
         auto const previous_stage = item.stage;
         auto const previous_share = item.share;
+        note_replaced_versions(item, now);
         settle_failures(item, servers, now);
         update_servers(item, servers, item.share);
         item.stage = find_stage(item, now);
--- a/libraries/serving/rollout_table.hpp
+++ b/libraries/serving/rollout_table.hpp
@@ -104,6 +104,8 @@
     base::milliseconds age{0};
     /// As in the state that is replaced.
     std::optional<std::int64_t> started_unix_milliseconds = std::nullopt;
+    /// That of the order; tells its state from that of an order with the same target.
+    base::milliseconds duration{0};
 };
 
 /// Does nothing until limits are set. Not synchronized.
@@ -131,7 +133,10 @@
     /// its age.
     void apply_order(rollout_order const& order, bool has_engines, base::time_point now,
                      std::optional<std::int64_t> unix_milliseconds = std::nullopt);
-    void remove_order(std::string const& service);
+    /// `revision` is the store's one of the removal, if it is known. A version whose roll-out was
+    /// rolled back or has not ended stays excluded while its servers are listed.
+    void remove_order(std::string const& service,
+                      std::optional<std::int64_t> revision = std::nullopt);
     /// Returns null without an order.
     rollout_order const* find_order(std::string_view service) const;
 
@@ -182,6 +187,7 @@
         /// The start was computed from a wall clock.
         bool start_is_uncertain = false;
         base::time_point learned{};
+        bool was_learned_ended = false;
         rollout_stage stage = rollout_stage::waiting;
         double share = 0;
         /// Requests that the target version may receive from this node.
@@ -201,7 +207,15 @@
         int maximum_old_servers = 0;
         int maximum_old_slots = 0;
         bool has_several_groups = false;
+        /// Versions that were listed during the order.
+        std::set<std::string, std::less<>> replaced;
         version_sums taken;
+
+        /// Without a list of servers, every other version.
+        bool is_replaced(std::string const& version) const
+        {
+            return version != order.target && (replaced.empty() || replaced.contains(version));
+        }
     };
     struct listed_version
     {
@@ -215,12 +229,20 @@
     };
     struct known_end
     {
+        std::uint64_t order = 0;
         std::string target;
         base::milliseconds duration{0};
         rollout_state state = rollout_state::completed;
         std::int64_t epoch = 0;
+        base::time_point learned{};
     };
 
+    /// For a version that no order names. `target` is that of the service's order, if it has one.
+    version_admission admit_unordered(std::string const& service, std::string const& version,
+                                      std::string const* target, base::time_point now);
+    void refuse_unfinished(rollout const& item);
+    void forget_unlisted_refusals();
+    void note_replaced_versions(rollout& item, base::time_point now);
     void update_servers(rollout& item, std::span<rollout_server const> servers, double share);
     void settle_failures(rollout& item, std::span<rollout_server const> servers,
                          base::time_point now);
@@ -238,6 +260,8 @@
     std::map<std::int32_t, std::string> m_route_names;
     /// Versions of each service.
     std::map<std::string, std::map<std::string, listed_version>, std::less<>> m_versions;
+    /// Versions of each service that a roll-out has left unfinished or rolled back.
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_refused;
     std::optional<base::time_point> m_unknown_since;
 };
 
--- a/libraries/serving/rollout_table_reports.cpp
+++ b/libraries/serving/rollout_table_reports.cpp
@@ -25,7 +25,7 @@
         if (wanted && wanted != item.stored)
             writes.push_back({service, item.order.target, item.order.id, *wanted,
                               std::chrono::duration_cast<milliseconds>(now - item.start),
-                              item.order.started_unix_milliseconds});
+                              item.order.started_unix_milliseconds, item.order.duration});
     }
     return writes;
 }
--- a/services/node/rollout_agent.cpp
+++ b/services/node/rollout_agent.cpp
@@ -83,6 +83,9 @@
     for (auto const& object : page.objects)
     {
         auto const order = object.deleted ? std::nullopt : read_rollout(object);
+        // An earlier order stays in force.
+        if (!object.deleted && !order)
+            continue;
         std::size_t servers = 0;
         bool service_known = false;
         state.with(
@@ -90,7 +93,7 @@
             {
                 if (!order)
                 {
-                    tables.dispatcher.rollouts().remove_order(object.name);
+                    tables.dispatcher.rollouts().remove_order(object.name, object.version);
                     return;
                 }
                 tables.dispatcher.apply_rollout(*order, now, unix_milliseconds());
--- a/services/node/rollout_agent.hpp
+++ b/services/node/rollout_agent.hpp
@@ -5,14 +5,12 @@
 #include "platform/store_dialect.hpp"
 #include "services/node/node_state.hpp"
 
-#include <map>
-#include <set>
-#include <string>
+#include <cstdint>
 
 namespace jasminepier::node
 {
 
-/// Applies changed orders. An order that cannot be read is logged and counts as removed.
+/// Applies changed orders. One that cannot be read is logged and changes nothing.
 void apply_rollout_changes(node_state& state, store::object_page const& page);
 
 /// Runs a thread that looks at all roll-outs several times a second.
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -245,6 +245,14 @@
     ASSERT_TRUE(again);
     EXPECT_FALSE(again->written);
     EXPECT_NE(again->id, order->id);
+    auto const longer =
+        parse(spec + R"("status":)" +
+              write_rollout_status({"shop", "v2", 7, serving::rollout_state::completed,
+                                    base::milliseconds(5), 5, base::milliseconds(30000)},
+                                   9) +
+              "}");
+    ASSERT_TRUE(longer);
+    EXPECT_FALSE(longer->written);
     for (auto const* const text :
          {"", "{}", R"({"spec":{"service":"shop","to":"v2","duration_s":0}})",
           R"({"spec":{"service":"shop","to":"v2","duration_s":-1}})",
--- a/tests/rollout_table_test.cpp
+++ b/tests/rollout_table_test.cpp
@@ -110,6 +110,87 @@
     EXPECT_EQ(pending(), rollout_state::rolled_back);
 }
 
+// Guards against a bad version that gets everything because its order was deleted or replaced, and
+// against a service without servers for that reason.
+TEST_F(rollout_rules_test, refused_version_stays_refused_without_its_order)
+{
+    apply(order(10));
+    apply(order(11, rollout_state::rolled_back));
+    m_table.remove_order("shop", 12);
+    advance(10000);
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    m_servers[0].usable = false;
+    advance(250);
+    EXPECT_EQ(admit("v2"), version_admission::normal);
+    m_servers[0].usable = true;
+    m_servers.push_back({"v3-1", "shop", "v3", true, false, 4, 0});
+    apply(order(13, std::nullopt, "v3", 8));
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    m_servers.erase(m_servers.begin() + 1);
+    advance(250);
+    m_servers.push_back({"v2-1", "shop", "v2", true, false, 4, 0});
+    advance(250);
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    advance(3000);
+    EXPECT_EQ(admit("v2"), version_admission::normal);
+    // An order back to the old version.
+    m_servers.erase(m_servers.begin() + 1);
+    apply(order(14, std::nullopt, "v1", 9));
+    EXPECT_EQ(admit("v2"), version_admission::normal);
+}
+
+// Guards against a service that keeps only the old servers after an order in the other direction.
+TEST_F(rollout_rules_test, reversed_order_leaves_servers)
+{
+    apply(order(10));
+    advance(5000);
+    apply(order(11, std::nullopt, "v1", 8));
+    EXPECT_EQ(admit("v2"), version_admission::normal);
+}
+
+// Guards against an end that answers an order which the operator repeats.
+TEST_F(rollout_rules_test, repeated_order_is_a_new_one)
+{
+    constexpr std::int64_t later_epoch = std::int64_t{1} << 40;
+    apply(order(10, rollout_state::rolled_back));
+    m_table.remove_order("shop", 11);
+    apply(order(later_epoch + 12, std::nullopt, "v2", 8));
+    EXPECT_EQ(pending(), rollout_state::in_progress);
+    apply(order(later_epoch + 13, rollout_state::rolled_back, "v2", 8));
+    advance(700000);
+    // Lost with the store.
+    m_table.remove_order("shop", 2 * later_epoch + 14);
+    apply(order(2 * later_epoch + 15, std::nullopt, "v2", 9));
+    EXPECT_EQ(pending(), rollout_state::in_progress);
+}
+
+// Guards against servers that stay unused after a completed roll-out, because a later version is
+// released without an order.
+TEST_F(rollout_rules_test, later_version_is_used_after_a_completed_order)
+{
+    apply(order(10));
+    apply(order(11, rollout_state::completed));
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    m_servers.push_back({"v3-1", "shop", "v3", true, false, 4, 0});
+    advance(250);
+    EXPECT_EQ(admit("v3"), version_admission::excluded);
+    advance(3000);
+    EXPECT_EQ(admit("v3"), version_admission::preferred);
+    EXPECT_FALSE(m_table.retires("shop", "v3"));
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_TRUE(m_table.retires("shop", "v1"));
+    // A node that starts after the second release.
+    rollout_table restarted;
+    restarted.enable(limits, 2);
+    restarted.apply_order(order(11, rollout_state::completed), false, at(m_now));
+    m_servers.erase(m_servers.begin(), m_servers.begin() + 2);
+    restarted.advance(m_servers, at(m_now));
+    m_now += 3000;
+    restarted.advance(m_servers, at(m_now));
+    EXPECT_NE(restarted.admit("shop", "v3", "v3-1", false, at(m_now)), version_admission::excluded);
+}
+
 // Guards against reports that many orders make too long to be sent, and against counts or orders
 // that never get their turn.
 TEST_F(rollout_rules_test, reports_of_many_orders_fit_and_carry_everything)
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -379,8 +379,10 @@
     apply(13, rollout_state::rolled_back, "v1", 8);
     EXPECT_EQ(admit("v1"), version_admission::excluded);
     EXPECT_EQ(admit("v2"), version_admission::normal);
+    // A version that was rolled back doesn't return with the removal of its order.
     m_table.remove_order("shop");
-    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_EQ(admit("v2"), version_admission::normal);
 }
 
 // Guards against a finished roll-out that starts again when the store returns an earlier copy.
