Serving, Node: A peer's stop takes effect at once; store calls leave the deciding thread

A peer's stop waited for the next look, and a look for a store call of up to 1.5 s. The stop sets the stage when the report arrives, and the next look logs it; store calls have a thread of their own. If the first node in the order of a roll-out cannot write, the next one tries 2 s later. Orders that the store doesn't have are looked for again after 10 s, then twice as long each time; before, each report of a node that missed the deletion made all its peers list the orders every 5 s.

--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -291,7 +291,7 @@
     forget_unlisted_refusals();
     for (auto& [service, item] : m_rollouts)
     {
-        auto const previous_stage = item.stage;
+        auto const previous_stage = item.logged_stage;
         auto const previous_share = item.share;
         note_replaced_versions(item, now);
         settle_failures(item, servers, now);
@@ -327,6 +327,7 @@
             item.stage == rollout_stage::completed || item.stage == rollout_stage::rolled_back;
         if (has_ended && !item.ended)
             item.ended = now;
+        item.logged_stage = item.stage;
         if (item.stage != previous_stage || item.share > 1.2 * previous_share)
             steps.push_back(make_step(item, now));
     }
--- a/libraries/serving/rollout_table.hpp
+++ b/libraries/serving/rollout_table.hpp
@@ -168,7 +168,9 @@
     std::map<std::string, version_sums> take_own_counts();
     /// When a peer first reported an order that this node doesn't know.
     std::optional<base::time_point> unknown_order_since() const noexcept { return m_unknown_since; }
-    void forget_unknown_orders() noexcept { m_unknown_since.reset(); }
+    /// `was_read` tells that the store's orders have been applied since. Those still unknown are
+    /// not looked for again for a time that doubles.
+    void forget_unknown_orders(base::time_point now, bool was_read);
 
 private:
     struct pending_failure
@@ -189,6 +191,8 @@
         base::time_point learned{};
         bool was_learned_ended = false;
         rollout_stage stage = rollout_stage::waiting;
+        /// The stage at the last look.
+        rollout_stage logged_stage = rollout_stage::waiting;
         double share = 0;
         /// Requests that the target version may receive from this node.
         double credit = 0;
@@ -263,6 +267,13 @@
     /// Versions of each service that a roll-out has left unfinished or rolled back.
     std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_refused;
     std::optional<base::time_point> m_unknown_since;
+    struct absent_order
+    {
+        base::time_point until{};
+        base::milliseconds delay{0};
+    };
+    std::set<std::uint64_t> m_unknown_orders;
+    std::map<std::uint64_t, absent_order> m_absent_orders;
 };
 
 } // namespace jasminepier::serving
--- a/libraries/serving/rollout_table_orders.cpp
+++ b/libraries/serving/rollout_table_orders.cpp
@@ -27,7 +27,10 @@
 {
     if (!enabled())
         return;
-    m_unknown_since.reset();
+    m_unknown_orders.erase(order.id);
+    m_absent_orders.erase(order.id);
+    if (m_unknown_orders.empty())
+        m_unknown_since.reset();
     auto const found = m_rollouts.find(order.service);
     if (found != m_rollouts.end() && found->second.order.id == order.id)
     {
--- a/libraries/serving/rollout_table_reports.cpp
+++ b/libraries/serving/rollout_table_reports.cpp
@@ -6,8 +6,17 @@
 namespace jasminepier::serving
 {
 
+namespace
+{
+
 using base::milliseconds;
 
+// How long an order that the store doesn't have is not looked for again.
+constexpr milliseconds minimum_absence{10000};
+constexpr milliseconds maximum_absence{160000};
+
+} // namespace
+
 std::vector<rollout_write> rollout_table::pending_writes(base::time_point now) const
 {
     std::vector<rollout_write> writes;
@@ -59,6 +68,11 @@
                      [&](auto const& item) { return item.second.order.id == report.order; });
     if (found == m_rollouts.end())
     {
+        auto const absent = m_absent_orders.find(report.order);
+        bool const is_absent = absent != m_absent_orders.end() && now < absent->second.until;
+        if (is_absent)
+            return;
+        m_unknown_orders.insert(report.order);
         if (!m_unknown_since)
             m_unknown_since = now;
         return;
@@ -73,8 +87,27 @@
         item.start_is_uncertain = false;
     }
     bool const has_news = report.stopped && item.stop_reason.empty() && !item.order.has_ended();
-    if (has_news)
-        item.stop_reason = stopped_by_peer;
+    if (!has_news)
+        return;
+    // At once; the next look logs it.
+    item.stop_reason = stopped_by_peer;
+    item.stage = rollout_stage::rolled_back;
+    item.share = 0;
+}
+
+void rollout_table::forget_unknown_orders(base::time_point now, bool was_read)
+{
+    std::erase_if(m_absent_orders,
+                  [&](auto const& item) { return now >= item.second.until + maximum_absence; });
+    if (was_read)
+        for (auto const order : m_unknown_orders)
+        {
+            auto& absent = m_absent_orders[order];
+            absent.delay = std::clamp(2 * absent.delay, minimum_absence, maximum_absence);
+            absent.until = now + absent.delay;
+        }
+    m_unknown_orders.clear();
+    m_unknown_since.reset();
 }
 
 std::map<std::string, version_sums> rollout_table::take_own_counts()
--- a/services/node/rollout_agent.cpp
+++ b/services/node/rollout_agent.cpp
@@ -21,6 +21,9 @@
 // Reports overtake the orders that followers of the store relay.
 constexpr base::milliseconds missed_order_delay{1000};
 constexpr base::milliseconds missed_order_interval{5000};
+// Time that each node has for a write before the next one tries. Writes are conditional, so two at
+// once do no harm.
+constexpr base::milliseconds write_turn{2000};
 
 std::int64_t unix_milliseconds()
 {
@@ -124,7 +127,7 @@
 
 rollout_agent::rollout_agent(node_state& state)
     : m_state(state), m_store(make_store_client_settings(state)),
-      m_thread(interval, [this] { advance(); })
+      m_thread(interval, [this] { advance(); }), m_store_thread(interval, [this] { call_store(); })
 {
 }
 
@@ -150,9 +153,12 @@
     if (!steps.empty())
         m_state.report_due().signal();
     count_versions();
-    read_missed_orders(now);
-    if (now >= m_next_write)
-        write_states(now);
+}
+
+void rollout_agent::call_store()
+{
+    read_missed_orders();
+    write_states();
 }
 
 void rollout_agent::count_versions()
@@ -169,7 +175,8 @@
                     observe_version(service, role, result, static_cast<std::uint64_t>(count));
 }
 
-bool rollout_agent::decides(std::uint64_t order, base::time_point now)
+bool rollout_agent::decides(std::uint64_t order, base::time_point pending_since,
+                            base::time_point now)
 {
     return m_state.with(
         [&](node_state::tables& tables)
@@ -179,19 +186,33 @@
             auto const key = std::to_string(order);
             auto const weight = base::rendezvous_weight(key, tables.nodes.self().name);
             auto const peers = tables.nodes.peers_reaching_store(now);
-            return std::all_of(peers.begin(), peers.end(),
-                               [&](auto const& peer)
-                               { return base::rendezvous_weight(key, peer.name) < weight; });
+            auto const ahead =
+                std::count_if(peers.begin(), peers.end(),
+                              [&](auto const& peer)
+                              { return base::rendezvous_weight(key, peer.name) >= weight; });
+            return now >= pending_since + ahead * write_turn;
         });
 }
 
-void rollout_agent::write_states(base::time_point now)
+void rollout_agent::write_states()
 {
-    auto const writes = m_state.with([&](node_state::tables& tables)
-                                     { return tables.dispatcher.rollouts().pending_writes(now); });
+    auto const started = base::steady_clock_source{}.now();
+    auto const writes =
+        m_state.with([&](node_state::tables& tables)
+                     { return tables.dispatcher.rollouts().pending_writes(started); });
+    std::map<std::uint64_t, pending_state> pending;
+    for (auto const& write : writes)
+    {
+        auto const known = m_pending.find(write.order);
+        bool const is_same = known != m_pending.end() && known->second.state == write.state;
+        pending[write.order] = {write.state, is_same ? known->second.since : started};
+    }
+    m_pending = std::move(pending);
+    if (started < m_next_write)
+        return;
     for (auto const& write : writes)
     {
-        if (!decides(write.order, now))
+        if (!decides(write.order, m_pending[write.order].since, started))
             continue;
         store::object changed;
         changed.kind = platform::rollout_kind;
@@ -215,7 +236,7 @@
             .field("applied", applied ? 1 : 0)
             .field("conflict", result.status == store::write_status::conflict ? 1 : 0)
             .field("age_ms", write.age.count());
-        m_next_write = now + write_retry_delay;
+        m_next_write = base::steady_clock_source{}.now() + write_retry_delay;
         // Also after a conflict: the object is the stored one.
         if (applied || result.status == store::write_status::conflict)
         {
@@ -226,27 +247,30 @@
     }
 }
 
-void rollout_agent::read_missed_orders(base::time_point now)
+void rollout_agent::read_missed_orders()
 {
+    auto const now = base::steady_clock_source{}.now();
     auto const unknown_since =
         m_state.with([](node_state::tables& tables)
                      { return tables.dispatcher.rollouts().unknown_order_since(); });
     if (!unknown_since || now < *unknown_since + missed_order_delay || now < m_next_read)
         return;
     m_next_read = now + missed_order_interval;
+    bool was_read = false;
     base::handle(
         [&]() -> base::result<void>
         {
             BOOST_LEAF_AUTO(page, m_store.list(platform::rollout_kind));
             apply_list(m_state, platform::rollout_kind, std::move(page));
+            was_read = true;
             return {};
         },
         [](base::error const& failure) {
             base::log_line(base::log_level::info, "rollouts_not_read")
                 .field("reason", failure.message);
         });
-    m_state.with([](node_state::tables& tables)
-                 { tables.dispatcher.rollouts().forget_unknown_orders(); });
+    m_state.with([&](node_state::tables& tables)
+                 { tables.dispatcher.rollouts().forget_unknown_orders(now, was_read); });
 }
 
 } // namespace jasminepier::node
--- a/tests/rollout_table_test.cpp
+++ b/tests/rollout_table_test.cpp
@@ -191,6 +191,41 @@
     EXPECT_NE(restarted.admit("shop", "v3", "v3-1", false, at(m_now)), version_admission::excluded);
 }
 
+// Guards against requests between a peer's stop and this node's next look.
+TEST_F(rollout_rules_test, peer_stop_takes_effect_at_once)
+{
+    apply(order(10, rollout_state::in_progress));
+    m_servers[0].running = 1;
+    send("v1", 1000, 1000);
+    send("v2", 100, 100);
+    advance_until(in_drain);
+    EXPECT_EQ(admit("v2"), version_admission::preferred);
+    m_table.apply_report({"z", "n2", 1}, {0, 7, std::nullopt, true, {}}, at(m_now));
+    EXPECT_EQ(admit("v2"), version_admission::excluded);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    auto const steps = advance(250);
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_EQ(steps[0].stage, rollout_stage::rolled_back);
+    EXPECT_TRUE(advance(250).empty());
+}
+
+// Guards against a list of the store every few seconds for an order that was deleted.
+TEST_F(rollout_rules_test, order_that_the_store_lacks_is_not_looked_for_again)
+{
+    auto const report = [&] {
+        m_table.apply_report({"z", "n2", 1}, {0, 9, {}, false, {}}, at(m_now));
+    };
+    report();
+    EXPECT_TRUE(m_table.unknown_order_since());
+    m_table.forget_unknown_orders(at(m_now), true);
+    m_now += 5000;
+    report();
+    EXPECT_FALSE(m_table.unknown_order_since());
+    m_now += 5000;
+    report();
+    EXPECT_TRUE(m_table.unknown_order_since());
+}
+
 // Guards against reports that many orders make too long to be sent, and against counts or orders
 // that never get their turn.
 TEST_F(rollout_rules_test, reports_of_many_orders_fit_and_carry_everything)
