Serving: Streams that end early, cold servers' failures and single unreachable reports in the evidence

A stream that was slow until a caller left, its deadline passed or it moved away counted as nothing; it is a slow answer now, for both versions, and still nothing if it was not slow. Cold servers' times say nothing, but their failures and good answers count. A server counts as unreachable if this node cannot reach it or two peers say so; one peer's path was enough to drop its failures. The schedule follows the configuration when that comes after the order. Usual times of each route have their own place to overwrite; nothing is looked up for a deployment without roll-outs.

--- a/libraries/serving/dispatcher_rollouts.cpp
+++ b/libraries/serving/dispatcher_rollouts.cpp
@@ -2,6 +2,30 @@
 
 namespace jasminepier::serving
 {
+namespace
+{
+
+// A single node may have lost its path to a server.
+constexpr int convincing_unreachable_reports = 2;
+
+answer_evidence find_evidence(attempt_outcome outcome, bool was_cold, bool has_begun)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::failed:
+        return answer_evidence::failed;
+    case attempt_outcome::succeeded:
+        return was_cold ? answer_evidence::good_but_cold : answer_evidence::good;
+    case attempt_outcome::inconclusive:
+        return has_begun && !was_cold ? answer_evidence::slow_only : answer_evidence::none;
+    case attempt_outcome::declined:
+    case attempt_outcome::unreachable:
+        break;
+    }
+    return answer_evidence::none;
+}
+
+} // namespace
 
 version_admission dispatcher::admit_version(listed_server const& server,
                                             selection_query const& query,
@@ -13,6 +37,8 @@
 
 void dispatcher::record_version_sent(std::string const& server, request_demand const& demand)
 {
+    if (!m_rollouts.enabled())
+        return;
     auto const found = m_directory.servers().find(server);
     if (found != m_directory.servers().end())
         m_rollouts.record_sent(found->second.entry.service, found->second.entry.version, server,
@@ -22,17 +48,14 @@
 void dispatcher::record_version_answer(attempt_record const& attempt, attempt_outcome outcome,
                                        base::time_point now)
 {
+    if (!m_rollouts.enabled())
+        return;
     auto const found = m_directory.servers().find(attempt.server);
-    if (found == m_directory.servers().end())
+    if (found == m_directory.servers().end() || is_leaving(attempt.server))
         return;
     auto const& server = found->second;
-    bool const was_cold = attempt.started < server.cold_until;
-    bool const says_nothing =
-        was_cold || is_leaving(attempt.server) ||
-        (outcome != attempt_outcome::succeeded && outcome != attempt_outcome::failed);
-    auto const evidence = says_nothing                            ? answer_evidence::none
-                          : outcome == attempt_outcome::succeeded ? answer_evidence::good
-                                                                  : answer_evidence::failed;
+    auto const evidence = find_evidence(outcome, attempt.started < server.cold_until,
+                                        attempt.first_event_time.has_value());
     m_rollouts.record_answer(
         server.entry.service, server.entry.version, attempt.server, attempt.demand.route, evidence,
         {attempt.started, attempt.first_event_time, now, attempt.demand.expected_output_tokens});
@@ -49,6 +72,13 @@
 
 std::vector<rollout_step> dispatcher::advance_rollouts(base::time_point now)
 {
+    // An order may arrive before the configuration.
+    m_rollouts.update_schedules(
+        [&](std::string const& service) -> std::optional<bool>
+        {
+            auto const* const known = m_configuration->find_service(service);
+            return known ? std::optional(known->engine.has_value()) : std::nullopt;
+        });
     std::vector<rollout_server> servers;
     servers.reserve(m_directory.servers().size());
     for (auto const& [id, server] : m_directory.servers())
@@ -56,7 +86,7 @@
         auto const load = combine_loads(server, now);
         auto const health = m_server_health.find(id);
         bool const is_reachable =
-            load.unreachable_report_count == 0 &&
+            load.unreachable_report_count < convincing_unreachable_reports &&
             (health == m_server_health.end() || now >= health->second.unreachable_until);
         bool const listed =
             server.phase == server_phase::ready || server.phase == server_phase::expired;
--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -100,8 +100,12 @@
     auto const key = make_key(item, version, server, route);
     if (evidence == answer_evidence::failed)
         item.pending.push_back({server, key, times.ended});
-    else
-        item.evidence.add(key, {0, 1, 0, m_usual_times.is_slow(service, route, measured) ? 1 : 0});
+    else if (evidence == answer_evidence::good_but_cold)
+        item.evidence.add(key, {0, 1, 0, 0});
+    else if (m_usual_times.is_slow(service, route, measured))
+        item.evidence.add(key, {0, 1, 0, 1});
+    else if (evidence == answer_evidence::good)
+        item.evidence.add(key, {0, 1, 0, 0});
 }
 
 void rollout_table::settle_failures(rollout& item, std::span<rollout_server const> servers,
--- a/libraries/serving/rollout_table.hpp
+++ b/libraries/serving/rollout_table.hpp
@@ -62,6 +62,10 @@
 enum class answer_evidence
 {
     good,
+    /// Good from a server that is still cold, so the time says nothing.
+    good_but_cold,
+    /// Ended early by the caller or the node: evidence only if it was slow until then.
+    slow_only,
     failed,
     /// Says nothing about the version.
     none,
@@ -155,6 +159,14 @@
                        std::string const& server, std::string const& route,
                        answer_evidence evidence, answer_times const& times);
 
+    /// `has_engines` returns whether a service has engines, or nothing for an unknown one.
+    template <class HasEngines>
+    void update_schedules(HasEngines has_engines)
+    {
+        for (auto& [service, item] : m_rollouts)
+            if (std::optional<bool> const known = has_engines(service))
+                item.schedule = make_rollout_schedule(item.order.duration, *known);
+    }
     /// Called several times a second with all listed servers. Returns what has changed.
     std::vector<rollout_step> advance(std::span<rollout_server const> servers,
                                       base::time_point now);
--- a/libraries/serving/usual_times.hpp
+++ b/libraries/serving/usual_times.hpp
@@ -34,25 +34,32 @@
 
     void add(std::string const& service, std::string const& route, measure const& seen)
     {
-        auto& times = m_times[{service, route}];
+        auto& [times, next] = m_times[{service, route}];
         if (times.size() < kept_times)
             times.push_back(seen);
         else
-            times[m_next++ % kept_times] = seen;
+            times[next++ % kept_times] = seen;
     }
 
     bool is_slow(std::string const& service, std::string const& route, measure const& seen) const
     {
         auto const found = m_times.find({service, route});
-        if (found == m_times.end() || found->second.size() < minimum_times)
+        if (found == m_times.end() || found->second.times.size() < minimum_times)
             return false;
-        auto const& times = found->second;
+        auto const& times = found->second.times;
         return seen.response > slow_factor * median(times, &measure::response) ||
                (seen.per_token > 0 &&
                 seen.per_token > slow_factor * median(times, &measure::per_token));
     }
 
 private:
+    struct kept
+    {
+        std::vector<measure> times;
+        /// The oldest one, once all places are taken.
+        std::size_t next = 0;
+    };
+
     static double median(std::vector<measure> const& times, double measure::*member)
     {
         std::array<double, kept_times> values{};
@@ -64,8 +71,7 @@
         return *middle;
     }
 
-    std::map<std::pair<std::string, std::string>, std::vector<measure>> m_times;
-    std::size_t m_next = 0;
+    std::map<std::pair<std::string, std::string>, kept> m_times;
 };
 
 } // namespace jasminepier::serving
--- a/tests/rollout_table_test.cpp
+++ b/tests/rollout_table_test.cpp
@@ -191,6 +191,41 @@
     EXPECT_NE(restarted.admit("shop", "v3", "v3-1", false, at(m_now)), version_admission::excluded);
 }
 
+// Guards against a slow version that is never found because its streams are ended early, against
+// blame for fast ones that callers left, and against a cold server's times or lost failures.
+TEST_F(rollout_rules_test, streams_that_end_early_are_evidence_only_if_slow)
+{
+    apply(order(10));
+    auto const stream = [&](std::int64_t first_event, std::int64_t total) {
+        return answer_times{at(m_now - total), at(m_now - total + first_event), at(m_now), 100};
+    };
+    for (int i = 0; i < 50; ++i)
+        answer("v1", answer_evidence::good, stream(100, 1000));
+    answer("v2", answer_evidence::slow_only, stream(100, 500));
+    EXPECT_EQ(m_table.take_own_counts()["shop"].target.answers, 0);
+    answer("v2", answer_evidence::good_but_cold, stream(900, 9000));
+    EXPECT_EQ(m_table.take_own_counts()["shop"].target.slow, 0);
+    for (int i = 0; i < 30; ++i)
+        answer("v2", answer_evidence::slow_only, stream(900, 1000));
+    auto const counts = m_table.take_own_counts()["shop"];
+    EXPECT_EQ(counts.target.answers, 30);
+    EXPECT_EQ(counts.target.slow, 30);
+    advance(250);
+    EXPECT_EQ(pending(), rollout_state::rolled_back);
+}
+
+// Guards against the long drain of engines for a plain service whose order came first.
+TEST_F(rollout_rules_test, schedule_follows_the_configuration)
+{
+    m_table.apply_order(order(10), true, at(m_now));
+    send("v1", 100, 100);
+    m_table.update_schedules([](auto const&) { return std::optional(false); });
+    advance_until(45000);
+    EXPECT_EQ(admit("v1"), version_admission::normal);
+    advance_until(in_drain);
+    EXPECT_EQ(admit("v2"), version_admission::preferred);
+}
+
 // Guards against requests between a peer's stop and this node's next look.
 TEST_F(rollout_rules_test, peer_stop_takes_effect_at_once)
 {
