Serving, Node: One reporter per zone in the evidence; orders come with objects pulled from peers

A zone's sums were kept as the maximum of all that report for it, so after the restart of a reporter new failures remained unseen until the new sum passed the old one. One reporter of a zone is followed until it is silent for 3 s or restarts; only what the next one counts from then on is added. Objects pulled from a peer while the store is away include the orders, before the servers.

--- a/libraries/serving/rollout_evidence.cpp
+++ b/libraries/serving/rollout_evidence.cpp
@@ -13,6 +13,8 @@
 using base::milliseconds;
 
 constexpr milliseconds snapshot_interval{500};
+// Time without a report after which another node's reports for a zone are followed.
+constexpr milliseconds reporter_silence{3000};
 // The whole time since the order is compared, too; a version that turns bad shows in short spans.
 constexpr std::array spans{milliseconds(3000), milliseconds(10000), milliseconds(30000)};
 // Negative logarithm of the probability that a good version shows what was seen. A roll-out makes
@@ -93,6 +95,12 @@
     return result;
 }
 
+outcome_counts find_maximum(outcome_counts const& a, outcome_counts const& b)
+{
+    return {std::max(a.sent, b.sent), std::max(a.answers, b.answers),
+            std::max(a.failures, b.failures), std::max(a.slow, b.slow)};
+}
+
 /// Counts of one route within a span.
 struct route_sample
 {
@@ -124,12 +132,34 @@
     m_totals[key] += counts;
 }
 
-void rollout_evidence::merge(evidence_source const& source, evidence_table const& counts)
+void rollout_evidence::merge(evidence_source const& source, evidence_table const& counts,
+                             base::time_point now)
 {
-    auto const zone_source = evidence_source{source.zone, "", 0};
-    if (!source.is_zone() && m_reported.contains(zone_source))
-        return;
-    if (source.is_zone() && !m_reported.contains(source))
+    if (source.is_zone())
+        merge_zone(source, counts, now);
+    else if (!m_zone_reporters.contains(source.zone))
+        merge_node(source, counts);
+}
+
+void rollout_evidence::merge_node(evidence_source const& source, evidence_table const& counts)
+{
+    auto& known = m_reported[source];
+    for (auto const& [key, value] : counts)
+    {
+        auto& stored = known[key];
+        auto const grown = find_maximum(stored, value);
+        m_totals[key] += grown - stored;
+        stored = grown;
+    }
+}
+
+void rollout_evidence::merge_zone(evidence_source const& source, evidence_table const& counts,
+                                  base::time_point now)
+{
+    auto const [position, is_new] = m_zone_reporters.try_emplace(source.zone);
+    auto& reporter = position->second;
+    // The zone's sum contains the counts of its nodes.
+    if (is_new)
         for (auto& [other, table] : m_reported)
             if (other.zone == source.zone)
             {
@@ -137,15 +167,27 @@
                     m_totals[key] = m_totals[key] - value;
                 table.clear();
             }
-    auto& known = m_reported[source];
+    bool const is_same =
+        reporter.node == source.reporter && reporter.started == source.reporter_started;
+    bool const has_restarted =
+        reporter.node == source.reporter && reporter.started < source.reporter_started;
+    if (!is_new && !is_same && !has_restarted && now < reporter.heard + reporter_silence)
+        return;
+    if (is_new || !is_same)
+        reporter = {source.reporter, source.reporter_started, now, {}};
+    reporter.heard = now;
+    auto& added = m_zone_counts[source.zone];
     for (auto const& [key, value] : counts)
     {
-        auto& stored = known[key];
-        outcome_counts const grown{
-            std::max(stored.sent, value.sent), std::max(stored.answers, value.answers),
-            std::max(stored.failures, value.failures), std::max(stored.slow, value.slow)};
-        m_totals[key] += grown - stored;
-        stored = grown;
+        auto const [last, is_first] = reporter.counts.try_emplace(key);
+        auto const grown = find_maximum(last->second, value);
+        // Another reporter has counted this key before; only what is new from now on is added.
+        if (!is_first || !added.contains(key))
+        {
+            m_totals[key] += grown - last->second;
+            added[key] += grown - last->second;
+        }
+        last->second = grown;
     }
 }
 
@@ -153,9 +195,8 @@
 {
     auto sum = m_own;
     for (auto const& [source, table] : m_reported)
-        if (!source.is_zone())
-            for (auto const& [key, value] : table)
-                sum[key] += value;
+        for (auto const& [key, value] : table)
+            sum[key] += value;
     return sum;
 }
 
--- a/libraries/serving/rollout_evidence.hpp
+++ b/libraries/serving/rollout_evidence.hpp
@@ -52,6 +52,10 @@
     /// Start of the process, which counts from 0.
     std::int64_t started = 0;
 
+    /// The node that reports for its zone, and its start. Each such node knows another sum.
+    std::string reporter = {};
+    std::int64_t reporter_started = 0;
+
     auto operator<=>(evidence_source const&) const = default;
     bool is_zone() const noexcept { return node.empty(); }
 };
@@ -92,7 +96,8 @@
     evidence_table const& own() const noexcept { return m_own; }
     void add(evidence_key const& key, outcome_counts const& counts);
     /// Takes over a source's counts. Older and repeated reports change nothing.
-    void merge(evidence_source const& source, evidence_table const& counts);
+    /// Of the nodes that report for a zone one is followed, until it is silent for some time.
+    void merge(evidence_source const& source, evidence_table const& counts, base::time_point now);
     /// The sum of this node and of the nodes of its zone, for the other zones.
     evidence_table zone_sum() const;
     version_sums sums() const;
@@ -117,8 +122,26 @@
         evidence_table totals;
     };
 
+    /// The node that is followed for a zone.
+    struct zone_reporter
+    {
+        std::string node;
+        std::int64_t started = 0;
+        base::time_point heard{};
+        /// Its last counts.
+        evidence_table counts;
+    };
+
+    void merge_node(evidence_source const& source, evidence_table const& counts);
+    void merge_zone(evidence_source const& source, evidence_table const& counts,
+                    base::time_point now);
+
     evidence_table m_own;
+    /// Counts of nodes, by their source.
     std::map<evidence_source, evidence_table> m_reported;
+    /// What each zone has added to the totals.
+    std::map<std::string, evidence_table> m_zone_counts;
+    std::map<std::string, zone_reporter> m_zone_reporters;
     evidence_table m_totals;
     std::deque<snapshot> m_history;
 };
--- a/libraries/serving/rollout_table_orders.cpp
+++ b/libraries/serving/rollout_table_orders.cpp
@@ -132,7 +132,8 @@
     auto const first_listed = versions.try_emplace(version, now, true).first->second.first_listed;
     auto const refused = m_refused.find(service);
     bool const is_refused = refused != m_refused.end() && refused->second.contains(version);
-    bool const is_new = now < first_listed + order_grace_period;
+    // With an order, none is on its way.
+    bool const is_new = target == nullptr && now < first_listed + order_grace_period;
     if (!is_refused && !is_new)
         return version_admission::normal;
     bool const has_other =
--- a/libraries/serving/rollout_table_reports.cpp
+++ b/libraries/serving/rollout_table_reports.cpp
@@ -78,7 +78,7 @@
         return;
     }
     auto& item = found->second;
-    item.evidence.merge(source, report.counts);
+    item.evidence.merge(source, report.counts, now);
     if (report.age)
     {
         auto const start = now - *report.age;
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -7,6 +7,8 @@
 #include "services/node/object_updates.hpp"
 #include "store/object_version.hpp"
 
+#include <algorithm>
+
 namespace jasminepier::node
 {
 namespace
@@ -110,7 +112,12 @@
         .field("objects", objects.size())
         .field("since", store::format_version(pull.since))
         .field("revision", store::format_version(pulled->revision));
-    for (auto const& kind : watched_kinds())
+    auto kinds = watched_kinds();
+    // Before the servers, so that a new version does not start without its order.
+    if (m_state.settings()->rollouts)
+        kinds.insert(std::find(kinds.begin(), kinds.end(), platform::server_kind),
+                     platform::rollout_kind);
+    for (auto const& kind : kinds)
     {
         store::object_page page;
         page.version = pulled->revision;
--- a/services/node/rollout_reports.cpp
+++ b/services/node/rollout_reports.cpp
@@ -98,8 +98,9 @@
             std::max(entry.slow_responses, 0)};
     }
     bool const is_summary = report.summary_parts > 0;
-    serving::evidence_source const source{report.zone, is_summary ? "" : report.node,
-                                          is_summary ? 0 : report.started};
+    serving::evidence_source const source =
+        is_summary ? serving::evidence_source{report.zone, "", 0, report.node, report.started}
+                   : serving::evidence_source{report.zone, report.node, report.started, "", 0};
     for (auto const& [order, rollout] : known)
         rollouts.apply_report(source, rollout, now);
 }
