--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -100,12 +100,13 @@
     auto const key = make_key(item, version, server, route);
     if (evidence == answer_evidence::failed)
         item.pending.push_back({server, key, times.ended});
-    else if (evidence == answer_evidence::good_but_cold)
-        item.evidence.add(key, {0, 1, 0, 0});
-    else if (m_usual_times.is_slow(service, route, measured))
-        item.evidence.add(key, {0, 1, 0, 1});
-    else if (evidence == answer_evidence::good)
-        item.evidence.add(key, {0, 1, 0, 0});
+    else
+    {
+        bool const is_slow = evidence != answer_evidence::good_but_cold &&
+                             m_usual_times.is_slow(service, route, measured);
+        if (is_slow || evidence != answer_evidence::slow_only)
+            item.evidence.add(key, {0, 1, 0, is_slow ? 1 : 0});
+    }
 }
 
 void rollout_table::settle_failures(rollout& item, std::span<rollout_server const> servers,
--- a/tests/rollout_table_test.cpp
+++ b/tests/rollout_table_test.cpp
@@ -322,7 +322,7 @@
     }
     std::set<std::pair<std::int64_t, std::int32_t>> seen;
     node::rollout_report_position position;
-    for (int i = 0; i < 15; ++i)
+    for (std::int64_t i = 0; i < 15; ++i)
     {
         inner_protocol::node_report report;
         // Reports of the node and of its zone share one sequence.
