--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -300,7 +300,7 @@
                               now))
                 return;
             auto part = make_report(tables);
-            part.__set_versions(std::move(entries.versions));
+            part.__set_versions(entries.versions);
             part.zone_nodes = parts.back().zone_nodes;
             part.zone_addresses = parts.back().zone_addresses;
             part.relay = true;
