--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -1,7 +1,6 @@
 #include "serving/rollout_table.hpp"
 
 #include "base/hash.hpp"
-#include "store/object_version.hpp"
 
 #include <algorithm>
 
@@ -54,132 +53,6 @@
 
 } // namespace
 
-void rollout_table::enable(rollout_limits const& limits, std::uint64_t seed)
-{
-    m_limits = limits;
-    m_random.seed(seed);
-}
-
-void rollout_table::apply_order(rollout_order const& order, bool has_engines, base::time_point now,
-                                std::optional<std::int64_t> unix_milliseconds)
-{
-    if (!enabled())
-        return;
-    m_unknown_since.reset();
-    auto const found = m_rollouts.find(order.service);
-    if (found != m_rollouts.end() && found->second.order.id == order.id)
-    {
-        auto& item = found->second;
-        if (order.revision < item.order.revision)
-            return;
-        item.stored = order.written;
-        item.order.revision = order.revision;
-        if (order.started_unix_milliseconds)
-            item.order.started_unix_milliseconds = order.started_unix_milliseconds;
-        // A store restored from a copy lacks an end that was written before.
-        if (order.has_ended() || !item.order.has_ended())
-            item.order.written = order.written;
-    }
-    else
-    {
-        rollout item;
-        item.order = order;
-        item.stored = order.written;
-        item.schedule = make_rollout_schedule(order.duration, has_engines);
-        item.start = now;
-        item.learned = now;
-        item.credit = std::uniform_real_distribution<double>(0, 1)(m_random);
-        if (unix_milliseconds && order.started_unix_milliseconds)
-        {
-            item.start -=
-                std::clamp(milliseconds(*unix_milliseconds - *order.started_unix_milliseconds),
-                           milliseconds(0), order.duration);
-            item.start_is_uncertain = true;
-        }
-        auto const end = m_known_ends.find(order.service);
-        bool const was_restored = end != m_known_ends.end() && !order.has_ended() &&
-                                  end->second.target == order.target &&
-                                  end->second.duration == order.duration &&
-                                  store::epoch_of(order.revision) > end->second.epoch;
-        if (was_restored)
-            item.order.written = end->second.state;
-        m_rollouts[order.service] = std::move(item);
-    }
-    auto const& current = m_rollouts[order.service].order;
-    // Not for an end that has to be written again: the store doesn't hold it yet.
-    if (order.has_ended())
-        m_known_ends[order.service] = {current.target, current.duration, *current.written,
-                                       store::epoch_of(current.revision)};
-}
-
-void rollout_table::remove_order(std::string const& service)
-{
-    m_rollouts.erase(service);
-}
-
-rollout_order const* rollout_table::find_order(std::string_view service) const
-{
-    auto const found = m_rollouts.find(service);
-    return found == m_rollouts.end() ? nullptr : &found->second.order;
-}
-
-version_admission rollout_table::admit(std::string const& service, std::string const& version,
-                                       std::string const& server, bool is_handover,
-                                       base::time_point now)
-{
-    if (!enabled())
-        return version_admission::normal;
-    auto const found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-    {
-        auto& versions = m_versions[service];
-        auto const first_listed =
-            versions.try_emplace(version, now, true).first->second.first_listed;
-        bool const is_newer =
-            std::any_of(versions.begin(), versions.end(),
-                        [&](auto const& other) {
-                            return other.second.usable && other.second.first_listed < first_listed;
-                        });
-        return is_newer && now < first_listed + order_grace_period ? version_admission::excluded
-                                                                   : version_admission::normal;
-    }
-    auto const& item = found->second;
-    if (version.empty() && item.stage != rollout_stage::waiting)
-        return version_admission::excluded;
-    bool const is_target = version == item.order.target;
-    switch (item.stage)
-    {
-    case rollout_stage::waiting:
-    case rollout_stage::rolled_back:
-        return is_target ? version_admission::excluded : version_admission::normal;
-    case rollout_stage::canary:
-    case rollout_stage::ramp:
-        if (!is_target)
-            return version_admission::normal;
-        return !is_handover && item.credit >= 1 && item.selected_targets.contains(server)
-                   ? version_admission::preferred
-                   : version_admission::excluded;
-    case rollout_stage::drain:
-        return is_target ? version_admission::preferred : version_admission::normal;
-    case rollout_stage::retire:
-    case rollout_stage::completed:
-        break;
-    }
-    return is_target ? version_admission::preferred : version_admission::excluded;
-}
-
-bool rollout_table::retires(std::string const& service, std::string const& version) const
-{
-    auto const found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-        return false;
-    bool const is_target = version == found->second.order.target;
-    auto const stage = found->second.stage;
-    return stage == rollout_stage::rolled_back ? is_target
-                                               : !is_target && (stage == rollout_stage::retire ||
-                                                                stage == rollout_stage::completed);
-}
-
 void rollout_table::add_request(std::string const& service)
 {
     if (auto const found = m_rollouts.find(service); found != m_rollouts.end())
@@ -228,7 +101,12 @@
     if (evidence == answer_evidence::failed)
         item.pending.push_back({server, key, times.ended});
     else
-        item.evidence.add(key, {0, 1, 0, m_usual_times.is_slow(service, route, measured) ? 1 : 0});
+    {
+        bool const is_slow = evidence != answer_evidence::good_but_cold &&
+                             m_usual_times.is_slow(service, route, measured);
+        if (is_slow || evidence != answer_evidence::slow_only)
+            item.evidence.add(key, {0, 1, 0, is_slow ? 1 : 0});
+    }
 }
 
 void rollout_table::settle_failures(rollout& item, std::span<rollout_server const> servers,
@@ -314,15 +192,15 @@
         return rollout_stage::waiting;
     if (item.start_is_uncertain && now < item.learned + start_report_period)
         return rollout_stage::canary;
-    return find_rollout_stage(item.schedule,
-                              std::chrono::duration_cast<milliseconds>(now - item.start));
+    auto const stage = find_rollout_stage(
+        item.schedule, std::chrono::duration_cast<milliseconds>(now - item.start));
+    // Only a version with evidence and room takes all requests.
+    return stage >= rollout_stage::drain && !item.may_drain ? rollout_stage::canary : stage;
 }
 
 void rollout_table::decide_end(rollout& item, std::span<rollout_server const> servers,
                                base::time_point now)
 {
-    if (item.stage != rollout_stage::retire)
-        return;
     int old_running = 0;
     int target_slots = 0;
     for (auto const& server : servers)
@@ -334,21 +212,44 @@
         else
             old_running += server.running;
     }
-    if (old_running > 0)
+    auto const sums = item.evidence.sums();
+    bool const has_servers = target_slots >= required_capacity * item.maximum_old_slots;
+    bool const has_evidence =
+        sums.target.sent + sums.others.sent < busy_service_requests ||
+        (sums.target.answers >= minimum_answers &&
+         item.evidence.has_seen_routes(answers_per_route, m_limits->exposure_share / 2));
+    // A service is quiet at the start; what counts is the evidence when the drain begins.
+    item.may_drain = has_servers && (has_evidence || item.stage >= rollout_stage::drain);
+    item.may_complete = false;
+    auto const planned = find_rollout_stage(
+        item.schedule, std::chrono::duration_cast<milliseconds>(now - item.start));
+    // A wall clock that is wrong must not end the roll-out.
+    bool const is_last_moment =
+        !(item.start_is_uncertain && now < item.learned + start_report_period) &&
+        now >= item.start + item.schedule.retire_end;
+    if (is_last_moment && !item.may_drain)
+        item.stop_reason = has_servers ? reason_evidence : reason_capacity;
+    if (planned != rollout_stage::retire || !item.may_drain || old_running > 0)
         item.idle_since.reset();
     else if (!item.idle_since)
         item.idle_since = now;
-    bool const is_last_moment = now >= item.start + item.schedule.retire_end;
     bool const is_idle = item.idle_since && now >= *item.idle_since + idle_duration;
-    bool const has_servers = target_slots >= required_capacity * item.maximum_old_slots;
-    auto const sums = item.evidence.sums();
-    bool const has_evidence = sums.target.answers >= minimum_answers ||
-                              sums.target.sent + sums.others.sent < busy_service_requests;
-    item.may_complete = has_servers && has_evidence && (is_idle || is_last_moment);
-    if (is_last_moment && !has_servers)
-        item.stop_reason = reason_capacity;
-    else if (is_last_moment && !has_evidence)
-        item.stop_reason = reason_evidence;
+    item.may_complete =
+        item.stage == rollout_stage::retire && item.may_drain && (is_idle || is_last_moment);
+}
+
+void rollout_table::note_replaced_versions(rollout& item, base::time_point now)
+{
+    // A node that learns of an ended order takes what is listed then for what was replaced.
+    if (item.order.has_ended() &&
+        (!item.was_learned_ended || now >= item.learned + order_grace_period))
+        return;
+    auto const listed = m_versions.find(item.order.service);
+    if (listed == m_versions.end() || !listed->second.contains(item.order.target))
+        return;
+    for (auto const& [version, seen] : listed->second)
+        if (version != item.order.target)
+            item.replaced.insert(version);
 }
 
 rollout_step rollout_table::make_step(rollout const& item, base::time_point now) const
@@ -392,10 +293,12 @@
             seen.first_listed = version->second.first_listed;
     }
     m_versions = std::move(versions);
+    forget_unlisted_refusals();
     for (auto& [service, item] : m_rollouts)
     {
-        auto const previous_stage = item.stage;
+        auto const previous_stage = item.logged_stage;
         auto const previous_share = item.share;
+        note_replaced_versions(item, now);
         settle_failures(item, servers, now);
         update_servers(item, servers, item.share);
         item.stage = find_stage(item, now);
@@ -403,8 +306,9 @@
                                 item.stop_reason.empty();
         if (is_running)
         {
-            bool const is_last_look =
-                item.stage == rollout_stage::drain && previous_stage != rollout_stage::drain;
+            bool const takes_all = item.stage >= rollout_stage::drain;
+            bool const is_last_look = takes_all && !item.had_last_look;
+            item.had_last_look = takes_all;
             item.finding = item.evidence.judge(now, item.has_several_groups, is_last_look);
             item.evidence.take_snapshot(now);
             if (item.finding)
@@ -428,6 +332,7 @@
             item.stage == rollout_stage::completed || item.stage == rollout_stage::rolled_back;
         if (has_ended && !item.ended)
             item.ended = now;
+        item.logged_stage = item.stage;
         if (item.stage != previous_stage || item.share > 1.2 * previous_share)
             steps.push_back(make_step(item, now));
     }
--- a/libraries/serving/rollout_table.hpp
+++ b/libraries/serving/rollout_table.hpp
@@ -62,6 +62,10 @@
 enum class answer_evidence
 {
     good,
+    /// Good from a server that is still cold, so the time says nothing.
+    good_but_cold,
+    /// Ended early by the caller or the node: evidence only if it was slow until then.
+    slow_only,
     failed,
     /// Says nothing about the version.
     none,
@@ -104,6 +108,8 @@
     base::milliseconds age{0};
     /// As in the state that is replaced.
     std::optional<std::int64_t> started_unix_milliseconds = std::nullopt;
+    /// That of the order; tells its state from that of an order with the same target.
+    base::milliseconds duration{0};
 };
 
 /// Does nothing until limits are set. Not synchronized.
@@ -131,7 +137,10 @@
     /// its age.
     void apply_order(rollout_order const& order, bool has_engines, base::time_point now,
                      std::optional<std::int64_t> unix_milliseconds = std::nullopt);
-    void remove_order(std::string const& service);
+    /// `revision` is the store's one of the removal, if it is known. A version whose roll-out was
+    /// rolled back or has not ended stays excluded while its servers are listed.
+    void remove_order(std::string const& service,
+                      std::optional<std::int64_t> revision = std::nullopt);
     /// Returns null without an order.
     rollout_order const* find_order(std::string_view service) const;
 
@@ -150,6 +159,14 @@
                        std::string const& server, std::string const& route,
                        answer_evidence evidence, answer_times const& times);
 
+    /// `has_engines` returns whether a service has engines, or nothing for an unknown one.
+    template <class HasEngines>
+    void update_schedules(HasEngines has_engines)
+    {
+        for (auto& [service, item] : m_rollouts)
+            if (std::optional<bool> const known = has_engines(service))
+                item.schedule = make_rollout_schedule(item.order.duration, *known);
+    }
     /// Called several times a second with all listed servers. Returns what has changed.
     std::vector<rollout_step> advance(std::span<rollout_server const> servers,
                                       base::time_point now);
@@ -163,7 +180,9 @@
     std::map<std::string, version_sums> take_own_counts();
     /// When a peer first reported an order that this node doesn't know.
     std::optional<base::time_point> unknown_order_since() const noexcept { return m_unknown_since; }
-    void forget_unknown_orders() noexcept { m_unknown_since.reset(); }
+    /// `was_read` tells that the store's orders have been applied since. Those still unknown are
+    /// not looked for again for a time that doubles.
+    void forget_unknown_orders(base::time_point now, bool was_read);
 
 private:
     struct pending_failure
@@ -182,12 +201,18 @@
         /// The start was computed from a wall clock.
         bool start_is_uncertain = false;
         base::time_point learned{};
+        bool was_learned_ended = false;
         rollout_stage stage = rollout_stage::waiting;
+        /// The stage at the last look.
+        rollout_stage logged_stage = rollout_stage::waiting;
         double share = 0;
         /// Requests that the target version may receive from this node.
         double credit = 0;
         std::string_view stop_reason;
         std::optional<rollout_finding> finding;
+        /// The version has evidence and servers enough to take all requests.
+        bool may_drain = false;
+        bool had_last_look = false;
         bool may_complete = false;
         std::optional<base::time_point> idle_since;
         std::optional<base::time_point> ended;
@@ -198,7 +223,15 @@
         int maximum_old_servers = 0;
         int maximum_old_slots = 0;
         bool has_several_groups = false;
+        /// Versions that were listed during the order.
+        std::set<std::string, std::less<>> replaced;
         version_sums taken;
+
+        /// Without a list of servers, every other version.
+        bool is_replaced(std::string const& version) const
+        {
+            return version != order.target && (replaced.empty() || replaced.contains(version));
+        }
     };
     struct listed_version
     {
@@ -212,12 +245,20 @@
     };
     struct known_end
     {
+        std::uint64_t order = 0;
         std::string target;
         base::milliseconds duration{0};
         rollout_state state = rollout_state::completed;
         std::int64_t epoch = 0;
+        base::time_point learned{};
     };
 
+    /// For a version that no order names. `target` is that of the service's order, if it has one.
+    version_admission admit_unordered(std::string const& service, std::string const& version,
+                                      std::string const* target, base::time_point now);
+    void refuse_unfinished(rollout const& item);
+    void forget_unlisted_refusals();
+    void note_replaced_versions(rollout& item, base::time_point now);
     void update_servers(rollout& item, std::span<rollout_server const> servers, double share);
     void settle_failures(rollout& item, std::span<rollout_server const> servers,
                          base::time_point now);
@@ -235,7 +276,16 @@
     std::map<std::int32_t, std::string> m_route_names;
     /// Versions of each service.
     std::map<std::string, std::map<std::string, listed_version>, std::less<>> m_versions;
+    /// Versions of each service that a roll-out has left unfinished or rolled back.
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_refused;
     std::optional<base::time_point> m_unknown_since;
+    struct absent_order
+    {
+        base::time_point until{};
+        base::milliseconds delay{0};
+    };
+    std::set<std::uint64_t> m_unknown_orders;
+    std::map<std::uint64_t, absent_order> m_absent_orders;
 };
 
 } // namespace jasminepier::serving
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -260,11 +260,12 @@
                 continue;
             if (same_zone)
                 for (auto const& report : own)
-                    m_nodes[other]->apply_report({zone_of(index), std::to_string(index), 1}, report,
-                                                 at(m_now));
+                    m_nodes[other]->apply_report({zone_of(index), std::to_string(index), 1, "", 0},
+                                                 report, at(m_now));
             else
                 for (auto const& report : of_zone)
-                    m_nodes[other]->apply_report({zone_of(index), "", 0}, report, at(m_now));
+                    m_nodes[other]->apply_report({zone_of(index), "", 0, std::to_string(index), 1},
+                                                 report, at(m_now));
         }
     }
 
@@ -379,8 +380,10 @@
     apply(13, rollout_state::rolled_back, "v1", 8);
     EXPECT_EQ(admit("v1"), version_admission::excluded);
     EXPECT_EQ(admit("v2"), version_admission::normal);
+    // A version that was rolled back doesn't return with the removal of its order.
     m_table.remove_order("shop");
-    EXPECT_EQ(admit("v1"), version_admission::normal);
+    EXPECT_EQ(admit("v1"), version_admission::excluded);
+    EXPECT_EQ(admit("v2"), version_admission::normal);
 }
 
 // Guards against a finished roll-out that starts again when the store returns an earlier copy.
