--- a/libraries/serving/dispatcher_handover.cpp
+++ b/libraries/serving/dispatcher_handover.cpp
@@ -120,4 +120,11 @@
            m_rollouts.retires(found->second.entry.service, found->second.entry.version);
 }
 
+void dispatcher::notify_leaving()
+{
+    for (auto const& [attempt_key, attempt] : m_attempts)
+        if (attempt.on_leaving && is_leaving(attempt.server))
+            attempt.on_leaving();
+}
+
 } // namespace jasminepier::serving
--- a/libraries/serving/rollout.cpp
+++ b/libraries/serving/rollout.cpp
@@ -79,9 +79,9 @@
     return age < schedule.drain_end ? rollout_stage::drain : rollout_stage::retire;
 }
 
-double find_exposure_share(rollout_limits const& limits, exposure_view const& view) noexcept
+double find_maximum_share(rollout_limits const& limits, exposure_view const& view) noexcept
 {
-    auto const canary_share = canary_fraction * limits.exposure_share;
+    auto const canary_share = canary_fraction * limits.maximum_share;
     switch (view.stage)
     {
     case rollout_stage::waiting:
@@ -108,8 +108,8 @@
     auto const duration_seconds = std::chrono::duration<double>(view.duration).count();
     auto const requests_per_second = view.all_requests / age_seconds;
     auto const permitted =
-        budget_fraction * (limits.exposure_share * requests_per_second * duration_seconds +
-                           limits.exposure_tolerance);
+        budget_fraction *
+        (limits.maximum_share * requests_per_second * duration_seconds + limits.tolerated_requests);
     // Reserved for the drain, in which the version gets every request.
     auto const left = permitted - reaction_seconds * requests_per_second - view.target_requests;
     auto const remaining_seconds =
--- a/libraries/serving/rollout.hpp
+++ b/libraries/serving/rollout.hpp
@@ -43,8 +43,8 @@
 {
     /// Fraction of a service's requests between the order and its deadline that a bad version may
     /// receive, and the number of requests above it.
-    double exposure_share = 0;
-    double exposure_tolerance = 0;
+    double maximum_share = 0;
+    double tolerated_requests = 0;
     /// Time after the 50th bad answer within which the last request to the version is sent.
     base::milliseconds rollback_delay{5000};
 
@@ -103,6 +103,6 @@
 /// Returns the target version's share of new requests. Before the drain, its requests so far and
 /// those of the time in which the nodes notice a bad version stay below the permitted number for
 /// the whole duration.
-double find_exposure_share(rollout_limits const& limits, exposure_view const& view) noexcept;
+double find_maximum_share(rollout_limits const& limits, exposure_view const& view) noexcept;
 
 } // namespace jasminepier::serving
--- a/libraries/serving/rollout_table.cpp
+++ b/libraries/serving/rollout_table.cpp
@@ -217,7 +217,7 @@
     bool const has_evidence =
         sums.target.sent + sums.others.sent < busy_service_requests ||
         (sums.target.answers >= minimum_answers &&
-         item.evidence.has_seen_routes(answers_per_route, m_limits->exposure_share / 2));
+         item.evidence.has_seen_routes(answers_per_route, m_limits->maximum_share / 2));
     // A service is quiet at the start; what counts is the evidence when the drain begins.
     item.may_drain = has_servers && (has_evidence || item.stage >= rollout_stage::drain);
     item.may_complete = false;
@@ -326,8 +326,8 @@
             item.schedule,
             static_cast<double>(sums.target.sent),
             static_cast<double>(sums.target.sent + sums.others.sent),
-            item.evidence.has_seen_routes(answers_per_route, m_limits->exposure_share / 2)};
-        item.share = find_exposure_share(*m_limits, view);
+            item.evidence.has_seen_routes(answers_per_route, m_limits->maximum_share / 2)};
+        item.share = find_maximum_share(*m_limits, view);
         bool const has_ended =
             item.stage == rollout_stage::completed || item.stage == rollout_stage::rolled_back;
         if (has_ended && !item.ended)
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -95,8 +95,8 @@
                     tick(static_cast<std::size_t>(i));
         }
         m_result.exposure_ratio = static_cast<double>(m_target_requests) /
-                                  (limits.exposure_share * static_cast<double>(m_all_requests) +
-                                   limits.exposure_tolerance);
+                                  (limits.maximum_share * static_cast<double>(m_all_requests) +
+                                   limits.tolerated_requests);
         return m_result;
     }
 
