HTTP, Node, Entry: Charge header fields and heads, and let nothing wait without end

Cause: the parsed fields of a head were not charged, a pipelined request that stopped could not be evicted, a wait before a body made the span overflow, heads at jasminepier-entry were not covered, and responses could wait for each other. Searches for a victim cost every waiter a scan of all holders.

Change: each field counts with 160 bytes before it is parsed; a pipelined request that has arrived in part counts as one that arrives. One running request gets room beyond the limit when only running ones are left. Victims are looked for once in 20 ms. Waiting connections are closed last, connections without a request before kept ones. Strings grow to the charged size.

--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -5,11 +5,13 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <iterator>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace jasminepier::http
 {
@@ -18,14 +20,10 @@
 
 // The platform states no timeout for bodies, so a body gets four times the header timeout.
 constexpr int body_timeout_factor = 4;
-// Time for the caller to read the response before the socket is closed.
-constexpr std::chrono::milliseconds lingering_close_timeout{200};
 // The kernel counts the time since the last data in ticks of several milliseconds.
 constexpr base::milliseconds minimum_read_delay{20};
 // Interval at which the bytes are counted that the caller has not taken yet.
 constexpr std::chrono::milliseconds acknowledgement_poll_interval{20};
-// Interval at which a connection that waits for memory asks again.
-constexpr base::milliseconds room_poll_interval{20};
 // A body must arrive with this many bytes in each span of two header timeouts. A caller that
 // follows the limits sends a whole body in four.
 constexpr int progress_span_factor = 2;
@@ -82,17 +80,30 @@
     return m_socket.impl()->sockfd();
 }
 
-bool caller_connection::try_make_room(std::size_t count)
+bool caller_connection::try_hold(std::size_t bytes)
 {
-    auto const bytes = m_reader.bytes_to_hold(count);
     return (bytes <= memory_holder::uncharged_bytes && m_memory.held_bytes() == 0) ||
            m_memory.try_hold_or_evict(bytes, base::steady_clock_source{}.now());
 }
 
+bool caller_connection::try_make_room(std::size_t count)
+{
+    return try_hold(m_reader.bytes_to_hold(count));
+}
+
+bool caller_connection::try_make_room(std::span<char const> received)
+{
+    auto const fields = m_reader.fields_to_hold(received);
+    return fields == 0 || try_hold(m_reader.bytes_to_hold(received.size()) + fields);
+}
+
 void caller_connection::take_request(request& result)
 {
     result = m_reader.take_request();
-    m_request_bytes = m_reader.held_bytes() + result.body.capacity();
+    m_request_bytes =
+        m_reader.held_bytes() + result.body.capacity() +
+        request_reader::field_bytes *
+            static_cast<std::size_t>(std::distance(result.headers.begin(), result.headers.end()));
     m_memory.hold(m_request_bytes);
     m_memory.set_stage(holder_stage::serving);
 }
@@ -114,10 +125,15 @@
     bool body_started = false;
     bool interrupted = false;
     bool waits_for_room = false;
+    // Received bytes for which the reader has had no room yet.
+    std::size_t pending = 0;
     std::size_t span_bytes = 0;
     auto span_end = base::time_point::max();
     m_memory.hold(m_reader.held_bytes());
-    m_memory.set_stage(holder_stage::idle);
+    // A pipelined request may have arrived in part with the last one.
+    m_memory.set_stage(m_reader.current_state() == request_reader::state::idle
+                           ? holder_stage::idle
+                           : holder_stage::receiving);
     m_memory.record_progress(start);
     wait_set poll_set;
     std::array<char, 16384> bytes;
@@ -159,10 +175,11 @@
         {
             wait_start = clock.now();
             wait_deadline =
-                std::min<base::time_point>(wait_deadline, wait_start + room_poll_interval);
+                std::min<base::time_point>(wait_deadline, wait_start + m_memory.poll_interval());
         }
         poll_set.clear();
-        poll_set.add(waits_for_room ? -1 : descriptor(), POLLIN);
+        // While no bytes are read, only the loss of the connection is of interest.
+        poll_set.add(descriptor(), waits_for_room ? short{0} : short{POLLIN});
         poll_set.add(head_started || interrupted ? -1 : interruption.descriptor(), POLLIN);
         poll_set.add(m_wake.descriptor(), POLLIN);
         poll_set.wait(wait_deadline);
@@ -172,9 +189,19 @@
         {
             // The caller isn't to blame for this time.
             auto const waited = clock.now() - wait_start;
+            if ((poll_set.ready(0) & (POLLERR | POLLHUP)) != 0)
+                return read_outcome::closed;
             deadline += waited;
-            span_end += waited;
-            waits_for_room = !m_memory.evicted() && !try_make_room(bytes.size());
+            if (body_started)
+                span_end += waited;
+            waits_for_room =
+                !m_memory.evicted() && !(pending > 0 ? try_make_room({bytes.data(), pending})
+                                                     : try_make_room(bytes.size()));
+            if (waits_for_room || m_memory.evicted())
+                continue;
+            m_memory.record_progress(clock.now());
+            if (pending > 0)
+                m_reader.feed({bytes.data(), std::exchange(pending, 0)});
             continue;
         }
         if (poll_set.ready(1) != 0)
@@ -193,8 +220,18 @@
             auto const byte_count = ::recv(descriptor(), bytes.data(), bytes.size(), 0);
             if (byte_count > 0)
             {
-                m_reader.feed({bytes.data(), static_cast<std::size_t>(byte_count)});
                 span_bytes += static_cast<std::size_t>(byte_count);
+                waits_for_room =
+                    !try_make_room({bytes.data(), static_cast<std::size_t>(byte_count)});
+                if (waits_for_room)
+                {
+                    if (!std::exchange(head_started, true))
+                        deadline = clock.now() + timeouts.header;
+                    pending = static_cast<std::size_t>(byte_count);
+                    m_memory.set_stage(holder_stage::receiving);
+                    continue;
+                }
+                m_reader.feed({bytes.data(), static_cast<std::size_t>(byte_count)});
                 if (m_reader.current_state() != request_reader::state::complete)
                 {
                     m_memory.set_stage(holder_stage::receiving);
@@ -276,11 +313,11 @@
     return ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void caller_connection::close_gracefully(send_limits const& limits)
+void caller_connection::close_gracefully(send_limits const& limits, base::milliseconds linger)
 {
     ::shutdown(descriptor(), SHUT_WR);
     base::steady_clock_source const clock;
-    auto const linger_end = clock.now() + lingering_close_timeout;
+    auto const linger_end = clock.now() + linger;
     stall_detector stall(limits, unacknowledged_bytes());
     bool caller_has_closed = false;
     wait_set poll_set;
--- a/libraries/http/caller_connection.hpp
+++ b/libraries/http/caller_connection.hpp
@@ -84,10 +84,12 @@
     /// lost if this machine stops.
     std::size_t unacknowledged_bytes() const;
     int descriptor() const noexcept;
+    /// Time for a caller to read the response before the socket is closed.
+    static constexpr base::milliseconds default_linger{200};
     /// Shuts down the sending side, and discards received bytes until the caller has taken the
     /// response and for a short time after it. Closing a socket with unread bytes resets the
     /// connection, and the caller could lose the response.
-    void close_gracefully(send_limits const& limits);
+    void close_gracefully(send_limits const& limits, base::milliseconds linger = default_linger);
     std::string peer_address() const { return m_peer_address; }
     /// Returns what this connection holds. `read_request` charges requests to it; responses add to
     /// it until the next request is read.
@@ -98,8 +100,11 @@
     void discard_request();
 
 private:
+    bool try_hold(std::size_t bytes);
     /// Returns true if there is room for the next received bytes.
     bool try_make_room(std::size_t count);
+    /// Returns true if there is room for what the reader makes of these bytes.
+    bool try_make_room(std::span<char const> received);
     /// Charges what the complete request holds.
     void take_request(request& result);
 
--- a/libraries/http/memory_account.cpp
+++ b/libraries/http/memory_account.cpp
@@ -33,6 +33,11 @@
 constexpr int minimum_connections = 16;
 // The allocator's default, which becomes fixed when it is set.
 constexpr int mapped_block_bytes = 128 * 1024;
+// Interval at which a holder that waits for room asks again, and at which a victim is looked for.
+constexpr base::milliseconds minimum_poll_interval{20};
+constexpr base::milliseconds maximum_poll_interval{200};
+// The interval is the minimum for up to this many holders that wait.
+constexpr int waiting_per_interval = 16;
 
 } // namespace
 
@@ -99,7 +104,7 @@
     while (true)
     {
         // A single request always has room.
-        if (used + bytes > limit && used != holder.m_held)
+        if (used + bytes > limit && used != holder.m_held && m_overdraft != &holder)
             return false;
         if (m_used.compare_exchange_weak(used, used + bytes))
             return true;
@@ -121,6 +126,19 @@
     m_used -= holder.m_held;
     --m_connections;
     m_leaving_connections -= holder.m_evicted ? 1 : 0;
+    end_overdraft(holder);
+}
+
+void memory_account::end_overdraft(memory_holder const& holder) noexcept
+{
+    auto const* expected = &holder;
+    m_overdraft.compare_exchange_strong(expected, nullptr);
+}
+
+base::milliseconds memory_account::poll_interval() const noexcept
+{
+    return std::min(minimum_poll_interval * (1 + m_waiting / waiting_per_interval),
+                    maximum_poll_interval);
 }
 
 void memory_account::make_connection_room(memory_holder& newest, base::time_point now)
@@ -131,14 +149,16 @@
     auto const order = [&](memory_holder const& holder)
     {
         auto const silence = now - holder.m_last_progress.load();
-        bool const owes_progress =
-            holder.m_stage == holder_stage::receiving && silence >= m_limits.stall;
-        return std::tuple(owes_progress, silence);
+        bool const silent = silence >= m_limits.stall;
+        bool const owes_rest = silent && holder.m_stage == holder_stage::receiving;
+        bool const owes_first = silent && !holder.m_served;
+        // A holder that waits for room isn't to blame, but it may not block the others either.
+        return std::tuple(!holder.m_waits, owes_rest, owes_first, silence);
     };
     for (auto* holder : m_holders)
     {
-        bool const eligible = holder != &newest && !holder->m_evicted &&
-                              holder->m_stage != holder_stage::serving && !holder->m_waits;
+        bool const eligible =
+            holder != &newest && !holder->m_evicted && holder->m_stage != holder_stage::serving;
         if (eligible && (victim == nullptr || order(*holder) > order(*victim)))
             victim = holder;
     }
@@ -148,9 +168,13 @@
 void memory_account::make_memory_room(memory_holder& requester, std::size_t bytes,
                                       base::time_point now)
 {
-    std::lock_guard lock(m_mutex);
     bool const is_small = bytes <= m_limits.small_bytes;
     bool const impatient = now - *requester.m_waiting_since >= m_limits.patience;
+    auto& next_search = m_next_search[(is_small ? 1U : 0U) + (impatient ? 2U : 0U)];
+    auto due = next_search.load();
+    if (now < due || !next_search.compare_exchange_strong(due, now + minimum_poll_interval))
+        return;
+    std::lock_guard lock(m_mutex);
     memory_holder* victim = nullptr;
     auto const order = [&](memory_holder const& holder)
     {
@@ -169,7 +193,14 @@
             victim = holder;
     }
     if (victim == nullptr)
+    {
+        // Only running requests are left, whose responses may all wait for room. One of them goes
+        // on, so that its bytes come back.
+        memory_holder const* none = nullptr;
+        if (impatient && requester.m_stage == holder_stage::serving)
+            m_overdraft.compare_exchange_strong(none, &requester);
         return;
+    }
     bool const stalled = std::get<0>(order(*victim));
     if (stalled || impatient || (is_small && victim != &requester))
         evict(*victim, eviction_cause::memory);
@@ -194,6 +225,7 @@
 
 memory_holder::~memory_holder()
 {
+    set_waits(false);
     m_account.remove(*this);
 }
 
@@ -210,18 +242,33 @@
     if (m_waiting_since)
     {
         m_waiting_since.reset();
-        m_waits = false;
+        set_waits(false);
     }
     return true;
 }
 
+void memory_holder::set_stage(holder_stage stage) noexcept
+{
+    m_stage = stage;
+    if (stage == holder_stage::serving)
+        m_served = true;
+    else if (m_account.m_overdraft == this)
+        m_account.end_overdraft(*this);
+}
+
+void memory_holder::set_waits(bool waits) noexcept
+{
+    if (m_waits.exchange(waits) != waits)
+        m_account.m_waiting += waits ? 1 : -1;
+}
+
 bool memory_holder::try_hold_or_evict(std::size_t bytes, base::time_point now)
 {
     if (try_hold(bytes))
         return true;
     if (!m_waiting_since)
         m_waiting_since = now;
-    m_waits = true;
+    set_waits(true);
     m_account.make_memory_room(*this, bytes, now);
     return false;
 }
--- a/libraries/http/memory_account.hpp
+++ b/libraries/http/memory_account.hpp
@@ -86,6 +86,9 @@
     account_limits const& limits() const noexcept { return m_limits; }
     std::size_t used_bytes() const noexcept { return m_used; }
     int connections() const noexcept { return m_connections; }
+    /// Returns the interval at which a holder that waits for room asks again. It grows with the
+    /// number of those that wait, so that they cost a bounded part of a processor.
+    base::milliseconds poll_interval() const noexcept;
     /// Returns how many holders were evicted so far.
     std::uint64_t evictions(eviction_cause cause) const noexcept
     {
@@ -102,11 +105,18 @@
     void make_connection_room(memory_holder& newest, base::time_point now);
     void make_memory_room(memory_holder& requester, std::size_t bytes, base::time_point now);
     void evict(memory_holder& victim, eviction_cause cause);
+    void end_overdraft(memory_holder const& holder) noexcept;
 
     account_limits m_limits;
     std::atomic<std::size_t> m_used{0};
     std::atomic<int> m_connections{0};
     std::array<std::atomic<std::uint64_t>, 2> m_evictions{};
+    std::atomic<int> m_waiting{0};
+    /// Time of the next search for a victim, for requesters that may evict alike: patient and
+    /// impatient ones, with few bytes and with many.
+    std::array<std::atomic<base::time_point>, 4> m_next_search{};
+    /// A running request that gets room beyond the limit, since all wait for each other.
+    std::atomic<memory_holder const*> m_overdraft{nullptr};
     mutex m_mutex;
     std::set<memory_holder*> m_holders;
     /// Evicted connections that are still open.
@@ -136,7 +146,7 @@
     bool try_hold_or_evict(std::size_t bytes, base::time_point now);
     /// Adds bytes without asking, for what is held already. Evicts nobody.
     void hold(std::size_t bytes);
-    void set_stage(holder_stage stage) noexcept { m_stage = stage; }
+    void set_stage(holder_stage stage) noexcept;
     /// Records that bytes have arrived.
     void record_progress(base::time_point now) noexcept { m_last_progress = now; }
 
@@ -145,8 +155,12 @@
     bool evicted() const noexcept { return m_evicted; }
     eviction_cause cause() const noexcept { return m_cause; }
 
+    /// See `memory_account::poll_interval`.
+    base::milliseconds poll_interval() const noexcept { return m_account.poll_interval(); }
+
 private:
     friend class memory_account;
+    void set_waits(bool waits) noexcept;
 
     memory_account& m_account;
     std::function<void()> m_on_eviction;
@@ -155,6 +169,8 @@
     std::atomic<base::time_point> m_last_progress;
     std::optional<base::time_point> m_waiting_since;
     std::atomic<bool> m_waits{false};
+    /// A request of this connection was complete.
+    std::atomic<bool> m_served{false};
     std::atomic<bool> m_evicted{false};
     std::atomic<eviction_cause> m_cause{eviction_cause::memory};
 };
--- a/libraries/http/request_reader.cpp
+++ b/libraries/http/request_reader.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace jasminepier::http
 {
@@ -16,6 +17,12 @@
 // An idle connection keeps a buffer up to this size.
 constexpr std::size_t kept_buffer_bytes = std::size_t{32} * 1024;
 
+std::size_t count_head_lines(std::string_view text)
+{
+    auto const head = text.substr(0, text.find("\r\n\r\n"));
+    return static_cast<std::size_t>(std::ranges::count(head, '\n'));
+}
+
 } // namespace
 
 request_reader::request_reader(request_size_limits limits) : m_limits(limits)
@@ -32,15 +39,31 @@
     m_state = state::idle;
     m_expect_continue_pending = false;
     m_coded_bytes = 0;
+    m_head_lines = 0;
 }
 
-void request_reader::feed(std::span<char const> bytes)
+std::size_t request_reader::fields_to_hold(std::span<char const> received) const
 {
     if (m_parser->is_header_done())
+        return 0;
+    return field_bytes * (m_head_lines + count_head_lines({received.data(), received.size()}));
+}
+
+void request_reader::feed(std::span<char const> bytes)
+{
+    if (!m_parser->is_header_done())
+        m_head_lines += count_head_lines({bytes.data(), bytes.size()});
+    else
     {
         auto& body = m_parser->get().body();
         if (auto const capacity = body_capacity(bytes.size()); capacity > body.capacity())
-            body.reserve(capacity);
+        {
+            // The string's own growth would at least double it.
+            std::string grown;
+            grown.reserve(capacity);
+            grown.append(body);
+            body.swap(grown);
+        }
     }
     auto const destination = m_buffer.prepare(bytes.size());
     boost::asio::buffer_copy(destination, boost::asio::buffer(bytes.data(), bytes.size()));
@@ -62,6 +85,8 @@
         m_coded_bytes += consumed;
         if (m_state == state::reading_head && m_parser->is_header_done())
         {
+            auto const& fields = m_parser->get();
+            m_head_lines = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
             if (!validate_head())
                 return;
             m_state = state::reading_body;
@@ -131,6 +156,8 @@
     result.keep_alive = message.keep_alive();
     result.body = std::move(message.body());
     start();
+    auto const rest = m_buffer.data();
+    m_head_lines = count_head_lines({static_cast<char const*>(rest.data()), rest.size()});
     if (m_buffer.size() == 0 && m_buffer.capacity() > kept_buffer_bytes)
         m_buffer.shrink_to_fit();
     parse();
@@ -158,7 +185,8 @@
 
 std::size_t request_reader::bytes_to_hold(std::size_t count) const
 {
-    auto const buffered = std::max(m_buffer.capacity(), m_buffer.size() + count);
+    auto const buffered =
+        std::max(m_buffer.capacity(), m_buffer.size() + count) + m_head_lines * field_bytes;
     if (!m_parser->is_header_done())
         return buffered;
     auto const capacity = m_parser->get().body().capacity();
@@ -168,7 +196,7 @@
 
 std::size_t request_reader::held_bytes() const
 {
-    return m_buffer.capacity() +
+    return m_buffer.capacity() + m_head_lines * field_bytes +
            (m_parser && m_parser->is_header_done() ? m_parser->get().body().capacity() : 0);
 }
 
--- a/libraries/http/request_reader.hpp
+++ b/libraries/http/request_reader.hpp
@@ -45,6 +45,11 @@
     /// Returns the largest number of bytes that the reader holds at any time while it is fed
     /// `count` more bytes.
     std::size_t bytes_to_hold(std::size_t count) const;
+    /// Memory of a header field beside its text: the parser's element, then the request's, and its
+    /// copy for a server.
+    static constexpr std::size_t field_bytes = 160;
+    /// Returns the memory of the header fields, with those in `received`; 0 behind the head.
+    std::size_t fields_to_hold(std::span<char const> received) const;
     /// Returns the number of bytes that the reader holds.
     std::size_t held_bytes() const;
     /// Frees everything that was received. The reader can't be fed any more.
@@ -72,6 +77,8 @@
     bool m_expect_continue_pending = false;
     /// Bytes of the body in its transfer coding.
     std::size_t m_coded_bytes = 0;
+    /// Lines received of the head; its fields when it is complete.
+    std::size_t m_head_lines = 0;
     std::unique_ptr<parser> m_parser;
     boost::beast::flat_buffer m_buffer;
 };
--- a/services/entry/caller_memory.hpp
+++ b/services/entry/caller_memory.hpp
@@ -7,14 +7,24 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
+#include <chrono>
+#include <cstddef>
+
 namespace jasminepier::entry
 {
 
 /// Returns what the connection holds that the calling thread serves; nothing on other threads.
 http::memory_holder* current_caller_memory() noexcept;
+/// Returns the charge for the head of the request that the calling thread serves, bytes.
+std::size_t current_head_bytes() noexcept;
+/// Returns the charge for a head of which `received` bytes have arrived, bytes.
+std::size_t head_charge(std::size_t received) noexcept;
+
+/// Interval at which a connection that waits for memory asks again.
+inline constexpr std::chrono::milliseconds room_poll_interval{20};
 
-/// Marks the request of the calling thread as complete until destruction, and then returns what it
-/// held.
+/// Marks the head of the request of the calling thread as complete until destruction, and then
+/// returns what the request held.
 class served_request
 {
 public:
@@ -24,7 +34,8 @@
     ~served_request();
 };
 
-/// Makes HTTP connections that count towards the account. An evicted connection reads nothing more.
+/// Makes HTTP connections that count towards the account, with the heads of their requests. An
+/// evicted connection reads nothing more.
 class caller_connection_factory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
--- a/services/entry/http_messages.cpp
+++ b/services/entry/http_messages.cpp
@@ -22,7 +22,6 @@
 
 // A body exists a second time while its memory grows, and later in the request that is sent on.
 constexpr std::size_t copies = 2;
-constexpr std::chrono::milliseconds room_poll_interval{20};
 
 /// Charges a body that is being received to the connection of the calling thread.
 class body_memory
@@ -42,7 +41,7 @@
             return;
         m_holder->set_stage(http::holder_stage::serving);
         if (!m_kept)
-            m_holder->try_hold(0);
+            m_holder->hold(current_head_bytes());
     }
     /// Waits until `body` can grow by `count` bytes, and adds the time to `end`. Returns false if
     /// the connection is evicted.
@@ -50,19 +49,27 @@
     {
         if (m_holder == nullptr)
             return true;
+        auto const start = base::steady_clock_source{}.now();
+        m_holder->record_progress(start);
+        // A body of the announced length doesn't grow any further.
+        if (m_announced_bytes)
+            count = std::min(count, *m_announced_bytes - std::min(*m_announced_bytes, body.size()));
         auto const needed = body.size() + count;
         if (needed <= body.capacity())
             return !m_holder->evicted();
-        auto const start = base::steady_clock_source{}.now();
-        m_holder->record_progress(start);
         auto const capacity =
             std::max(m_announced_bytes.value_or(body.capacity() + body.capacity() / 2), needed);
         while (!m_holder->evicted() &&
-               !m_holder->try_hold_or_evict(copies * capacity, base::steady_clock_source{}.now()))
+               !m_holder->try_hold_or_evict(current_head_bytes() + copies * capacity,
+                                            base::steady_clock_source{}.now()))
             std::this_thread::sleep_for(room_poll_interval);
         if (m_holder->evicted())
             return false;
-        body.reserve(capacity);
+        // The string's own growth would at least double it.
+        std::string grown;
+        grown.reserve(capacity);
+        grown.append(body);
+        body.swap(grown);
         end += base::steady_clock_source{}.now() - start;
         return true;
     }
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -118,13 +118,11 @@
         ->check(base::in_range<std::int64_t>(0, 86400));
     parser
         .add("memory-mib", memory_mebibytes,
-             "Resident memory that callers must not make the process exceed, MiB; 0 means that of "
-             "the VM")
+             "Resident memory that callers must not make the process exceed, MiB; 0 means no bound")
         ->check(base::in_range<std::int64_t>(0, 16777216));
     parser
         .add("maximum-descriptors", maximum_descriptors,
-             "Descriptors that callers must not make the process exceed; 0 means the limit of the "
-             "operating system")
+             "Descriptors that callers must not make the process exceed; 0 means no bound")
         ->check(base::in_range<std::int64_t>(0, 16777216));
     if (auto status = parser.parse_command_line(argc, argv))
         return *status;
@@ -133,12 +131,10 @@
     serving_settings.engine_silence_timeout =
         std::chrono::milliseconds(engine_silence_milliseconds);
     serving_settings.local_address = host + ":" + std::to_string(entry_port);
-    serving_settings.process = http::read_process_limits();
-    if (memory_mebibytes > 0)
-        serving_settings.process.memory_bytes =
-            static_cast<std::size_t>(memory_mebibytes) * bytes_per_mebibyte;
-    if (maximum_descriptors > 0)
-        serving_settings.process.sockets = maximum_descriptors;
+    // Limits that are not stated bound nothing.
+    serving_settings.process.memory_bytes =
+        static_cast<std::size_t>(memory_mebibytes) * bytes_per_mebibyte;
+    serving_settings.process.sockets = maximum_descriptors;
     serving_settings.process.workers = workers;
     http::return_freed_memory();
     entry::serving_state serving(serving_settings);
@@ -151,7 +147,8 @@
     inner_protocol::rpc_server const peers(std::make_shared<inner_protocol::entry_nodeProcessor>(
                                                std::make_shared<entry::entry_peer_handler>(plain)),
                                            host, entry_peer_port);
-    auto const threads = caller_limits.connections + spare_workers;
+    bool const is_bounded = memory_mebibytes > 0 || maximum_descriptors > 0;
+    auto const threads = is_bounded ? caller_limits.connections + spare_workers : workers;
     Poco::ThreadPool pool(16, std::max(threads, 16));
     Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
     parameters->setMaxThreads(threads);
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -165,8 +165,13 @@
     fields.add("Connection", "close");
     if (error_response.retry_after_seconds > 0)
         fields.add("Retry-After", std::to_string(error_response.retry_after_seconds));
+    // A caller that is still sending looks for the response late.
+    bool const still_sends = outcome == http::read_outcome::body_too_large ||
+                             (outcome == http::read_outcome::no_room &&
+                              caller.memory().cause() == http::eviction_cause::memory);
     if (caller.send(http::write_response_head(error_response.http_status, "", fields), send_limits))
-        caller.close_gracefully(send_limits);
+        caller.close_gracefully(send_limits,
+                                still_sends ? base::milliseconds(timeout) : caller.default_linger);
 }
 
 void caller_session::serve_request(request_context& context)
--- a/services/node/plain_relay.cpp
+++ b/services/node/plain_relay.cpp
@@ -21,8 +21,6 @@
 
 // A response's memory doubles as it grows, beside its earlier copy.
 constexpr std::size_t response_growth_factor = 3;
-// Interval at which a response that waits for memory asks again.
-constexpr base::milliseconds room_poll_interval{20};
 
 base::time_point now()
 {
@@ -86,7 +84,8 @@
     return start(std::move(*attempt));
 }
 
-plain_relay::attempt_result plain_relay::finish_attempt(pending_attempt& current)
+plain_relay::attempt_result plain_relay::finish_attempt(pending_attempt& current,
+                                                        std::size_t other_bytes)
 {
     auto& exchange = *current.exchange;
     auto const server = current.attempt.server();
@@ -172,10 +171,18 @@
         m_context.record_completed();
     }
     m_context.last_server = server.id;
+    // Until the caller has taken the response, only its final size is held.
+    m_context.caller.memory().hold(m_context.caller.request_bytes() + error_response_bytes() +
+                                   response.body.capacity() + other_bytes);
     m_context.send_response(response);
     return attempt_result::delivered;
 }
 
+std::size_t plain_relay::error_response_bytes() const noexcept
+{
+    return m_error_response ? m_error_response->body.capacity() : 0;
+}
+
 bool plain_relay::try_hold_responses(pending_attempt const& first,
                                      std::optional<pending_attempt> const& second)
 {
@@ -183,7 +190,8 @@
     if (second)
         bytes += second->exchange->untaken_bytes();
     auto& memory = m_context.caller.memory();
-    auto const held = m_context.caller.request_bytes() + response_growth_factor * bytes;
+    auto const held =
+        m_context.caller.request_bytes() + error_response_bytes() + response_growth_factor * bytes;
     return memory.try_hold(held) || memory.try_hold_or_evict(held, now());
 }
 
@@ -211,7 +219,9 @@
                 current->exchange->fail_as_not_connected();
             if (!current->exchange->ended())
                 continue;
-            auto const result = finish_attempt(*current);
+            auto const* other = current != &first ? &first : second ? &*second : nullptr;
+            auto const result =
+                finish_attempt(*current, other == nullptr ? 0 : other->exchange->untaken_bytes());
             // The other attempt may still succeed.
             bool const other_pending =
                 second && !(current == &first ? *second : first).exchange->ended();
@@ -241,7 +251,8 @@
         if (!first.exchange->connected() || (second && !second->exchange->connected()))
             wait_deadline = std::min(wait_deadline, current_time + connect_timeout);
         if (!has_room)
-            wait_deadline = std::min(wait_deadline, current_time + room_poll_interval);
+            wait_deadline =
+                std::min(wait_deadline, current_time + m_context.caller.memory().poll_interval());
         poll_set.wait(wait_deadline);
         if (poll_set.ready(0) != 0)
             return attempt_result::caller_left;
--- a/services/node/plain_relay.hpp
+++ b/services/node/plain_relay.hpp
@@ -59,8 +59,11 @@
     /// Charges what has arrived of the responses. Returns false if there is no room for more.
     bool try_hold_responses(pending_attempt const& first,
                             std::optional<pending_attempt> const& second);
-    /// Evaluates an ended exchange, ends its attempt and forwards a usable response.
-    attempt_result finish_attempt(pending_attempt& current);
+    /// Returns the size of the error response that is kept while another server is tried.
+    std::size_t error_response_bytes() const noexcept;
+    /// Evaluates an ended exchange, ends its attempt and forwards a usable response. `other_bytes`
+    /// is what the other attempt holds.
+    attempt_result finish_attempt(pending_attempt& current, std::size_t other_bytes);
     bool is_idempotent() const;
     /// Forwards the error response of a server, if there is one, or fails. Call this if no further
     /// attempt is made.
--- a/tests/hostile_caller_test.cpp
+++ b/tests/hostile_caller_test.cpp
@@ -69,7 +69,9 @@
         }
     }
 
-    void expect_bounded_memory(int callers, hostile_message const& message)
+    void expect_bounded_memory(int callers, hostile_message const& message,
+                               std::int64_t bound_mib = memory_mib,
+                               int descriptor_bound = maximum_descriptors - file_descriptors)
     {
         auto& program = m_node.program();
         std::size_t descriptors = 0;
@@ -83,8 +85,8 @@
                   << " descriptors=" << descriptors << '\n';
         EXPECT_TRUE(program.running());
         EXPECT_GT(memory, 0);
-        EXPECT_LE(memory, memory_mib * kib_per_mib);
-        EXPECT_LE(descriptors, static_cast<std::size_t>(maximum_descriptors - file_descriptors));
+        EXPECT_LE(memory, bound_mib * kib_per_mib);
+        EXPECT_LE(descriptors, static_cast<std::size_t>(descriptor_bound));
     }
 };
 
@@ -145,6 +147,55 @@
     expect_bounded_memory(idle_crowd, {head, "x", 60000});
 }
 
+// The parsed fields of a head occupy many times the bytes of their text.
+TEST_F(hostile_caller_test, unfinished_requests_with_very_many_fields)
+{
+    constexpr std::int64_t larger_memory_mib = 88;
+    constexpr int more_descriptors = 4100;
+    constexpr int large_crowd = 650;
+    m_node.rewrite_settings("[limits]\nmemory_mb = " + std::to_string(larger_memory_mib) +
+                            "\nmax_fds = " + std::to_string(more_descriptors) + "\n");
+    m_node.restart();
+    ASSERT_TRUE(wait_until([&] { return m_node.is_ready(); }, seconds(10)));
+    ASSERT_TRUE(wait_until([&] { return is_served(); }, seconds(10)));
+    std::string head = "POST /order/ok HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 100\r\n";
+    while (head.size() < 16000)
+        head += "a:\r\n";
+    head += "\r\n";
+    expect_bounded_memory(large_crowd, {head, "", head.size()}, larger_memory_mib,
+                          more_descriptors - file_descriptors);
+}
+
+// Beside bodies that stop behind a complete request, a proper request is answered in time.
+TEST_F(hostile_caller_test, pipelined_bodies_that_stop)
+{
+    constexpr int callers = 12;
+    constexpr seconds longest_answer{8};
+    std::string const text = "GET /check/ok HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: r-p\r\n"
+                             "Authorization: Token key-1\r\n\r\n"
+                             "POST /order/ok HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: r-q\r\n"
+                             "Authorization: Token key-1\r\nContent-Length: " +
+                             std::to_string(maximum_body_bytes) + "\r\n\r\nxx";
+    caller_crowd hostile(loopback_host, m_node.ports().callers, callers, {text, "", text.size()});
+    using clock = std::chrono::steady_clock;
+    auto const begin = clock::now();
+    int status = 0;
+    clock::duration elapsed{};
+    hostile.send(
+        [&]
+        {
+            if (status != 0 || clock::now() - begin < std::chrono::milliseconds(1500))
+                return;
+            auto request = make_request("POST", "/order/ok", "r-large");
+            request.body.assign(200000, 'x');
+            auto const start = clock::now();
+            status = call_node(m_node.ports().callers, request).status;
+            elapsed = clock::now() - start;
+        });
+    EXPECT_EQ(status, 200);
+    EXPECT_LT(elapsed, longest_answer);
+}
+
 // Guards against limits that refuse a single request inside the stated limits.
 TEST_F(hostile_caller_test, single_request_at_the_limit_is_served)
 {
--- a/tests/hostile_entry_caller_test.cpp
+++ b/tests/hostile_entry_caller_test.cpp
@@ -58,11 +58,13 @@
     char const* m_name;
 };
 
-void expect_bounded_memory(std::string const& host, int callers, hostile_message const& message)
+void expect_bounded_memory(std::string const& host, int callers, hostile_message const& message,
+                           std::int64_t bound_mib = memory_mib,
+                           std::size_t descriptor_bound = maximum_descriptors)
 {
-    scoped_setting const memory("JASMINEPIER_MEMORY_MIB", std::to_string(memory_mib));
+    scoped_setting const memory("JASMINEPIER_MEMORY_MIB", std::to_string(bound_mib));
     scoped_setting const descriptor_limit("JASMINEPIER_MAXIMUM_DESCRIPTORS",
-                                          std::to_string(maximum_descriptors));
+                                          std::to_string(descriptor_bound));
     deployment test_deployment(host);
     test_deployment.start_node(1);
     ASSERT_TRUE(test_deployment.wait_until_ready(1));
@@ -86,8 +88,8 @@
               << " descriptors=" << descriptors << '\n';
     EXPECT_TRUE(program.running());
     EXPECT_GT(peak, 0);
-    EXPECT_LE(peak, memory_mib * kib_per_mib);
-    EXPECT_LE(descriptors, maximum_descriptors);
+    EXPECT_LE(peak, bound_mib * kib_per_mib);
+    EXPECT_LE(descriptors, descriptor_bound);
     if (testing::Test::HasFailure())
         std::cerr << program.output();
 }
@@ -135,5 +137,20 @@
     expect_bounded_memory("127.0.41.7", idle_crowd, {"", "", 0});
 }
 
+TEST(hostile_entry_caller, unfinished_heads)
+{
+    constexpr std::int64_t larger_memory_mib = 88;
+    constexpr std::size_t more_descriptors = 4096;
+    constexpr int large_crowd = 200;
+    // Below POCO's limits: 100 fields, 8 KiB each.
+    constexpr int fields = 95;
+    constexpr std::size_t field_bytes = 8000;
+    std::string text = head;
+    for (int i = 0; i < fields; ++i)
+        text += "X-" + std::to_string(i) + ": " + std::string(field_bytes, 'x') + "\r\n";
+    expect_bounded_memory("127.0.41.8", large_crowd, {text, "", text.size()}, larger_memory_mib,
+                          more_descriptors);
+}
+
 } // namespace
 } // namespace jasminepier::tests
--- a/tests/memory_account_test.cpp
+++ b/tests/memory_account_test.cpp
@@ -110,6 +110,54 @@
     EXPECT_EQ(receiving.cause(), eviction_cause::connections);
 }
 
+// Guards against a newcomer that is closed because all others wait for room.
+TEST_F(memory_account_test, holders_that_wait_for_room_are_closed_last)
+{
+    add(8 * mebibyte, holder_stage::serving);
+    auto& waiting = add(0, holder_stage::receiving);
+    EXPECT_FALSE(waiting.try_hold_or_evict(2 * mebibyte, m_now));
+    auto& idle = add(0, holder_stage::idle);
+    add(0, holder_stage::serving);
+    add(0, holder_stage::serving);
+    EXPECT_TRUE(idle.evicted());
+    EXPECT_FALSE(waiting.evicted());
+    EXPECT_FALSE(add(0, holder_stage::serving).evicted());
+    EXPECT_TRUE(waiting.evicted());
+}
+
+// Guards against silent newcomers that displace the kept connections of ordinary callers.
+TEST_F(memory_account_test, connections_without_a_request_are_closed_before_kept_ones)
+{
+    auto& kept = add(0, holder_stage::serving);
+    kept.set_stage(holder_stage::idle);
+    m_now += milliseconds(1);
+    auto& silent = add(0, holder_stage::idle);
+    add(0, holder_stage::serving);
+    add(0, holder_stage::serving);
+    m_now += make_limits().stall;
+    add(0, holder_stage::serving);
+    EXPECT_TRUE(silent.evicted());
+    EXPECT_FALSE(kept.evicted());
+}
+
+// Guards against responses that all hold a part and wait for the rest.
+TEST_F(memory_account_test, one_of_many_waiting_responses_gets_room_beyond_the_limit)
+{
+    auto& first = add(3 * mebibyte, holder_stage::serving);
+    auto& second = add(3 * mebibyte, holder_stage::serving);
+    EXPECT_FALSE(first.try_hold_or_evict(5 * mebibyte, m_now));
+    EXPECT_FALSE(second.try_hold_or_evict(5 * mebibyte, m_now));
+    m_now += make_limits().patience;
+    EXPECT_FALSE(first.try_hold_or_evict(5 * mebibyte, m_now));
+    EXPECT_FALSE(second.try_hold_or_evict(5 * mebibyte, m_now));
+    EXPECT_TRUE(first.try_hold_or_evict(5 * mebibyte, m_now));
+    EXPECT_FALSE(second.try_hold_or_evict(5 * mebibyte, m_now));
+    first.try_hold(0);
+    first.set_stage(holder_stage::idle);
+    EXPECT_TRUE(second.try_hold_or_evict(5 * mebibyte, m_now));
+    EXPECT_FALSE(first.try_hold(8 * mebibyte));
+}
+
 // Guards against limits that callers inside the stated limits meet on the VMs in use.
 TEST(account_limits, leave_room_for_large_bodies_and_many_connections)
 {
