--- a/fuzz/caller_request.cpp
+++ b/fuzz/caller_request.cpp
@@ -20,7 +20,8 @@
     {
         auto const piece = text.substr(0, piece_size);
         text.remove_prefix(piece.size());
-        auto const stated = reader.bytes_to_hold(piece.size());
+        // What a connection charges before it feeds the piece.
+        auto const stated = reader.bytes_to_hold(piece.size()) + reader.fields_to_hold(piece);
         reader.feed(piece);
         fuzz::require(reader.held_bytes() <= std::max(stated, maximum_held_bytes));
         reader.consume_expect_continue();
--- a/libraries/http/caller_connection.cpp
+++ b/libraries/http/caller_connection.cpp
@@ -24,8 +24,8 @@
 constexpr base::milliseconds minimum_read_delay{20};
 // Interval at which the bytes are counted that the caller has not taken yet.
 constexpr std::chrono::milliseconds acknowledgement_poll_interval{20};
-// A body must arrive with this many bytes in each span of two header timeouts. A caller that
-// follows the limits sends a whole body in four.
+// A request that holds charged memory must go on with this many bytes in each span of two header
+// timeouts. Smaller ones only have to end in four.
 constexpr int progress_span_factor = 2;
 constexpr std::size_t minimum_progress_bytes = 1024;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -245,7 +245,8 @@
         auto const now = clock.now();
         if (now >= span_end && now < deadline)
         {
-            if (span_bytes < minimum_progress_bytes)
+            if (span_bytes < minimum_progress_bytes &&
+                m_reader.held_bytes() > memory_holder::uncharged_bytes)
                 return read_outcome::read_timeout;
             span_bytes = 0;
             span_end = now + timeouts.header * progress_span_factor;
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -361,7 +361,7 @@
     return result;
 }
 
-attempt_id dispatcher::begin_attempt(std::string const& server, request_demand demand,
+attempt_id dispatcher::begin_attempt(std::string const& server, request_demand const& demand,
                                      base::time_point now, std::function<void()> on_leaving)
 {
     auto const id = m_next_attempt_id++;
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -202,8 +202,8 @@
 
     /// Counts an attempt against the server's load. `on_leaving` is called when the server starts
     /// to drain or is removed, on the thread that reports the change.
-    attempt_id begin_attempt(std::string const& server, request_demand demand, base::time_point now,
-                             std::function<void()> on_leaving);
+    attempt_id begin_attempt(std::string const& server, request_demand const& demand,
+                             base::time_point now, std::function<void()> on_leaving);
     /// Expected delay from an engine's drain notice to the start of this generation's copy. The
     /// generations of all nodes are copied one after another: with parallel copies, the final copy
     /// of a generation would queue on the engine's link behind first copies of others while its
--- a/services/node/request_admission.cpp
+++ b/services/node/request_admission.cpp
@@ -50,6 +50,16 @@
             .deadline = deadline};
 }
 
+server_attempt request_context::begin_attempt(node_state::tables& tables,
+                                              serving::selected_server const& server,
+                                              base::time_point now)
+{
+    auto* const attempt_wakeup = &wake;
+    auto const id = tables.dispatcher.begin_attempt(server.id, demand, now,
+                                                    [attempt_wakeup] { attempt_wakeup->signal(); });
+    return {state, server, id};
+}
+
 std::optional<server_attempt>
 request_context::try_acquire_server(serving::server_selection& selection, room_use use)
 {
@@ -84,10 +94,7 @@
             }
             if (!selection.server)
                 return std::nullopt;
-            auto* const attempt_wakeup = &wake;
-            auto const attempt_id = tables.dispatcher.begin_attempt(
-                selection.server->id, demand, now, [attempt_wakeup] { attempt_wakeup->signal(); });
-            return server_attempt(state, *selection.server, attempt_id);
+            return begin_attempt(tables, *selection.server, now);
         });
     // A trial is sent once.
     if (attempt)
@@ -211,7 +218,7 @@
     m_retry_delay = selection.delay;
     if (!m_retry_delay && selection.reason == serving::exclusion_reason::full)
     {
-        // An estimate that has turned out too short is no reason to come back at once.
+        // An estimate that has already passed is no reason to come back at once.
         auto const estimate = expected && *expected < waited ? std::nullopt : expected;
         m_retry_delay = serving::find_retry_delay(m_order, estimate, now);
     }
@@ -308,10 +315,7 @@
             auto const selection = tables.dispatcher.select_server(query, now, tables.random);
             if (!selection.server)
                 return std::nullopt;
-            auto* const attempt_wakeup = &wake;
-            auto const attempt_id = tables.dispatcher.begin_attempt(
-                selection.server->id, demand, now, [attempt_wakeup] { attempt_wakeup->signal(); });
-            return server_attempt(state, *selection.server, attempt_id);
+            return begin_attempt(tables, *selection.server, now);
         });
     if (attempt)
     {
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -173,6 +173,8 @@
     /// Waits until `done()` returns true. Returns false when `wait_deadline` has passed or the
     /// caller has disconnected.
     bool wait_until(base::time_point wait_deadline, std::function<bool()> const& done);
+    server_attempt begin_attempt(node_state::tables& tables, serving::selected_server const& server,
+                                 base::time_point now);
     /// Engine memory that the request needs; 0 for plain work.
     std::int64_t needed_tokens() const;
     serving::admission_request make_admission_request(base::time_point now) const;
