--- a/utilities/ctl/configuration_commands.cpp
+++ b/utilities/ctl/configuration_commands.cpp
@@ -15,7 +15,7 @@
 
 using platform_store = store::basic_http_object_store<platform::store_dialect>;
 
-constexpr std::uint64_t bytes_per_megabyte = 1024 * 1024;
+constexpr std::uint64_t bytes_per_megabyte = std::uint64_t{1024} * 1024;
 
 /// Exit statuses of `configuration check`, which differ from those of the other commands.
 enum check_status
