Review: Case 6, servers that restart under their ids stay out of use

Tried on loopback with three nodes, one of which is cut off from the store for 5.5 s while both servers of a service restart in turn and keep their ids. Afterwards all nodes answer every request on its route with 503.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the programs of the cases 6 to 10 into target/review-2/. Needs only the compiler that the
+# deploy file names.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+build_case() {
+    g++ -std=c++20 -O1 -Wall -I . -o "target/review-2/case-$1" "review/$1/$2" -pthread
+}
+build_case 6 restart_under_same_id.cpp
