Review: Case 7, a poison request crashes servers again after all nodes restart

Tried on loopback with three nodes and six servers. One request crashes each server that runs it; the nodes stop passing it on after the third crash. All nodes are killed once, and pass it on four more times from 3 s after their return.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,4 +8,5 @@
     g++ -std=c++20 -O1 -Wall -I . -o "target/review-2/case-$1" "review/$1/$2" -pthread
 }
 build_case 6 restart_under_same_id.cpp
+build_case 7 poison_after_herd_kill.cpp
 build_case 8 handover_to_leaving_engine.cpp
