Review: Case 9, failures with a body without end exceed the machine's memory

Tried on loopback with two nodes of 88 MB and 16 engines, half of which answer streams with a failure whose body does not end. A node holds up to 1 MB for each, charged to no account, and is killed for its memory five or six times in 100 s on each machine.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,4 +10,5 @@
 build_case 6 restart_under_same_id.cpp
 build_case 7 poison_after_herd_kill.cpp
 build_case 8 handover_to_leaving_engine.cpp
+build_case 9 error_bodies_without_end.cpp
 build_case 10 cold_servers_after_power_loss.cpp
