Review: Case 6, a full engine that leaves makes its node spin and answer nothing

Tried on loopback with one node on a quarter of a core, seven full engines and 30 orders a second. One engine reports draining, its 24 generations find no engine with room, and each of their threads polls without a pause.

--- a/review/support-2/case.hpp
+++ b/review/support-2/case.hpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <sched.h>
 #include <signal.h>
 #include <sstream>
 #include <sys/prctl.h>
@@ -106,6 +107,8 @@
     std::string zone;
     endpoint store;
     int memory_megabytes = 110;
+    /// Run the process on one core, as `cpu_cores` says.
+    bool one_core = false;
 };
 
 /// A process of the deploy file's role, with the settings of a small deployment.
@@ -135,6 +138,8 @@
         {
             // The process ends with this one, however that ends.
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            if (m_options.one_core)
+                use_one_core();
             int const log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
@@ -185,6 +190,19 @@
     }
 
 private:
+    static void use_one_core()
+    {
+        cpu_set_t allowed;
+        cpu_set_t chosen;
+        CPU_ZERO(&chosen);
+        ::sched_getaffinity(0, sizeof allowed, &allowed);
+        int last = 0;
+        for (int core = 0; core < CPU_SETSIZE; ++core)
+            if (CPU_ISSET(core, &allowed))
+                last = core;
+        CPU_SET(last, &chosen);
+        ::sched_setaffinity(0, sizeof chosen, &chosen);
+    }
     void write_settings() const
     {
         auto const& host = m_options.host;
@@ -216,6 +234,58 @@
     pid_t m_id = -1;
 };
 
+/// Gives a process a quota of a core: it runs until the quota is used up, and then not at all for
+/// the rest of that tenth of a second.
+class processor_quota
+{
+public:
+    processor_quota(pid_t process, double share)
+        : m_process(process), m_share(share), m_thread([this] { enforce(); })
+    {
+    }
+    processor_quota(processor_quota const&) = delete;
+    processor_quota& operator=(processor_quota const&) = delete;
+    ~processor_quota()
+    {
+        m_ended = true;
+        m_thread.join();
+        ::kill(m_process, SIGCONT);
+    }
+    /// Processor time that the process has used.
+    double used_seconds() const
+    {
+        clockid_t clock{};
+        timespec used{};
+        if (::clock_getcpuclockid(m_process, &clock) != 0 || ::clock_gettime(clock, &used) != 0)
+            return 0;
+        return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+    }
+
+private:
+    void enforce() const
+    {
+        constexpr milliseconds period{100};
+        constexpr std::chrono::microseconds check_interval{500};
+        while (!m_ended)
+        {
+            auto const end = steady::now() + period;
+            auto const limit = used_seconds() + m_share * 0.1;
+            while (steady::now() < end && used_seconds() < limit)
+                std::this_thread::sleep_for(check_interval);
+            if (steady::now() >= end)
+                continue;
+            ::kill(m_process, SIGSTOP);
+            std::this_thread::sleep_until(end);
+            ::kill(m_process, SIGCONT);
+        }
+    }
+
+    pid_t m_process;
+    double m_share;
+    std::atomic<bool> m_ended{false};
+    std::thread m_thread;
+};
+
 /// A directory for settings and logs, removed at the end.
 class temporary_directory
 {
