--- a/review/7/restart_under_same_id.cpp
+++ b/review/7/restart_under_same_id.cpp
@@ -12,10 +12,10 @@
 constexpr int node_count = 3;
 constexpr double cut_seconds = 5.5;
 // The first entry is removed this long after the cut has begun.
-constexpr double first_removal_seconds = 0.5;
+constexpr double first_removal_seconds = 0.1;
 // `drain_ms` and a little longer: servers that do not report `draining` serve on for this time.
-constexpr double linger_seconds = 2.1;
-constexpr double restart_seconds = 0.2;
+constexpr double linger_seconds = 2.05;
+constexpr double restart_seconds = 0.1;
 // `contact_ms`, `config_apply_ms` and a reserve after the last change.
 constexpr double settle_seconds = 8;
 constexpr double steady_seconds = 20;
@@ -214,7 +214,6 @@
     auto const heal_at = steady::now() + std::chrono::duration<double>(cut_seconds);
     sleep_for(first_removal_seconds);
     restart(*m_servers[2]);
-    sleep_for(0.2);
     restart(*m_servers[3]);
     std::this_thread::sleep_until(heal_at);
     m_relay->set_cut(false);
