Node, Serving: Wait for room without polling while a full engine leaves

Cause: after eight vain tries a handover was given up, and its next action stayed in the past, so the event loop of its stream polled without a pause until the engine ended. With 24 generations this took all of the node's quota. Missing room also counted as a failure, although engines run for many seconds after they have announced that they leave, and tries before a generation's turn came with every event instead of after a pause.

Evidence: one stream at one leaving engine used 1,001 ms of processor time in a second, for four ways to leave and for three ways in which copies fail; a copy that was answered 404 was requested 12 times a second. The waits of the other event loops were read; each moves its deadline or ends.

Change: serving::handover_schedule decides when a step is tried again, always later than now. It waits for room, and for a generation that doesn't run at the moment, as long as the engine runs it; failed calls are given up after eight, and their relay then doesn't wake up for them. A handover that has begun nothing ends when its engine no longer leaves.

--- a/services/node/generation_handover.cpp
+++ b/services/node/generation_handover.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-// A generation cannot be copied before its first token, which takes a few steps of the engine.
-constexpr base::milliseconds retry_delay{80};
-// Failed copies are retried with other engines. The limit exists because the source leaves within
-// about two seconds and a copy takes a quarter of a second.
-constexpr int maximum_failures = 8;
 // Copying a full KV cache between zones takes up to half a second and may queue behind other
 // copies.
 constexpr base::milliseconds copy_request_timeout{2500};
@@ -30,6 +25,22 @@
 constexpr int not_running_status = 404;
 constexpr int copy_in_progress_status = 409;
 
+std::string_view to_string(serving::handover_obstacle obstacle) noexcept
+{
+    switch (obstacle)
+    {
+    case serving::handover_obstacle::no_target:
+        return "no_target";
+    case serving::handover_obstacle::not_running:
+        return "not_running";
+    case serving::handover_obstacle::copy_failed:
+        return "copy_failed";
+    case serving::handover_obstacle::stop_failed:
+        return "stop_failed";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 generation_handover::~generation_handover()
@@ -71,22 +82,21 @@
             handle_stop_response(now);
         return;
     }
-    bool const start_delayed = now < m_latest_start;
-    if (m_step == step::idle &&
-        (start_delayed || now >= m_next_action || m_started == base::time_point{}))
+    if (m_step == step::idle && (m_waits_for_turn || now >= m_next_action))
         start_copy(now);
 }
 
 void generation_handover::start_copy(base::time_point now)
 {
-    if (m_started == base::time_point{})
+    if (!m_started)
     {
         m_started = now;
         m_latest_start =
             now + std::min(copy_delay_factor * m_attempt.copy_start_delay() + copy_delay_margin,
                            maximum_copy_delay);
     }
-    if (now < m_latest_start && !m_attempt.may_start_copy())
+    m_waits_for_turn = now < m_latest_start && !m_attempt.may_start_copy();
+    if (m_waits_for_turn)
     {
         m_next_action = m_latest_start;
         return;
@@ -94,7 +104,7 @@
     m_target = m_context.acquire_handover_target(m_source, m_excluded_targets);
     if (!m_target)
     {
-        schedule_retry("no_target", now);
+        schedule_retry(serving::handover_obstacle::no_target, now);
         return;
     }
     m_step = step::copying;
@@ -131,7 +141,9 @@
     log_step("not_copied", status);
     if (status != not_running_status && status != copy_in_progress_status)
         m_excluded_targets.push_back(m_target->server().id);
-    schedule_retry(status == not_running_status ? "not_running" : "copy_failed", now);
+    schedule_retry(status == not_running_status ? serving::handover_obstacle::not_running
+                                                : serving::handover_obstacle::copy_failed,
+                   now);
 }
 
 void generation_handover::handle_stop_response(base::time_point now)
@@ -158,22 +170,25 @@
     if (status == not_running_status)
         --m_unconfirmed_stops;
     // It is unknown whether the generation has stopped. If it has, its stream ends.
-    schedule_retry("stop_failed", now);
+    schedule_retry(serving::handover_obstacle::stop_failed, now);
 }
 
-void generation_handover::schedule_retry(std::string_view reason, base::time_point now)
+void generation_handover::schedule_retry(serving::handover_obstacle obstacle, base::time_point now)
 {
     m_target.reset();
-    if (reason != "not_running")
-        ++m_failures;
-    m_step = m_failures >= maximum_failures ? step::impossible : step::idle;
-    m_next_action = now + retry_delay;
-    if (m_step == step::impossible)
-    {
-        m_attempt.set_can_hand_over(false);
-        log_step(reason, 0);
-        observe_event("handover", "impossible");
-    }
+    bool const waited_long = m_schedule.waits_long();
+    m_next_action = m_schedule.record_obstacle(obstacle, now);
+    m_step = m_schedule.given_up() ? step::impossible : step::idle;
+    // An engine that had no room for a copy may have some by the next try.
+    if (m_schedule.waits_long())
+        m_excluded_targets.clear();
+    bool const begins_long_wait = m_schedule.waits_long() && !waited_long;
+    if (!begins_long_wait && m_step != step::impossible)
+        return;
+    // Generations that can be copied need not wait for this one.
+    m_attempt.set_can_hand_over(false);
+    log_step(to_string(obstacle), 0);
+    observe_event("handover", begins_long_wait ? "waiting" : "impossible");
 }
 
 continuation generation_handover::take_continuation()
@@ -198,8 +213,9 @@
         .field("to", m_target ? m_target->server().id : "")
         .field("result", result)
         .field("status", status)
-        .field("elapsed_ms",
-               std::chrono::duration_cast<base::milliseconds>(now - m_started).count());
+        .field(
+            "elapsed_ms",
+            std::chrono::duration_cast<base::milliseconds>(now - m_started.value_or(now)).count());
 }
 
 } // namespace jasminepier::node
--- a/services/node/generation_handover.hpp
+++ b/services/node/generation_handover.hpp
@@ -3,6 +3,7 @@
 
 #include "http/client_exchange.hpp"
 #include "services/node/request_context.hpp"
+#include "serving/handover_schedule.hpp"
 
 #include <memory>
 #include <optional>
@@ -29,7 +30,7 @@
 public:
     enum class step
     {
-        /// No request is in progress; a copy may be started or retried.
+        /// No request is in progress; the copy waits for its turn, for room or for a retry.
         idle,
         copying,
         /// The engine was asked to stop the generation; its stream may end at any time.
@@ -51,13 +52,20 @@
     ~generation_handover();
 
     step current_step() const noexcept { return m_step; }
+    /// Returns true if nothing has begun that must be completed, so the generation may stay where
+    /// it is.
+    bool may_be_cancelled() const noexcept
+    {
+        return (m_step == step::idle || m_step == step::impossible) && m_unconfirmed_stops == 0;
+    }
     /// Returns true if the engine may have stopped the generation because it was asked to.
     bool may_have_stopped_generation() const noexcept { return m_unconfirmed_stops > 0; }
     int descriptor() const noexcept { return m_exchange ? m_exchange->descriptor() : -1; }
     short poll_events() const noexcept { return m_exchange ? m_exchange->poll_events() : 0; }
     /// Continues the request in progress, or starts a copy that is due.
     void advance(short ready_events, base::time_point now);
-    /// Returns the time at which `advance` must be called even without ready events.
+    /// Returns the time at which `advance` must be called even without ready events. After
+    /// `advance` it lies in the future, except in step `ready`.
     base::time_point next_action() const noexcept { return m_next_action; }
     /// Valid in step `ready`; called once.
     continuation take_continuation();
@@ -67,7 +75,7 @@
     void request_copy(bool stop_generation, base::time_point now);
     void handle_copy_response(base::time_point now);
     void handle_stop_response(base::time_point now);
-    void schedule_retry(std::string_view reason, base::time_point now);
+    void schedule_retry(serving::handover_obstacle obstacle, base::time_point now);
     void log_step(std::string_view result, int status) const;
 
     request_context& m_context;
@@ -82,11 +90,13 @@
     bool m_continue_at_source = false;
     /// Requests to stop the generation to which the engine has not replied that it wasn't running.
     int m_unconfirmed_stops = 0;
-    int m_failures = 0;
-    base::time_point m_next_action = base::time_point::max();
-    base::time_point m_started{};
+    serving::handover_schedule m_schedule;
+    base::time_point m_next_action{};
+    std::optional<base::time_point> m_started;
     /// The first copy starts by then, whatever peers report.
     base::time_point m_latest_start{};
+    /// Other generations of the engine are copied first.
+    bool m_waits_for_turn = false;
 };
 
 } // namespace jasminepier::node
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -70,13 +70,17 @@
     m_context.last_server = server.id;
 }
 
-bool stream_relay::can_hand_over() const
+bool stream_relay::is_movable() const
 {
     return m_context.service->engine && m_context.service->engine->can_move_generations &&
-           m_head_sent &&
            m_context.route->idempotency == serving::request_idempotency::non_idempotent;
 }
 
+bool stream_relay::can_hand_over() const
+{
+    return m_head_sent && is_movable();
+}
+
 std::optional<stream_relay::stream_outcome>
 stream_relay::check_timeouts(base::time_point current_time)
 {
@@ -144,9 +148,13 @@
     m_any_event_received = true;
     m_attempt->record_first_event();
     m_context.record_answered();
-    m_attempt->set_can_hand_over(
-        m_context.service->engine && m_context.service->engine->can_move_generations &&
-        m_context.route->idempotency == serving::request_idempotency::non_idempotent);
+    m_attempt->set_can_hand_over(is_movable());
+}
+
+void stream_relay::cancel_handover()
+{
+    m_handover.reset();
+    m_attempt->set_can_hand_over(is_movable());
 }
 
 void stream_relay::record_event_time(base::time_point at)
@@ -258,13 +266,17 @@
         bool const server_leaving = can_hand_over() && m_attempt->is_server_leaving();
         if (server_leaving && !m_handover)
             m_handover = std::make_unique<generation_handover>(m_context, *m_attempt);
+        if (!server_leaving && m_handover && m_handover->may_be_cancelled())
+            cancel_handover();
 
         auto const shutdown_descriptor = m_context.state.shutdown().pending_descriptor();
         auto wait_deadline = m_context.response_deadline();
         if (!m_exchange->connected())
             wait_deadline = std::min(wait_deadline, m_exchange->start_time() + connect_timeout);
+        bool const handover_possible =
+            server_leaving && m_handover->current_step() != generation_handover::step::impossible;
         if (m_context.route->idempotency == serving::request_idempotency::resumable ||
-            server_leaving)
+            handover_possible)
             wait_deadline =
                 std::min<base::time_point>(wait_deadline, current_time + leaving_check_interval);
         if (m_handover)
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -56,8 +56,12 @@
     bool send_head();
     /// Sends comments that follow the last event, and the end of the response.
     bool send_last_chunk();
+    /// Returns true if the request is a generation that its service can move.
+    bool is_movable() const;
     /// Returns true if the generation may be handed over to another engine.
     bool can_hand_over() const;
+    /// Ends a handover that has not begun, since the server no longer leaves.
+    void cancel_handover();
     std::optional<stream_outcome> check_timeouts(base::time_point now);
     void finish_attempt(stream_outcome outcome);
     /// Closes the connection after a partial response, so that the caller sees that it is
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -386,6 +386,11 @@
 void fake_server::copy_generation(Poco::Net::StreamSocket& socket, http::request const& request)
 {
     ++m_copy_count;
+    if (m_copy_status != 200)
+    {
+        send(socket, m_copy_status, {}, "{}");
+        return;
+    }
     auto const id_start = request.body.find("\"id\":\"") + 6;
     auto const id = request.body.substr(id_start, request.body.find('"', id_start) - id_start);
     if (request.body.find("\"last\":true") != std::string::npos)
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -64,6 +64,8 @@
     void set_event_interval(std::chrono::milliseconds interval) { m_event_interval = interval; }
     /// Delays the response to a request that stops and copies a generation.
     void set_stop_delay(std::chrono::milliseconds delay) { m_stop_delay = delay; }
+    /// Requests to copy a generation get this status; the generation goes on unless it is 200.
+    void set_copy_status(int status) { m_copy_status = status; }
     bool has_crashed() const noexcept { return m_crashed; }
     /// Adds these header fields to every response.
     void set_extra_fields(http::header_list fields);
@@ -129,6 +131,7 @@
     std::atomic<bool> m_crashed{false};
     std::atomic<int> m_disconnect_count{0};
     std::atomic<int> m_copy_count{0};
+    std::atomic<int> m_copy_status{200};
     std::atomic<std::chrono::milliseconds> m_stop_delay{std::chrono::milliseconds(0)};
     std::atomic<std::chrono::milliseconds> m_event_interval{std::chrono::milliseconds(20)};
     connection_server m_server;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdlib>
+#include <ctime>
 #include <fcntl.h>
 #include <fstream>
 #include <iterator>
@@ -92,6 +93,16 @@
     return false;
 }
 
+std::chrono::milliseconds process::processor_time() const
+{
+    clockid_t clock{};
+    timespec used{};
+    if (clock_getcpuclockid(m_pid, &clock) != 0 || clock_gettime(clock, &used) != 0)
+        throw std::runtime_error("cannot read the processor time of the process");
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
+}
+
 bool process::has_blocked(int signal) const
 {
     std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -1,6 +1,7 @@
 /// Child processes of a test.
 #pragma once
 
+#include <chrono>
 #include <csignal>
 #include <string>
 #include <sys/types.h>
@@ -30,6 +31,8 @@
     /// killed it, or -1 if it has not exited after `seconds`.
     int wait_for_exit(int seconds);
     bool running();
+    /// Returns the processor time that the process has used.
+    std::chrono::milliseconds processor_time() const;
     /// Returns true if the program's main thread has blocked the signal, as programs do that wait
     /// for it. False between the start of the process and the program's first statements.
     bool has_blocked(int signal) const;
