Serving, Node: Name the process that a report of a departure is about

Cause: reports name leaving servers by the hash of the id alone. A node that had not read the new entries went on to report that the servers leave, and nodes that had read them took the servers out; nothing but another change of the entry brings one back. Misled nodes repeated the report as news of their own.

Evidence: with two dispatchers in memory, one report of the node that is behind makes every restarted server leave at the other, and through the summary of a zone also elsewhere. In the process test, server_changed with phase=ready is the last that both nodes log of the servers, and no_place says obstacle=leaving.

Change: a notice of a departure carries the store's revision that shows it, the start of the process and whether the server announced it itself. It counts only if the listed entry isn't newer, and is kept and passed on unchanged. Loads, limits and paces from a peer that hasn't seen a restart are left out. What a server says itself counts for the process that was asked. New log event server_reported_leaving, new metric result reported_departure.

Two tests call record_leaving and merge_peer with a notice instead of a flag and check as much as before.

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -161,6 +161,12 @@
   6: i32 recent_failures,
   7: bool unreachable,
   8: bool leaving,                // drains, or was recently removed from the list
+  // Which start of the server leaves, since it may start again under its id: the store's revision
+  // that shows it, the start of its process (Unix milliseconds) and whether it said so itself. A
+  // report of an earlier version lacks them, and its `leaving` is ignored.
+  15: optional i64 leaving_revision,
+  16: optional i64 leaving_started,
+  17: optional bool leaving_announced,
   9: i32 movable_runs,            // generations that are handed over when the server leaves
   // The server's limit on the requests of all nodes, as it last stated it to this node, in
   // thousandths of a request per second; negative if it no longer states one. Left out if another
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -351,6 +351,7 @@
         entry.id,
         entry.address,
         entry.zone,
+        entry.started_unix_milliseconds,
         best_score,
         best->load.total.running,
         static_cast<double>(best->load.total.reserved_tokens) / cache_tokens,
@@ -381,9 +382,9 @@
     return id;
 }
 
-std::map<std::string, std::string> dispatcher::servers_in_use() const
+std::map<std::string, server_entry> dispatcher::servers_in_use() const
 {
-    std::map<std::string, std::string> addresses;
+    std::map<std::string, server_entry> entries;
     for (auto const& [attempt_key, attempt] : m_attempts)
     {
         auto const found = m_directory.servers().find(attempt.server);
@@ -391,9 +392,9 @@
             continue;
         auto const* target_service = m_configuration->find_service(found->second.entry.service);
         if (target_service != nullptr && target_service->engine)
-            addresses[attempt.server] = found->second.entry.address;
+            entries[attempt.server] = found->second.entry;
     }
-    return addresses;
+    return entries;
 }
 
 void dispatcher::record_first_event(attempt_id id, std::optional<base::time_point> now)
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -100,6 +100,8 @@
     std::string id;
     std::string address;
     std::string zone;
+    /// Start time of the server process; 0 if its entry states none.
+    std::int64_t started_unix_milliseconds = 0;
     double score = 0;
     /// Requests that all nodes run on the server.
     int running = 0;
@@ -214,8 +216,8 @@
     bool may_start_copy(attempt_id id) const;
     /// Sets whether the generation is handed over when its server drains or is removed.
     void set_can_hand_over(attempt_id id, bool can_hand_over);
-    /// Addresses of the engines that run this node's requests, by server id.
-    std::map<std::string, std::string> servers_in_use() const;
+    /// Entries of the engines that run this node's requests, by server id.
+    std::map<std::string, server_entry> servers_in_use() const;
     /// Records that the prompt has been read, which ends its share of the prefill backlog. With
     /// `now`, the time since the start of the attempt counts as the service's time to respond.
     void record_first_event(attempt_id id, std::optional<base::time_point> now = std::nullopt);
@@ -254,9 +256,19 @@
 
     /// Returns this node's load on each server, for the report to peers.
     std::vector<server_load> local_loads(base::time_point now) const;
-    /// Replaces the source's earlier report.
-    void merge_peer(load_source const& source, std::span<server_load const> loads,
-                    base::time_point now);
+    /// A notice from a peer's report that a server leaves.
+    struct reported_departure
+    {
+        std::string server;
+        leaving_notice notice;
+        notice_effect effect = notice_effect::applied;
+    };
+    /// Replaces the source's earlier report. `server_revision` is the newest of the source's copies
+    /// of entries; what it reports about a server that has restarted since is left out. Returns the
+    /// notices that have changed something or are outdated.
+    std::vector<reported_departure>
+    merge_peer(load_source const& source, std::span<server_load const> loads, base::time_point now,
+               std::optional<std::int64_t> server_revision = std::nullopt);
     /// Position of one datagram among those of a summary.
     struct summary_part
     {
@@ -264,8 +276,10 @@
         int count = 1;
     };
     /// Replaces a part of the zone's earlier summary.
-    void merge_zone_summary(std::string const& zone, summary_part part,
-                            std::span<server_load const> loads, base::time_point now);
+    std::vector<reported_departure>
+    merge_zone_summary(std::string const& zone, summary_part part,
+                       std::span<server_load const> loads, base::time_point now,
+                       std::optional<std::int64_t> server_revision = std::nullopt);
     /// Removes the report of a node that is no longer alive.
     void remove_peer(std::string const& zone, std::string const& node);
     /// Returns the load of this node and of its reporting peers on each server, for the other
@@ -379,6 +393,8 @@
     std::int64_t count_places(listed_server const& server, service const& target_service,
                               std::int64_t tokens_each, base::time_point now) const;
     std::string_view service_of(std::string const& server) const;
+    /// Returns the listed server that a report names by its hash; null if there is none.
+    listed_server const* find_reported(server_hash server) const;
     double score(listed_server const& server, service const& target_service,
                  combined_load const& load, selection_query const& query, double mean_failure_rate,
                  base::time_point now) const;
--- a/libraries/serving/dispatcher_reports.cpp
+++ b/libraries/serving/dispatcher_reports.cpp
@@ -1,6 +1,8 @@
 #include "serving/dispatcher.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace jasminepier::serving
 {
@@ -74,7 +76,8 @@
         load.pace = m_paces.find_report(server.hash, now);
         bool const draining_or_removed =
             server.phase == server_phase::draining || server.phase == server_phase::removed;
-        load.leaving = draining_or_removed && now < server.phase_since + leaving_report_duration;
+        if (draining_or_removed && now < server.phase_since + leaving_report_duration)
+            load.leaving = server.leaving;
         if (load.running > 0 || load.recent_attempts > 0 || load.leaving || load.rate_limit ||
             load.pace)
             loads.push_back(load);
@@ -82,35 +85,55 @@
     return loads;
 }
 
-void dispatcher::merge_peer(load_source const& source, std::span<server_load const> loads,
-                            base::time_point now)
+listed_server const* dispatcher::find_reported(server_hash server) const
 {
-    m_peer_loads.merge(source, loads, now);
-    for (auto const& load : loads)
+    auto const& servers = m_directory.servers();
+    auto const found = std::find_if(servers.begin(), servers.end(),
+                                    [&](auto const& item) { return item.second.hash == server; });
+    return found == servers.end() ? nullptr : &found->second;
+}
+
+std::vector<dispatcher::reported_departure>
+dispatcher::merge_peer(load_source const& source, std::span<server_load const> loads,
+                       base::time_point now, std::optional<std::int64_t> server_revision)
+{
+    // A peer that has not seen a restart means the server process before.
+    auto const is_outdated = [&](server_load const& load)
+    { return server_revision && m_directory.restart_revision(load.server) > *server_revision; };
+    std::vector<server_load> accepted;
+    std::remove_copy_if(loads.begin(), loads.end(), std::back_inserter(accepted), is_outdated);
+    m_peer_loads.merge(source, accepted, now);
+    for (auto const& load : accepted)
     {
         if (load.rate_limit)
             m_rate_limits.record(load.server, {load.rate_limit->requests_per_second,
                                                now - load.rate_limit->age, true});
         if (load.pace)
             m_paces.record(load.server, {load.pace->percent, now - load.pace->age, true});
-        if (!load.leaving)
+    }
+    std::vector<reported_departure> departures;
+    for (auto const& load : loads)
+    {
+        auto const* const server = load.leaving ? find_reported(load.server) : nullptr;
+        if (server == nullptr)
             continue;
-        for (auto const& [id, server] : m_directory.servers())
-            if (server.hash == load.server)
-            {
-                m_directory.record_leaving(id, now);
-                break;
-            }
+        auto const id = server->entry.id;
+        auto const effect = m_directory.record_leaving(id, *load.leaving, now);
+        if (effect != notice_effect::already_known)
+            departures.push_back({id, *load.leaving, effect});
     }
+    return departures;
 }
 
-void dispatcher::merge_zone_summary(std::string const& zone, summary_part part,
-                                    std::span<server_load const> loads, base::time_point now)
+std::vector<dispatcher::reported_departure>
+dispatcher::merge_zone_summary(std::string const& zone, summary_part part,
+                               std::span<server_load const> loads, base::time_point now,
+                               std::optional<std::int64_t> server_revision)
 {
     m_peer_loads.remove_if(
         [&](load_source const& source, peer_load_table::source_report const&)
         { return source.zone == zone && source.is_zone_summary() && source.part >= part.count; });
-    merge_peer({zone, "", part.index}, loads, now);
+    return merge_peer({zone, "", part.index}, loads, now, server_revision);
 }
 
 void dispatcher::remove_peer(std::string const& zone, std::string const& node)
@@ -135,7 +158,8 @@
         sum.gap_bounded_streams += load.gap_bounded_streams;
         // `unreachable` stays unset: a fault between this zone and the server says nothing about
         // the paths from other zones.
-        sum.leaving = sum.leaving || load.leaving;
+        if (load.leaving && (!sum.leaving || load.leaving->revision > sum.leaving->revision))
+            sum.leaving = load.leaving;
         bool const has_newer_limit =
             load.rate_limit &&
             (!sum.rate_limit || load.rate_limit->age + report_age < sum.rate_limit->age);
--- a/libraries/serving/server_directory.cpp
+++ b/libraries/serving/server_directory.cpp
@@ -7,6 +7,28 @@
 
 namespace jasminepier::serving
 {
+namespace
+{
+
+/// True if the server that the entry lists is the one that leaves, or has left since.
+bool concerns(leaving_notice const& notice, server_entry const& entry)
+{
+    bool const same_process = notice.started_unix_milliseconds == entry.started_unix_milliseconds;
+    return (notice.announced && same_process) || notice.revision >= entry.revision;
+}
+
+/// Combines what is known with a further notice about the same id.
+leaving_notice combine(std::optional<leaving_notice> const& known, leaving_notice const& notice)
+{
+    if (!known)
+        return notice;
+    if (known->started_unix_milliseconds != notice.started_unix_milliseconds)
+        return known->revision > notice.revision ? *known : notice;
+    return {std::max(known->revision, notice.revision), notice.started_unix_milliseconds,
+            known->announced || notice.announced};
+}
+
+} // namespace
 
 void server_directory::apply_list(std::span<server_entry const> entries, std::int64_t revision,
                                   base::time_point now)
@@ -22,7 +44,7 @@
     }
     for (auto& [id, server] : m_servers)
         if (!listed.contains(id) && server.entry.revision <= revision)
-            mark_removed(server, now);
+            mark_removed(server, revision, now);
 }
 
 void server_directory::apply_entry(server_entry const& entry, base::time_point now)
@@ -40,10 +62,13 @@
         server.entry.revision = entry.revision;
         return;
     }
-    if (entry.started_unix_milliseconds != server.entry.started_unix_milliseconds)
-        server.announced_leaving = false;
-    auto const phase =
-        entry.draining || server.announced_leaving ? server_phase::draining : server_phase::ready;
+    if (!added && entry.started_unix_milliseconds != server.entry.started_unix_milliseconds)
+        m_restart_revisions[server.hash] = entry.revision;
+    if (server.leaving && !concerns(*server.leaving, entry))
+        server.leaving.reset();
+    if (entry.draining)
+        server.leaving = combine(server.leaving, {entry.revision, entry.started_unix_milliseconds});
+    auto const phase = server.leaving ? server_phase::draining : server_phase::ready;
     // A copy says how long the server was to warm up when it was taken.
     bool const keeps_warm_up =
         !added && store::epoch_of(entry.revision) != store::epoch_of(server.entry.revision) &&
@@ -76,14 +101,16 @@
     removal_revision = std::max(removal_revision, revision);
     auto const found = m_servers.find(id);
     if (found != m_servers.end() && found->second.entry.revision <= revision)
-        mark_removed(found->second, now);
+        mark_removed(found->second, revision, now);
 }
 
 /// Marks the server as removed, or as expired if an outage of the store may be the reason.
-void server_directory::mark_removed(listed_server& server, base::time_point now)
+void server_directory::mark_removed(listed_server& server, std::int64_t revision,
+                                    base::time_point now)
 {
     if (server.phase == server_phase::removed || server.phase == server_phase::expired)
         return;
+    server.leaving = combine(server.leaving, {revision, server.entry.started_unix_milliseconds});
     bool const near_store_outage =
         m_store_lost ||
         (m_store_ever_recovered && now < m_store_recovered_at + expired_entry_grace_period);
@@ -94,26 +121,43 @@
     ++m_change_count;
 }
 
-void server_directory::record_leaving(std::string const& id, base::time_point now)
+notice_effect server_directory::record_leaving(std::string const& id, leaving_notice const& notice,
+                                               base::time_point now)
 {
     auto const found = m_servers.find(id);
-    if (found == m_servers.end() || found->second.phase == server_phase::draining ||
-        found->second.phase == server_phase::removed)
-        return;
-    found->second.phase = server_phase::draining;
-    found->second.phase_since = now;
+    if (found == m_servers.end() || !concerns(notice, found->second.entry))
+        return notice_effect::outdated;
+    auto& server = found->second;
+    server.leaving = combine(server.leaving, notice);
+    if (server.phase == server_phase::draining || server.phase == server_phase::removed)
+        return notice_effect::already_known;
+    server.phase = server_phase::draining;
+    server.phase_since = now;
     ++m_change_count;
+    return notice_effect::applied;
 }
 
-bool server_directory::record_announced_leaving(std::string const& id, base::time_point now)
+bool server_directory::record_announced_leaving(std::string const& id,
+                                                std::int64_t started_unix_milliseconds,
+                                                base::time_point now)
 {
-    auto const found = m_servers.find(id);
-    if (found == m_servers.end() || std::exchange(found->second.announced_leaving, true))
+    if (!lists_process(id, started_unix_milliseconds))
+        return false;
+    auto const& server = m_servers.at(id);
+    if (server.leaving && server.leaving->announced)
         return false;
-    record_leaving(id, now);
+    record_leaving(id, {server.entry.revision, started_unix_milliseconds, true}, now);
     return true;
 }
 
+bool server_directory::lists_process(std::string const& id,
+                                     std::int64_t started_unix_milliseconds) const
+{
+    auto const found = m_servers.find(id);
+    return found != m_servers.end() &&
+           found->second.entry.started_unix_milliseconds == started_unix_milliseconds;
+}
+
 void server_directory::handle_store_lost(base::time_point)
 {
     m_store_lost = true;
@@ -149,8 +193,12 @@
     std::erase_if(m_servers,
                   [&](auto const& item)
                   {
-                      return item.second.phase == server_phase::removed &&
-                             now >= item.second.phase_since + removed_server_retention;
+                      bool const retention_ended =
+                          item.second.phase == server_phase::removed &&
+                          now >= item.second.phase_since + removed_server_retention;
+                      if (retention_ended)
+                          m_restart_revisions.erase(item.second.hash);
+                      return retention_ended;
                   });
     return m_change_count != previous_change_count;
 }
--- a/libraries/serving/server_directory.hpp
+++ b/libraries/serving/server_directory.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace jasminepier::serving
@@ -60,8 +61,18 @@
     server_phase phase = server_phase::ready;
     base::time_point phase_since{};
     base::time_point cold_until{};
-    /// The server has said itself that it leaves, which holds until it starts anew.
-    bool announced_leaving = false;
+    /// Why the server counts as leaving or gone; empty while it is ready.
+    std::optional<leaving_notice> leaving;
+};
+
+/// Effect of a notice that a server leaves.
+enum class notice_effect
+{
+    /// The server counts as leaving from now on.
+    applied,
+    already_known,
+    /// The server is not listed, or its entry is newer than the notice.
+    outdated,
 };
 
 /// The servers that the store lists. Removals during and shortly after an outage of the store are
@@ -92,11 +103,17 @@
         if (!m_first_list)
             m_first_list = now;
     }
-    /// Marks the server as draining because a peer or the server itself reports that it leaves.
-    void record_leaving(std::string const& id, base::time_point now);
-    /// The same for what the server says itself. Entries that list it as ready don't bring it back
-    /// unless it has started anew. Returns false if it has said so before.
-    bool record_announced_leaving(std::string const& id, base::time_point now);
+    /// Marks the server as draining because a peer reports that it leaves, unless its entry is
+    /// newer than the notice. Entries that are not newer don't bring it back.
+    notice_effect record_leaving(std::string const& id, leaving_notice const& notice,
+                                 base::time_point now);
+    /// The same for what the server process that started at `started_unix_milliseconds` says
+    /// itself. Entries that list it as ready don't bring it back unless it has started anew.
+    /// Returns false if it has said so before, or has started again since.
+    bool record_announced_leaving(std::string const& id, std::int64_t started_unix_milliseconds,
+                                  base::time_point now);
+    /// True if the server is listed with this start time.
+    bool lists_process(std::string const& id, std::int64_t started_unix_milliseconds) const;
 
     void handle_store_lost(base::time_point now);
     void handle_store_reached(base::time_point now);
@@ -108,6 +125,13 @@
     bool expire(base::time_point now);
 
     std::map<std::string, listed_server> const& servers() const noexcept { return m_servers; }
+    /// Returns the revision of the entry with which the server started again under its id; 0 if it
+    /// has not since it was first listed.
+    std::int64_t restart_revision(server_hash server) const
+    {
+        auto const found = m_restart_revisions.find(server);
+        return found == m_restart_revisions.end() ? 0 : found->second;
+    }
     bool store_lost() const noexcept { return m_store_lost; }
     /// True if the store recovered from an outage after `time`. Watches that were open during the
     /// outage are lost.
@@ -126,12 +150,13 @@
     std::uint64_t change_count() const noexcept { return m_change_count; }
 
 private:
-    void mark_removed(listed_server& server, base::time_point now);
+    void mark_removed(listed_server& server, std::int64_t revision, base::time_point now);
     /// True if the entry may be what a copy, from which the store was restored, says about a server
     /// that has left since.
     static bool may_be_outdated(server_entry const& entry, listed_server const& server);
 
     std::map<std::string, listed_server> m_servers;
+    std::unordered_map<server_hash, std::int64_t> m_restart_revisions;
     /// The revision of each server's last removal; entries that are not newer are stale.
     std::map<std::string, std::int64_t> m_removal_revisions;
     std::int64_t m_revision = 0;
--- a/libraries/serving/server_load.hpp
+++ b/libraries/serving/server_load.hpp
@@ -19,6 +19,21 @@
     return static_cast<server_hash>(base::stable_hash(id));
 }
 
+/// What a node knows about the departure of a server. A server may start again under its id, so the
+/// notice tells which of its entries it concerns.
+struct leaving_notice
+{
+    /// The store's revision of the change that shows the departure. If the server announced it
+    /// itself, the revision of the entry that the node had.
+    std::int64_t revision = 0;
+    /// Start time of the server process that leaves; 0 if its entry states none.
+    std::int64_t started_unix_milliseconds = 0;
+    /// The server said so itself, which holds until it starts anew whatever its entry states.
+    bool announced = false;
+
+    friend bool operator==(leaving_notice const&, leaving_notice const&) = default;
+};
+
 /// What a response said about the rate of requests that its server accepts.
 struct rate_limit_report
 {
@@ -51,8 +66,8 @@
     std::int32_t recent_failures = 0;
     /// The node's last connection to the server failed and its backoff has not ended.
     bool unreachable = false;
-    /// The server drains or was removed recently, as far as the node knows.
-    bool leaving = false;
+    /// Set if the node has learned recently that the server drains or was removed.
+    std::optional<leaving_notice> leaving;
     /// Running generations that will be handed over when the server leaves.
     std::int32_t handover_candidates = 0;
     /// Set if no other node is known to have heard of the server's limit later.
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -6,6 +6,7 @@
 #include "services/node/object_updates.hpp"
 #include "services/node/rollout_reports.hpp"
 #include "services/node/waiting_messages.hpp"
+#include "store/object_version.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -43,7 +44,13 @@
     use.recent_attempts = load.recent_attempts;
     use.recent_failures = load.recent_failures;
     use.unreachable = load.unreachable;
-    use.leaving = load.leaving;
+    use.leaving = load.leaving.has_value();
+    if (load.leaving)
+    {
+        use.__set_leaving_revision(load.leaving->revision);
+        use.__set_leaving_started(load.leaving->started_unix_milliseconds);
+        use.__set_leaving_announced(load.leaving->announced);
+    }
     use.movable_runs = load.handover_candidates;
     if (load.rate_limit)
     {
@@ -93,7 +100,8 @@
     load.recent_attempts = use.recent_attempts;
     load.recent_failures = use.recent_failures;
     load.unreachable = use.unreachable;
-    load.leaving = use.leaving;
+    if (use.leaving && use.__isset.leaving_revision)
+        load.leaving = {use.leaving_revision, use.leaving_started, use.leaving_announced};
     load.handover_candidates = use.movable_runs;
     if (use.__isset.rate_limit)
     {
@@ -109,6 +117,25 @@
     return load;
 }
 
+void log_departures(std::span<serving::dispatcher::reported_departure const> departures,
+                    inner_protocol::node_report const& report)
+{
+    for (auto const& departure : departures)
+    {
+        bool const applied = departure.effect == serving::notice_effect::applied;
+        observe_event("reported_departure", applied ? "applied" : "outdated");
+        // Outdated notices come with each report and change nothing.
+        base::log_line(applied ? base::log_level::info : base::log_level::debug,
+                       "server_reported_leaving")
+            .field("server", departure.server)
+            .field("node", report.node)
+            .field("applied", applied ? 1 : 0)
+            .field("revision", store::format_version(departure.notice.revision))
+            .field("started", departure.notice.started_unix_milliseconds)
+            .field("announced", departure.notice.announced ? 1 : 0);
+    }
+}
+
 } // namespace
 
 serving::node_state_report read_state_report(inner_protocol::node_report const& report)
@@ -431,6 +458,7 @@
         loads.push_back(from_message(use));
     auto const waiting = read_waiting_work(report);
     bool is_new = false;
+    std::vector<serving::dispatcher::reported_departure> departures;
     m_state.with(
         [&](node_state::tables& tables)
         {
@@ -449,21 +477,24 @@
                 tables.nodes.apply_zone_summary(
                     report.zone,
                     {static_cast<std::size_t>(report.zone_nodes), report.zone_addresses}, now);
-                tables.dispatcher.merge_zone_summary(
-                    report.zone, {report.summary_part, report.summary_parts}, loads, now);
+                departures = tables.dispatcher.merge_zone_summary(
+                    report.zone, {report.summary_part, report.summary_parts}, loads, now,
+                    peer_state.server_revision);
                 if (report.summary_part == 0)
                     tables.dispatcher.waiting().merge({report.zone, ""}, waiting, now);
             }
             // The summary of a node's zone already contains its loads.
             if (!is_summary && (same_zone || !tables.nodes.is_large_fleet()))
             {
-                tables.dispatcher.merge_peer({report.zone, report.node}, loads, now);
+                departures = tables.dispatcher.merge_peer({report.zone, report.node}, loads, now,
+                                                          peer_state.server_revision);
                 tables.dispatcher.waiting().merge({report.zone, report.node}, waiting, now);
             }
             // The peer may have reported that a server is leaving or that its own generations have
             // left that server.
             tables.dispatcher.notify_leaving();
         });
+    log_departures(departures, report);
     if (is_new && report.relay)
         relay(report);
     for (auto const& object : inner_protocol::from_thrift(report.news))
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -187,14 +187,18 @@
     state.with(
         [&](node_state::tables& tables)
         {
+            if (response.pause)
+                tables.dispatcher.record_pause(server.id, *response.pause, now);
+            auto& directory = tables.dispatcher.directory();
+            // A late response says nothing about a server that has started again since.
+            if (!directory.lists_process(server.id, server.started_unix_milliseconds))
+                return;
             limit_changed = tables.dispatcher.record_rate_limit(server.id, limit, now);
             if (response.pace_percent)
                 tables.dispatcher.record_pace(server.id, *response.pace_percent, now);
-            if (response.pause)
-                tables.dispatcher.record_pause(server.id, *response.pause, now);
             leaving_announced =
-                response.server_leaving &&
-                tables.dispatcher.directory().record_announced_leaving(server.id, now);
+                response.server_leaving && directory.record_announced_leaving(
+                                               server.id, server.started_unix_milliseconds, now);
             if (leaving_announced)
                 tables.dispatcher.notify_leaving();
         });
--- a/services/node/server_prober.cpp
+++ b/services/node/server_prober.cpp
@@ -22,6 +22,7 @@
 struct engine_probe
 {
     std::string server;
+    std::int64_t started_unix_milliseconds = 0;
     http::client_exchange exchange;
     std::string body;
 };
@@ -40,19 +41,20 @@
         {
             return tables.dispatcher.directory().store_lost()
                        ? tables.dispatcher.servers_in_use()
-                       : std::map<std::string, std::string>{};
+                       : std::map<std::string, serving::server_entry>{};
         });
     base::steady_clock_source const clock;
     auto const deadline = clock.now() + probe_timeout;
     std::vector<engine_probe> probes;
     probes.reserve(servers.size());
-    for (auto const& [id, address] : servers)
+    for (auto const& [id, entry] : servers)
     {
         auto request = platform::make_report_request();
-        request.headers.add("Host", address);
+        request.headers.add("Host", entry.address);
         probes.push_back(
             {id,
-             http::client_exchange(address, http::write_request(request), true, clock.now()),
+             entry.started_unix_milliseconds,
+             http::client_exchange(entry.address, http::write_request(request), true, clock.now()),
              {}});
     }
     http::wait_set poll_set;
@@ -83,7 +85,8 @@
         m_state.with(
             [&](node_state::tables& tables)
             {
-                tables.dispatcher.directory().record_announced_leaving(probe.server, now);
+                tables.dispatcher.directory().record_announced_leaving(
+                    probe.server, probe.started_unix_milliseconds, now);
                 tables.dispatcher.notify_leaving();
             });
         observe_event("server_probe", "leaving");
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -198,7 +198,7 @@
     EXPECT_EQ(notifications, 0);
     server_load peer_load;
     peer_load.server = hash_server("s0");
-    peer_load.leaving = true;
+    peer_load.leaving = {.revision = 2};
     node.merge_peer({"a", "n1"}, {&peer_load, 1}, start);
     node.notify_leaving();
     EXPECT_EQ(notifications, 1);
--- a/tests/server_directory_test.cpp
+++ b/tests/server_directory_test.cpp
@@ -90,8 +90,9 @@
     server_directory directory;
     directory.apply_entry(make_entry("s1", 5), start);
     auto const previous_count = directory.change_count();
-    directory.record_leaving("s1", start);
-    directory.record_leaving("unknown", start);
+    EXPECT_EQ(directory.record_leaving("s1", {.revision = 6}, start), notice_effect::applied);
+    EXPECT_EQ(directory.record_leaving("s1", {.revision = 6}, start), notice_effect::already_known);
+    EXPECT_EQ(directory.record_leaving("unknown", {.revision = 6}, start), notice_effect::outdated);
     EXPECT_EQ(find_phase(directory, "s1"), server_phase::draining);
     EXPECT_GT(directory.change_count(), previous_count);
 }
