Node, Serving: Wait for copies of generations that may succeed later

What callers saw: a generation was lost with its engine although it could have moved, if its first copies were refused because the selected engine had no room (503) or an earlier copy was not yet over (409).

Cause: such refusals counted as failed calls, of which eight end a handover, within a second. They pass by themselves, like missing targets.

Change: handover_schedule waits for them, too; only other failures count.

--- a/libraries/serving/handover_schedule.hpp
+++ b/libraries/serving/handover_schedule.hpp
@@ -3,6 +3,8 @@
 
 #include "base/clock.hpp"
 
+#include <string_view>
+
 namespace jasminepier::serving
 {
 
@@ -11,13 +13,19 @@
 {
     /// No other engine has room for the generation.
     no_target,
+    /// The selected engine had no room for the copy, or could not be reached.
+    target_full,
     /// The engine does not run the generation at the moment, for example because it was preempted.
     not_running,
+    /// The engine has not ended an earlier copy of the generation.
+    copy_in_progress,
     copy_failed,
     /// It is unknown whether the engine has stopped the generation.
     stop_failed,
 };
 
+std::string_view to_string(handover_obstacle obstacle) noexcept;
+
 /// Decides when a step that could not be taken is tried again. Obstacles that pass by themselves
 /// are waited for as long as the engine runs the generation, which may be many seconds after it has
 /// announced that it leaves; calls that fail are repeated a limited number of times. Not
@@ -44,6 +52,7 @@
 
 private:
     int m_failures = 0;
+    /// Obstacles that pass by themselves.
     int m_waits = 0;
 };
 
--- a/services/node/generation_handover.cpp
+++ b/services/node/generation_handover.cpp
@@ -24,21 +24,21 @@
 constexpr std::size_t maximum_response_bytes = std::size_t{64} * 1024;
 constexpr int not_running_status = 404;
 constexpr int copy_in_progress_status = 409;
+constexpr int target_full_status = 503;
 
-std::string_view to_string(serving::handover_obstacle obstacle) noexcept
+serving::handover_obstacle classify_copy_failure(int status) noexcept
 {
-    switch (obstacle)
+    switch (status)
     {
-    case serving::handover_obstacle::no_target:
-        return "no_target";
-    case serving::handover_obstacle::not_running:
-        return "not_running";
-    case serving::handover_obstacle::copy_failed:
-        return "copy_failed";
-    case serving::handover_obstacle::stop_failed:
-        return "stop_failed";
+    case not_running_status:
+        return serving::handover_obstacle::not_running;
+    case copy_in_progress_status:
+        return serving::handover_obstacle::copy_in_progress;
+    case target_full_status:
+        return serving::handover_obstacle::target_full;
+    default:
+        return serving::handover_obstacle::copy_failed;
     }
-    return "unknown";
 }
 
 } // namespace
@@ -141,9 +141,7 @@
     log_step("not_copied", status);
     if (status != not_running_status && status != copy_in_progress_status)
         m_excluded_targets.push_back(m_target->server().id);
-    schedule_retry(status == not_running_status ? serving::handover_obstacle::not_running
-                                                : serving::handover_obstacle::copy_failed,
-                   now);
+    schedule_retry(classify_copy_failure(status), now);
 }
 
 void generation_handover::handle_stop_response(base::time_point now)
--- a/tests/generation_handover_test.cpp
+++ b/tests/generation_handover_test.cpp
@@ -132,6 +132,27 @@
     EXPECT_EQ(m_engine_1.copy_count(), 0);
 }
 
+class delayed_copy_test : public generation_handover_test, public testing::WithParamInterface<int>
+{
+};
+
+// Guards against losing a generation because its copies were refused for a reason that has passed.
+TEST_P(delayed_copy_test, generation_moves_when_a_copy_is_possible_later)
+{
+    start_until_ready();
+    m_engine_1.set_copy_status(GetParam());
+    auto response = start_generation(300);
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    drain(m_engine_1);
+    std::this_thread::sleep_for(long_wait);
+    m_engine_1.set_copy_status(200);
+    EXPECT_EQ(response.get().body, make_events(1, 300));
+    EXPECT_EQ(m_engine_2.execution_count(m_last_request_id), 1);
+}
+
+// Not running, a copy in progress, no room.
+INSTANTIATE_TEST_SUITE_P(statuses, delayed_copy_test, testing::Values(404, 409, 503));
+
 class failing_copy_test : public generation_handover_test, public testing::WithParamInterface<int>
 {
 };
--- a/tests/handover_schedule_test.cpp
+++ b/tests/handover_schedule_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
 #include <vector>
 
 namespace jasminepier::serving
@@ -23,7 +24,7 @@
     for (auto const number : obstacles)
     {
         auto const next = schedule.record_obstacle(
-            static_cast<handover_obstacle>(static_cast<unsigned>(number) % 4), now);
+            static_cast<handover_obstacle>(static_cast<unsigned>(number) % 6), now);
         RC_ASSERT(next > now);
         if (schedule.given_up())
             RC_ASSERT(next == base::time_point::max());
@@ -44,11 +45,14 @@
         now = schedule.record_obstacle(handover_obstacle::no_target, now);
     }
     EXPECT_LE(now, start + seconds(2));
-    for (int i = 0; i < 1000; ++i)
+    for (std::size_t i = 0; i < 1000; ++i)
     {
         EXPECT_TRUE(schedule.waits_long());
         EXPECT_FALSE(schedule.given_up());
-        auto const next = schedule.record_obstacle(handover_obstacle::not_running, now);
+        constexpr std::array passing{handover_obstacle::no_target, handover_obstacle::target_full,
+                                     handover_obstacle::not_running,
+                                     handover_obstacle::copy_in_progress};
+        auto const next = schedule.record_obstacle(passing[i % passing.size()], now);
         EXPECT_EQ(next, now + handover_schedule::long_interval);
         now = next;
     }
