Node, Serving: Let other generations be copied while one waits for room

Cause, suspected from the code and not proved by a log: a generation without a target kept its turn for eight tries. Before, these were used up within some 100 ms, since each event of its stream started one; with the pause between them the generations behind it waited for up to 640 ms longer, of the 1.5 to 2.1 s in which an engine leaves.

Change: a generation yields its turn at the first obstacle that has to pass, and the node tells its peers at once. handover_schedule_test guards it.

--- a/libraries/serving/handover_schedule.hpp
+++ b/libraries/serving/handover_schedule.hpp
@@ -46,9 +46,11 @@
     base::time_point record_obstacle(handover_obstacle obstacle, base::time_point now);
     /// True after too many calls have failed.
     bool given_up() const noexcept { return m_failures >= maximum_failures; }
-    /// True if the handover waits for an obstacle that has not passed soon. Other generations of
-    /// the engine are then copied first.
+    /// True if the handover waits for an obstacle that has not passed soon.
     bool waits_long() const noexcept { return !given_up() && m_waits >= maximum_close_tries; }
+    /// True from the first obstacle that has to pass, or after too many failures. Generations of
+    /// the engine that could be copied now must not wait for this one.
+    bool yields_turn() const noexcept { return given_up() || m_waits > 0; }
 
 private:
     int m_failures = 0;
--- a/services/node/generation_handover.cpp
+++ b/services/node/generation_handover.cpp
@@ -175,16 +175,17 @@
 {
     m_target.reset();
     bool const waited_long = m_schedule.waits_long();
+    bool const yielded_turn = m_schedule.yields_turn();
     m_next_action = m_schedule.record_obstacle(obstacle, now);
     m_step = m_schedule.given_up() ? step::impossible : step::idle;
     // An engine that had no room for a copy may have some by the next try.
     if (m_schedule.waits_long())
         m_excluded_targets.clear();
+    if (m_schedule.yields_turn() && !yielded_turn)
+        m_attempt.yield_copy_turn();
     bool const begins_long_wait = m_schedule.waits_long() && !waited_long;
     if (!begins_long_wait && m_step != step::impossible)
         return;
-    // Generations that can be copied need not wait for this one.
-    m_attempt.set_can_hand_over(false);
     log_step(to_string(obstacle), 0);
     observe_event("handover", begins_long_wait ? "waiting" : "impossible");
 }
--- a/services/node/server_attempt.hpp
+++ b/services/node/server_attempt.hpp
@@ -93,6 +93,19 @@
             m_state->with([&](node_state::tables& tables)
                           { tables.dispatcher.set_can_hand_over(m_id, can_hand_over); });
     }
+    /// Lets the generations behind this one be copied, here and at the peers.
+    void yield_copy_turn()
+    {
+        if (m_state == nullptr)
+            return;
+        m_state->with(
+            [&](node_state::tables& tables)
+            {
+                tables.dispatcher.set_can_hand_over(m_id, false);
+                tables.dispatcher.notify_leaving();
+            });
+        m_state->report_due().signal();
+    }
     /// Returns true if the server is draining or was removed.
     bool is_server_leaving()
     {
--- a/tests/handover_schedule_test.cpp
+++ b/tests/handover_schedule_test.cpp
@@ -58,6 +58,17 @@
     }
 }
 
+// Guards against generations that are lost because they wait for the copy of one that no engine has
+// room for.
+TEST(handover_schedule, yields_its_turn_at_the_first_obstacle_that_has_to_pass)
+{
+    handover_schedule schedule;
+    schedule.record_obstacle(handover_obstacle::copy_failed, start);
+    EXPECT_FALSE(schedule.yields_turn());
+    schedule.record_obstacle(handover_obstacle::no_target, start);
+    EXPECT_TRUE(schedule.yields_turn());
+}
+
 // Guards against copies and stops that are requested without end.
 TEST(handover_schedule, gives_up_after_failed_calls)
 {
