Node, Serving: Let notices of departures take few bytes of a report

A datagram holds 1,200 bytes, and loads that do not fit are left out, so nodes knew less of what runs on the other engines.

Change: a notice states its revision counted back from the report's server_revision, and the start of the process only if the server has announced its leaving itself. A notice without a start counts for the process that is known.

Tests of the reports, of restarted servers and of server notices pass.

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -162,8 +162,9 @@
   7: bool unreachable,
   8: bool leaving,                // drains, or was recently removed from the list
   // Which start of the server leaves, since it may start again under its id: the store's revision
-  // that shows it, the start of its process (Unix milliseconds) and whether it said so itself. A
-  // report of an earlier version lacks them, and its `leaving` is ignored.
+  // that shows it, counted back from the report's server_revision, and only if the server said so
+  // itself, the start of its process (Unix milliseconds). A report of an earlier version lacks
+  // them, and its `leaving` is ignored.
   15: optional i64 leaving_revision,
   16: optional i64 leaving_started,
   17: optional bool leaving_announced,
--- a/libraries/serving/server_directory.cpp
+++ b/libraries/serving/server_directory.cpp
@@ -22,9 +22,11 @@
 {
     if (!known)
         return notice;
-    if (known->started_unix_milliseconds != notice.started_unix_milliseconds)
+    auto const known_start = known->started_unix_milliseconds;
+    auto const start = notice.started_unix_milliseconds;
+    if (known_start != 0 && start != 0 && known_start != start)
         return known->revision > notice.revision ? *known : notice;
-    return {std::max(known->revision, notice.revision), notice.started_unix_milliseconds,
+    return {std::max(known->revision, notice.revision), start != 0 ? start : known_start,
             known->announced || notice.announced};
 }
 
--- a/libraries/serving/server_load.hpp
+++ b/libraries/serving/server_load.hpp
@@ -26,7 +26,8 @@
     /// The store's revision of the change that shows the departure. If the server announced it
     /// itself, the revision of the entry that the node had.
     std::int64_t revision = 0;
-    /// Start time of the server process that leaves; 0 if its entry states none.
+    /// Start time of the server process that leaves; 0 if it is unknown. Peers state it only with
+    /// `announced`.
     std::int64_t started_unix_milliseconds = 0;
     /// The server said so itself, which holds until it starts anew whatever its entry states.
     bool announced = false;
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -34,7 +34,10 @@
 constexpr double maximum_reported_rate_limit = 1e6;
 constexpr std::int32_t no_rate_limit = -1;
 
-inner_protocol::server_use to_message(serving::server_load const& load)
+/// `server_revision` is that of the report. Many servers may leave at once, so their notices take
+/// few bytes.
+inner_protocol::server_use to_message(serving::server_load const& load,
+                                      std::int64_t server_revision)
 {
     inner_protocol::server_use use;
     use.server = load.server;
@@ -47,9 +50,12 @@
     use.leaving = load.leaving.has_value();
     if (load.leaving)
     {
-        use.__set_leaving_revision(load.leaving->revision);
-        use.__set_leaving_started(load.leaving->started_unix_milliseconds);
-        use.__set_leaving_announced(load.leaving->announced);
+        use.__set_leaving_revision(server_revision - load.leaving->revision);
+        if (load.leaving->announced)
+        {
+            use.__set_leaving_started(load.leaving->started_unix_milliseconds);
+            use.__set_leaving_announced(true);
+        }
     }
     use.movable_runs = load.handover_candidates;
     if (load.rate_limit)
@@ -73,7 +79,8 @@
 }
 
 /// Converts as many loads as a report holds; loads of servers with running requests go first.
-std::vector<inner_protocol::server_use> to_messages(std::vector<serving::server_load> loads)
+std::vector<inner_protocol::server_use> to_messages(std::vector<serving::server_load> loads,
+                                                    std::int64_t server_revision)
 {
     std::stable_partition(loads.begin(), loads.end(),
                           [](auto const& load)
@@ -86,11 +93,12 @@
     std::vector<inner_protocol::server_use> uses;
     uses.reserve(loads.size());
     for (auto const& load : loads)
-        uses.push_back(to_message(load));
+        uses.push_back(to_message(load, server_revision));
     return uses;
 }
 
-serving::server_load from_message(inner_protocol::server_use const& use)
+serving::server_load from_message(inner_protocol::server_use const& use,
+                                  std::int64_t server_revision)
 {
     serving::server_load load;
     load.server = use.server;
@@ -101,7 +109,8 @@
     load.recent_failures = use.recent_failures;
     load.unreachable = use.unreachable;
     if (use.leaving && use.__isset.leaving_revision)
-        load.leaving = {use.leaving_revision, use.leaving_started, use.leaving_announced};
+        load.leaving = {server_revision - use.leaving_revision, use.leaving_started,
+                        use.leaving_announced};
     load.handover_candidates = use.movable_runs;
     if (use.__isset.rate_limit)
     {
@@ -213,7 +222,8 @@
             // Changes and loads together could exceed a datagram.
             if (changes.empty())
             {
-                report.uses = to_messages(tables.dispatcher.local_loads(now));
+                report.uses =
+                    to_messages(tables.dispatcher.local_loads(now), report.server_revision);
                 add_rollouts(report, tables.dispatcher.rollouts(), false, m_rollout_position, now);
                 add_waiting_work(tables.dispatcher.waiting().local_reports(now), report);
             }
@@ -316,7 +326,7 @@
                 auto const begin = i * maximum_loads_per_summary;
                 auto const end = std::min(begin + maximum_loads_per_summary, loads.size());
                 for (auto k = begin; k < end; ++k)
-                    part.uses.push_back(to_message(loads[k]));
+                    part.uses.push_back(to_message(loads[k], part.server_revision));
                 if (i == 0)
                     add_waiting_work(tables.dispatcher.waiting().zone_reports(now), part);
                 parts.push_back(std::move(part));
@@ -455,7 +465,7 @@
     auto const peer_state = read_state_report(report);
     std::vector<serving::server_load> loads;
     for (auto const& use : report.uses)
-        loads.push_back(from_message(use));
+        loads.push_back(from_message(use, report.server_revision));
     auto const waiting = read_waiting_work(report);
     bool is_new = false;
     std::vector<serving::dispatcher::reported_departure> departures;
