--- a/libraries/inner_protocol/datagram.cpp
+++ b/libraries/inner_protocol/datagram.cpp
@@ -202,7 +202,7 @@
 std::size_t drop_loads_to_fit(node_report& report, std::size_t free_bytes)
 {
     // No load takes more, so that none is removed that would have fitted.
-    constexpr std::size_t maximum_load_bytes = 48;
+    constexpr std::size_t maximum_load_bytes = 72;
     std::size_t dropped = 0;
     while (!report.uses.empty())
     {
