--- a/tests/load_messages_test.cpp
+++ b/tests/load_messages_test.cpp
@@ -47,6 +47,7 @@
     report.caller_address = "10.200.100.100:8740";
     report.server_revision = server_revision;
     std::vector<serving::server_load> loads;
+    loads.reserve(40);
     for (int i = 0; i < 20; ++i)
         loads.push_back(make_leaving_load(i * 40, false));
     for (int i = 0; i < 20; ++i)
