Tests: Make the entry of a started server in one place

Cause: server_notice_test and server_restart_process_test each had a copy. Change: node_fixture.hpp has it; the checks are the same and pass.

--- a/tests/server_notice_test.cpp
+++ b/tests/server_notice_test.cpp
@@ -42,29 +42,22 @@
         }
         return server.requests().size() - earlier;
     }
-
-    static std::string make_started_entry(fake_server const& server, int slots, int started)
-    {
-        return R"({"service":"shop","address":")" + server.address() +
-               R"(","zone":"a","state":"ready","slots":)" + std::to_string(slots) + R"(,"born":)" +
-               std::to_string(started) + "}";
-    }
 };
 
 // Guards against requests to a server that says in its responses that it leaves, while its entry in
 // the store is ready, also after that entry has changed.
 TEST_F(server_notice_test, server_that_announces_its_leaving_gets_no_more_requests)
 {
-    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 8, 1000));
+    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 1000));
     start_until_ready();
     add_field(m_shop_1, "Server-Leaving", "1");
     send_until_reached(m_shop_1, "/order/ok");
     EXPECT_EQ(count_requests(m_shop_1), 0U);
-    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 9, 1000));
+    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 1000, 9));
     EXPECT_EQ(count_requests(m_shop_1), 0U);
     // Another process of the server at the same address.
     m_shop_1.set_extra_fields({});
-    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 9, 2000));
+    m_store.put("servers", m_shop_1.id(), make_started_entry(m_shop_1, 2000, 9));
     EXPECT_TRUE(wait_until([&] { return count_requests(m_shop_1) > 0; }, seconds(5)));
 }
 
--- a/tests/server_restart_process_test.cpp
+++ b/tests/server_restart_process_test.cpp
@@ -33,12 +33,6 @@
 class server_restart_process_test : public node_fixture
 {
 protected:
-    static std::string make_started_entry(fake_server const& server, int started)
-    {
-        return R"({"service":"shop","address":")" + server.address() +
-               R"(","zone":"a","state":"ready","slots":8,"born":)" + std::to_string(started) + "}";
-    }
-
     /// Returns how many of 20 lookups through the node reach the server.
     std::size_t count_requests(node_process const& node, fake_server const& server)
     {
--- a/tests/support/node_fixture.hpp
+++ b/tests/support/node_fixture.hpp
@@ -48,6 +48,14 @@
            R"(","zone":"a","slots":8,"state":")" + state + R"("})";
 }
 
+/// The entry of a server of the service "shop" whose process states when it started.
+inline std::string make_started_entry(fake_server const& server, int started, int slots = 8)
+{
+    return R"({"service":"shop","address":")" + server.address() +
+           R"(","zone":"a","state":"ready","slots":)" + std::to_string(slots) + R"(,"born":)" +
+           std::to_string(started) + "}";
+}
+
 /// A store, two servers of the service "shop", one of the service "other", two engines and a node.
 /// The second engine is not listed in the store at first.
 class node_fixture : public testing::Test
