HTTP: Take a status outside 100 to 599 for no response

Callers saw: a server in trouble answered with status 000, and the caller got "HTTP/1.1 0" as the answer to its request, with the server's signature. jasminepier-entry also recorded it as the outcome of an order with a key and sent it again to whoever repeated the order; a lookup wasn't tried elsewhere.

Cause: response_reader left it to Beast's parser what a response is. The parser takes any three digits for a status. Both programs read all responses with this reader, so the status got through in plain answers, in streams, and in the answers to calls of our own: a report with status 000 made an engine a leaving one. A connection that had carried such an answer was used again.

Of 000, 099, 600 and 999, each reached the callers of all four kinds of routes of jasminepier-node and the callers of orders, updates and lookups of jasminepier-entry; a lookup got it although another server was sound; status 099 became 400, execution "not_run", for a generation that had run.

Change: the reader ends a response with such a status as malformed, before its head can be read. What followed from malformed responses before now holds for it: 502 with execution unknown, no use of the head, a retry of what may be repeated, a failure counted against the server, a closed connection. This is right for all statuses outside the range, which RFC 9110, section 15, calls invalid. 100 to 599 pass as before, also ones without a registered meaning.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -17,6 +17,13 @@
 // extension, or a trailer.
 constexpr std::size_t maximum_unparsed_bytes = std::size_t{128} * 1024;
 
+/// Beast accepts any three digits. RFC 9110, section 15: "All valid status codes are within the
+/// range of 100 to 599, inclusive."
+constexpr bool is_valid_status(unsigned status) noexcept
+{
+    return status >= 100 && status <= 599;
+}
+
 } // namespace
 
 response_reader::response_reader(bool expect_body) : m_expect_body(expect_body)
@@ -70,6 +77,11 @@
         m_buffer.consume(consumed);
         if (m_parser->is_header_done() && m_state == state::reading_head)
         {
+            if (!is_valid_status(m_parser->get().result_int()))
+            {
+                m_state = state::malformed;
+                return;
+            }
             if (m_parser->get().result_int() / 100 == 1 && m_parser->is_done())
             {
                 if (++m_informational_responses > maximum_informational_responses)
--- a/stand_ins/engine/main.cpp
+++ b/stand_ins/engine/main.cpp
@@ -1,8 +1,10 @@
 /// A stand-in model engine for tests. `POST /stand-in/faults` injects faults: {"turn_cold":true},
 /// {"leaving":true} and {"crash":true} take effect at once, {"reclaim_in_milliseconds":N} reports
 /// the server as leaving and ends the process after N milliseconds, {"freeze_milliseconds":N}
-/// blocks the engine for N milliseconds, and the members of `stream_faults` affect the next stream
-/// that reaches their token index. A prompt that contains `crash-the-engine` crashes the engine.
+/// blocks the engine for N milliseconds, {"raw_answer":TEXT} starts generations and sends TEXT
+/// instead of their streams, until it is set to "", and the members of `stream_faults` affect the
+/// next stream that reaches their token index. A prompt that contains `crash-the-engine` crashes
+/// the engine.
 #include "base/hash.hpp"
 #include "base/process_signals.hpp"
 #include "base/settings.hpp"
@@ -13,6 +15,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 
 #include <chrono>
+#include <mutex>
 #include <thread>
 
 namespace jasminepier::stand_ins
@@ -55,6 +58,19 @@
     return usage;
 }
 
+/// The `raw_answer` fault; empty if it is not set.
+struct raw_answer_fault
+{
+    std::mutex mutex;
+    std::string bytes;
+};
+
+raw_answer_fault& raw_answer()
+{
+    static raw_answer_fault fault;
+    return fault;
+}
+
 stream_faults& pending_faults()
 {
     static stream_faults faults;
@@ -135,6 +151,11 @@
         std::string const& id;
         ~reader_guard() { engine.detach(id); }
     } const guard{engine, id};
+    std::unique_lock lock(raw_answer().mutex);
+    auto const bytes = raw_answer().bytes;
+    lock.unlock();
+    if (!bytes.empty())
+        send_raw(request, bytes);
     stream_tokens(engine, request, response, id, model, 0);
 }
 
@@ -162,6 +183,10 @@
 void apply_faults(realtime_engine& engine, base::json_object const& faults)
 {
     pending_faults().update(faults);
+    {
+        std::lock_guard const lock(raw_answer().mutex);
+        raw_answer().bytes = faults->optValue("raw_answer", raw_answer().bytes);
+    }
     if (auto const time = faults->optValue<int>("freeze_milliseconds", 0))
         engine.freeze(std::chrono::milliseconds(time));
     if (auto const time = faults->optValue<int>("reclaim_in_milliseconds", 0))
--- a/stand_ins/http_server.hpp
+++ b/stand_ins/http_server.hpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
@@ -14,6 +15,7 @@
 #include <Poco/URI.h>
 
 #include <functional>
+#include <stdexcept>
 #include <string>
 
 namespace jasminepier::stand_ins
@@ -105,6 +107,14 @@
     response.sendBuffer(text.data(), text.size());
 }
 
+/// Sends `bytes` in place of a response. Throws, so that the connection is closed.
+[[noreturn]] inline void send_raw(http_request& request, std::string const& bytes)
+{
+    auto& connection = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+    connection.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    throw std::runtime_error("raw bytes sent by a fault");
+}
+
 inline base::json_object make_object(std::string const& name, Poco::Dynamic::Var const& value)
 {
     base::json_object object = new Poco::JSON::Object;
--- a/stand_ins/service/main.cpp
+++ b/stand_ins/service/main.cpp
@@ -1,8 +1,9 @@
 /// A stand-in plain service that counts executions. `GET /stand-in/count` returns the number of
 /// executions per path and body. `POST /stand-in/faults` sets faults: {"delay_milliseconds":N}
 /// delays every response, {"drop_answers":N} executes the next N requests but closes the connection
-/// without a response, {"hold_answers":true} withholds all responses until it is set to false, and
-/// {"status":N} executes requests and responds with status N.
+/// without a response, {"hold_answers":true} withholds all responses until it is set to false,
+/// {"status":N} executes requests and responds with status N, and {"raw_answer":TEXT} executes
+/// requests and sends TEXT instead of a response, until it is set to "".
 #include "base/hash.hpp"
 #include "base/process_signals.hpp"
 #include "base/settings.hpp"
@@ -30,14 +31,17 @@
     std::atomic<int> drop_answers{0};
     std::atomic<bool> hold_answers{false};
     std::atomic<int> status{200};
+    std::string raw_answer;
 };
 
 void execute(service_state& state, http_request& request, http_response& response)
 {
     auto const body = read_body(request);
     ++state.running;
+    std::string raw_answer;
     {
         std::lock_guard lock(state.mutex);
+        raw_answer = state.raw_answer;
         ++state.executions[request.getURI() + "|" + body];
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(state.delay_milliseconds.load()));
@@ -46,6 +50,8 @@
     --state.running;
     if (state.drop_answers.load() > 0 && state.drop_answers.fetch_sub(1) > 0)
         throw std::runtime_error("response dropped by a fault");
+    if (!raw_answer.empty())
+        send_raw(request, raw_answer);
     auto response_body = make_object("accepted", true);
     response_body->set("path", request.getURI());
     send_json(response, state.status, response_body);
@@ -78,6 +84,8 @@
         state.drop_answers = faults->optValue("drop_answers", state.drop_answers.load());
         state.hold_answers = faults->optValue("hold_answers", state.hold_answers.load());
         state.status = faults->optValue("status", state.status.load());
+        std::lock_guard lock(state.mutex);
+        state.raw_answer = faults->optValue("raw_answer", state.raw_answer);
         return send_json(response, 200, new Poco::JSON::Object);
     }
     execute(state, request, response);
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -1,9 +1,12 @@
-/// Runs a node against servers whose answers never end, or end within their head.
+/// Runs a node against servers whose answers are broken, never end, or end within their head.
 #include "tests/support/node_fixture.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <future>
+#include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace jasminepier::tests
@@ -16,6 +19,15 @@
 // The smallest VM of the platform.
 constexpr long vm_memory_kilobytes = 88L * 1024;
 
+/// Returns a response whose head has this status line and this field line. Its other fields and its
+/// body are sound.
+std::string make_raw_response(std::string const& status_line,
+                              std::string const& field_line = "Name: value")
+{
+    return status_line + "\r\nAttempt-Id: {id}\r\nServer-Signature: signed\r\n" + field_line +
+           "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
 class faulty_answer_test : public node_fixture
 {
 protected:
@@ -29,6 +41,55 @@
                 process_status >> kilobytes;
         return kilobytes;
     }
+
+    std::vector<fake_server*> servers() { return {&m_shop_1, &m_shop_2, &m_engine_1, &m_engine_2}; }
+
+    /// Checks that no caller gets the response, that it isn't taken for a refusal and that its
+    /// connection isn't used again.
+    void expect_not_forwarded(std::string const& response)
+    {
+        SCOPED_TRACE(response);
+        for (auto* server : servers())
+            server->set_raw_response(response);
+        for (std::string const route : {"/check/", "/order/", "/plan/", "/question/"})
+        {
+            auto const received = call("POST", route + "raw");
+            EXPECT_TRUE(received.is_complete) << route;
+            EXPECT_EQ(received.status, 502) << route;
+            EXPECT_EQ(received.headers.find("Server-Signature"), std::nullopt) << route;
+            EXPECT_GE(run_count(), 1) << route;
+            bool const runs_once = route == "/order/" || route == "/plan/";
+            EXPECT_TRUE(!runs_once || run_count() == 1) << route << " ran " << run_count();
+        }
+        expect_sound_requests_served();
+        for (auto* server : servers())
+            EXPECT_EQ(count_reused_connections(*server), 0) << server->id();
+    }
+
+    void expect_sound_requests_served()
+    {
+        for (std::string const path :
+             {"/check/ok", "/check/ok", "/order/ok", "/plan/stream-2", "/question/stream-2"})
+        {
+            auto const received = call("POST", path);
+            EXPECT_EQ(received.status, 200) << path;
+            EXPECT_TRUE(received.is_complete) << path;
+        }
+    }
+
+    /// Returns how many requests followed a `raw` one on its connection.
+    static int count_reused_connections(fake_server const& server)
+    {
+        std::set<int> used_connections;
+        int count = 0;
+        for (auto const& request : server.requests())
+        {
+            count += used_connections.contains(request.connection) ? 1 : 0;
+            if (request.path.ends_with("/raw"))
+                used_connections.insert(request.connection);
+        }
+        return count;
+    }
 };
 
 // Guards against a server that fills the node's memory with a head, which ends the requests of
@@ -75,5 +136,45 @@
     EXPECT_EQ(call("GET", "/open/ok").status, 200);
 }
 
+// Guards against forwarding a status that the protocol doesn't have.
+TEST_F(faulty_answer_test, status_outside_the_protocol_is_not_forwarded)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    for (std::string const status : {"000", "099", "600", "999"})
+        expect_not_forwarded(make_raw_response("HTTP/1.1 " + status + " Status"));
+}
+
+// Guards against failing an idempotent request that another server can serve.
+TEST_F(faulty_answer_test, idempotent_request_is_retried_after_a_broken_answer)
+{
+    start_until_ready();
+    m_shop_1.set_raw_response(make_raw_response("HTTP/1.1 000 Status"));
+    m_shop_2.set_raw_response(make_raw_response("HTTP/1.1 200 OK"));
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const received = call("POST", "/check/raw");
+        EXPECT_EQ(received.status, 200);
+        EXPECT_EQ(received.body, "body");
+    }
+    EXPECT_FALSE(m_shop_1.requests().empty());
+}
+
+// Guards against taking an engine for a leaving one because of a broken report.
+TEST_F(faulty_answer_test, broken_report_is_not_believed)
+{
+    start_until_ready();
+    std::string const rest = " Status\r\nContent-Length: 20\r\n\r\n{\"state\":\"draining\"}";
+    m_engine_1.set_raw_report("HTTP/1.1 000" + rest);
+    // Without the store, the node asks the engines that it uses.
+    m_store.set_mode(store_mode::unavailable);
+    EXPECT_EQ(call("POST", "/plan/stream-300").status, 200);
+    EXPECT_EQ(call("POST", "/plan/stream-1").status, 200);
+    EXPECT_EQ(m_node.program().output().find("server_says_leaving"), std::string::npos);
+    m_engine_1.set_raw_report("HTTP/1.1 200" + rest);
+    EXPECT_EQ(call("POST", "/plan/stream-300").status, 200);
+    EXPECT_NE(m_node.program().output().find("server_says_leaving"), std::string::npos);
+}
+
 } // namespace
 } // namespace jasminepier::tests
--- /dev/null
+++ b/tests/faulty_entry_answer_test.cpp
@@ -0,0 +1,115 @@
+/// Runs an entry process against a plain service and an engine whose answers are broken.
+#include "base/json.hpp"
+#include "tests/support/deployment.hpp"
+#include "tests/support/stream_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace jasminepier::tests
+{
+namespace
+{
+
+constexpr auto entry_port = static_cast<std::uint16_t>(entry_port_base + 1);
+constexpr auto shop_port = static_cast<std::uint16_t>(service_port_base + 1);
+constexpr auto engine_port = static_cast<std::uint16_t>(engine_port_base + 1);
+
+bool has_error(backend::backend_response const& response, std::string const& code)
+{
+    return response.body.find("\"code\":\"" + code + "\"") != std::string::npos &&
+           response.body.find(R"("execution":"unknown")") != std::string::npos;
+}
+
+/// A node before a plain service and an engine. Both answer as `set_raw_answer` says.
+class faulty_entry_answer_test : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_deployment.start_service(1);
+        m_deployment.start_engine(1, {"--step-milliseconds", "5"});
+        m_deployment.start_node(1);
+        ASSERT_TRUE(m_deployment.wait_until_ready(1));
+        ASSERT_TRUE(wait_until([&] { return complete().status == 200; }));
+        ASSERT_TRUE(wait_until([&] { return call("GET", "stock").status == 200; }));
+    }
+
+    /// An empty answer stands for a sound one.
+    void set_raw_answer(std::string const& answer)
+    {
+        base::json_object faults = new Poco::JSON::Object;
+        faults->set("raw_answer", answer);
+        for (auto const port : {shop_port, engine_port})
+            m_deployment.set_faults(port, base::write_json(faults));
+    }
+
+    backend::backend_response call(std::string const& method, std::string const& path,
+                                   std::string const& body = "", std::string const& key = "")
+    {
+        std::map<std::string, std::string> headers;
+        if (!key.empty())
+            headers["Idempotency-Key"] = key;
+        return m_deployment.call(entry_port, method, "/v1/services/shop/" + path, body, headers);
+    }
+
+    backend::backend_response complete()
+    {
+        return m_deployment.call(entry_port, "POST", "/v1/chat/completions",
+                                 stream_body(5, "Which screws?", false));
+    }
+
+    int execution_count(std::string const& path_and_body)
+    {
+        auto const counts = m_deployment.call(shop_port, "GET", "/stand-in/count").body;
+        return base::handle(
+            [&]() -> base::result<int>
+            {
+                BOOST_LEAF_AUTO(document, base::parse_json_object(counts));
+                return document->optValue<int>(path_and_body, 0);
+            },
+            [](base::error const&) { return -1; });
+    }
+
+    /// Checks that no caller gets the answer, that it isn't taken for a refusal, that an order with
+    /// a key runs once, and that a completion that the engine runs is whole.
+    void expect_not_forwarded(std::string const& answer)
+    {
+        SCOPED_TRACE(answer);
+        auto const name = "oak-" + std::to_string(++m_order_count);
+        set_raw_answer(answer);
+        auto const order = call("POST", "orders", name, name);
+        EXPECT_EQ(order.status, 502);
+        EXPECT_TRUE(has_error(order, "server_failed") || has_error(order, "outcome_unknown"));
+        auto const lookup = call("GET", "stock");
+        EXPECT_EQ(lookup.status, 502);
+        EXPECT_TRUE(has_error(lookup, "server_failed"));
+        auto const update = call("POST", "notes", name);
+        EXPECT_EQ(update.status, 502);
+        EXPECT_TRUE(has_error(update, "server_failed"));
+        auto const completion = complete();
+        EXPECT_EQ(completion.status, 200);
+        EXPECT_NE(completion.body.find(expected_text(5)), std::string::npos) << completion.body;
+        set_raw_answer("");
+        // The outcome of the order stays unknown.
+        EXPECT_EQ(call("POST", "orders", name, name).status, 502);
+        EXPECT_EQ(execution_count("/orders|" + name), 1);
+        EXPECT_EQ(execution_count("/notes|" + name), 1);
+        EXPECT_EQ(call("GET", "stock").status, 200);
+        EXPECT_EQ(complete().status, 200);
+    }
+
+    deployment m_deployment{"127.0.23.1"};
+    int m_order_count = 0;
+};
+
+// Guards against forwarding or recording a status that the protocol doesn't have.
+TEST_F(faulty_entry_answer_test, status_outside_the_protocol_is_not_forwarded)
+{
+    for (std::string const status : {"000", "099", "600", "999"})
+        expect_not_forwarded("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+} // namespace
+} // namespace jasminepier::tests
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -190,6 +190,45 @@
     EXPECT_EQ(parse_response("garbage\r\n\r\n").current_state(), response_reader::state::malformed);
 }
 
+/// Returns the state after `bytes`, which must not depend on how they are split.
+response_reader::state read_state(std::string_view bytes, bool expect_body = true)
+{
+    response_reader whole(expect_body);
+    whole.feed(bytes);
+    response_reader split(expect_body);
+    for (auto const& byte : bytes)
+        split.feed({&byte, 1});
+    EXPECT_EQ(split.current_state(), whole.current_state()) << bytes;
+    EXPECT_EQ(split.head().status, whole.head().status) << bytes;
+    EXPECT_EQ(split.connection_reusable(), whole.connection_reusable()) << bytes;
+    if (whole.current_state() == response_reader::state::malformed)
+    {
+        EXPECT_FALSE(whole.connection_reusable()) << bytes;
+    }
+    return whole.current_state();
+}
+
+// Guards against forwarding a status that the protocol doesn't have, and against taking a body that
+// follows it for the server's response.
+TEST(response_reader, status_outside_the_protocol_is_no_response)
+{
+    std::string const rest = " Status\r\nContent-Length: 2\r\n\r\nab";
+    for (std::string const status : {"000", "001", "099", "600", "700", "999"})
+        for (std::string const prefix : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"})
+        {
+            auto const text = prefix + "HTTP/1.1 " + status + rest;
+            for (bool const expect_body : {true, false})
+                EXPECT_EQ(read_state(text, expect_body), response_reader::state::malformed) << text;
+            EXPECT_EQ(parse_response(text).head().status, 0);
+        }
+    for (std::string const status : {"200", "299", "399", "418", "499", "500", "599"})
+    {
+        auto const text = "HTTP/1.1 " + status + rest;
+        EXPECT_EQ(read_state(text), response_reader::state::complete) << text;
+        EXPECT_TRUE(parse_response(text).connection_reusable());
+    }
+}
+
 /// Feeds `prefix` and then `repeated` until the reader ends or `maximum_bytes` have been fed.
 response_reader::state feed_without_end(std::string_view prefix, std::string_view repeated,
                                         std::size_t maximum_bytes)
--- a/tests/server_exchange_test.cpp
+++ b/tests/server_exchange_test.cpp
@@ -184,6 +184,20 @@
     EXPECT_TRUE(this->call({head}).is_complete);
 }
 
+// Guards against delivering a response whose status the protocol doesn't have.
+TYPED_TEST(server_exchange, response_with_a_status_outside_the_protocol_is_malformed)
+{
+    std::string const rest = " Status\r\nContent-Length: 5\r\n\r\nwhole";
+    for (std::string const status : {"000", "099", "600", "999"})
+    {
+        auto const response = this->call({"HTTP/1.1 " + status + rest});
+        EXPECT_FALSE(response.is_complete) << status;
+        EXPECT_FALSE(response.connection_is_reusable) << status;
+    }
+    for (std::string const status : {"200", "299", "599"})
+        EXPECT_TRUE(this->call({"HTTP/1.1 " + status + rest}).is_complete) << status;
+}
+
 // Guards against a client that reads until its memory is full.
 TYPED_TEST(server_exchange, responses_without_end_are_given_up)
 {
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -53,11 +53,12 @@
 void fake_server::serve(Poco::Net::StreamSocket& socket)
 {
     std::string late_copy;
+    auto const connection = ++m_connection_count;
     while (auto const request = read_request(socket))
     {
         if (!late_copy.empty())
             send_all(socket, std::exchange(late_copy, {}));
-        if (!respond(socket, *request))
+        if (!respond(socket, *request, connection))
             return;
         bool const refuses = request->path().ends_with("/refusal-copied");
         if (!refuses && !request->path().ends_with("/copied"))
@@ -80,6 +81,29 @@
     m_extra_fields = std::move(fields);
 }
 
+void fake_server::set_raw_response(std::string response)
+{
+    std::lock_guard lock(m_mutex);
+    m_raw_response = std::move(response);
+}
+
+void fake_server::set_raw_report(std::string response)
+{
+    std::lock_guard lock(m_mutex);
+    m_raw_report = std::move(response);
+}
+
+std::string fake_server::make_raw_response(std::string const& id) const
+{
+    constexpr std::string_view placeholder = "{id}";
+    std::lock_guard lock(m_mutex);
+    auto response = m_raw_response;
+    for (auto at = response.find(placeholder); at != std::string::npos;
+         at = response.find(placeholder, at + id.size()))
+        response.replace(at, placeholder.size(), id);
+    return response;
+}
+
 http::header_list fake_server::make_fields(std::string const& id) const
 {
     std::lock_guard lock(m_mutex);
@@ -97,7 +121,8 @@
     return true;
 }
 
-bool fake_server::respond(Poco::Net::StreamSocket& socket, http::request const& request)
+bool fake_server::respond(Poco::Net::StreamSocket& socket, http::request const& request,
+                          int connection)
 {
     // Under load, a thread may read a request long after it has arrived.
     auto const arrived_at = std::chrono::steady_clock::now() - time_since_last_data(socket);
@@ -106,6 +131,14 @@
         return copy_generation(socket, request), true;
     if (path.starts_with("/kv-handle/"))
         return send(socket, 200, {}, "{}");
+    if (path == "/report")
+    {
+        std::unique_lock lock(m_mutex);
+        auto const raw_report = m_raw_report;
+        lock.unlock();
+        if (!raw_report.empty())
+            return send_all(socket, raw_report), true;
+    }
     if (path == "/report")
         return send(socket, 200, {},
                     m_draining ? R"({"state":"draining"})" : R"({"state":"ready"})");
@@ -126,7 +159,8 @@
                               arrived_at,
                               {},
                               action != "shed",
-                              false});
+                              false,
+                              connection});
         if (action != "shed")
             ++m_execution_counts[id];
     }
@@ -176,6 +210,8 @@
         return send(socket, 200, fields, "response to " + id);
     if (action == "error")
         return send(socket, 500, fields, "failed");
+    if (action == "raw")
+        return send_all(socket, make_raw_response(id)), true;
     if (action == "shed")
     {
         fields.add("Not-Executed", "1");
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -33,7 +33,7 @@
 /// connection and refuses connections for 400 ms, like a process that crashes), `losing-N-ACTION`
 /// (the same without a crash for the first N requests on the path; responds to later ones, with two
 /// events on `/plan/` and
-/// `/question/`).
+/// `/question/`), `raw` (sends the bytes of `set_raw_response` and keeps the connection open).
 class fake_server
 {
 public:
@@ -48,6 +48,8 @@
         /// False if the request was rejected.
         bool executed = false;
         bool succeeded = false;
+        /// Number of the connection that the request arrived on.
+        int connection = 0;
     };
 
     fake_server(std::uint16_t port, std::string id);
@@ -73,6 +75,10 @@
     void fail_requests() { m_fails = true; }
     /// Makes /report return the state `draining`.
     void start_draining() { m_draining = true; }
+    /// Sets the response to `raw`, in which `{id}` stands for the request's id.
+    void set_raw_response(std::string response);
+    /// Makes /report return these bytes.
+    void set_raw_report(std::string response);
 
 private:
     /// How a response's body is delimited.
@@ -87,7 +93,7 @@
 
     void serve(Poco::Net::StreamSocket& socket);
     /// Handles one request. Returns true if the connection can be reused.
-    bool respond(Poco::Net::StreamSocket& socket, http::request const& request);
+    bool respond(Poco::Net::StreamSocket& socket, http::request const& request, int connection);
     /// Performs the action that the path selects. Returns true if the connection can be reused.
     bool execute(Poco::Net::StreamSocket& socket, http::request const& request,
                  std::string const& action);
@@ -112,6 +118,8 @@
     void send_partial_stream(Poco::Net::StreamSocket& socket, http::request const& request,
                              int events, std::string const& rest, framing body_framing);
     void copy_generation(Poco::Net::StreamSocket& socket, http::request const& request);
+    /// Returns the response to `raw` for this request.
+    std::string make_raw_response(std::string const& id) const;
     /// Returns the fields of a response of this server, with its signature.
     http::header_list make_fields(std::string const& id) const;
     bool send(Poco::Net::StreamSocket& socket, int status, http::header_list fields,
@@ -121,6 +129,8 @@
     mutable std::mutex m_mutex;
     std::vector<received_request> m_requests;
     http::header_list m_extra_fields;
+    std::string m_raw_response;
+    std::string m_raw_report;
     std::map<std::string, int> m_execution_counts;
     /// Requests on each path whose answers have been lost.
     std::map<std::string, int> m_loss_counts;
@@ -129,6 +139,7 @@
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_fails{false};
     std::atomic<bool> m_crashed{false};
+    std::atomic<int> m_connection_count{0};
     std::atomic<int> m_disconnect_count{0};
     std::atomic<int> m_copy_count{0};
     std::atomic<int> m_copy_status{200};
