HTTP: Don't take trailers for fields of the head

Callers saw: 503 for an order that a server had answered with 200 and run, and in one case the order ran at two servers. A success without a signature could pass as signed, and trailers reached callers as fields of the head.

Cause: Beast adds the fields that follow a chunked body to the fields of the head. response_reader let it parse as far as it could before it read the head, so the head held the trailers whenever a response arrived at once, and didn't hold them otherwise. "Not-Executed", behind the body, then made the node send the order elsewhere and promise that it had not run.

Evidence: faulty_answer_test failed before: with "Not-Executed: 1" as a trailer, lookups and orders ran twice and were answered 503; with "Content-Encoding", 502; "Server-Leaving" and "Server-Limit" were forwarded and believed; a 200 whose signature was a trailer was delivered. http_messages_test failed for the splits that bring the whole message at once.

Change: the parser stops behind the head until it has been read. Trailers are checked and discarded, as RFC 9110, section 6.5.1, asks of a recipient that doesn't know that a field may be merged. What a head says no longer depends on how its bytes arrive. Responses with trailers pass as before, without these.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -34,7 +34,8 @@
 void response_reader::start()
 {
     m_parser = std::make_unique<parser>();
-    m_parser->eager(true);
+    // The head is read before the parser reaches the trailers, which it adds to the same fields.
+    m_parser->eager(false);
     m_parser->header_limit(maximum_head_bytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(!m_expect_body);
@@ -94,6 +95,7 @@
             }
             read_head();
             m_state = state::reading_body;
+            m_parser->eager(true);
         }
         if (m_parser->get().body().size() > maximum_untaken_body_bytes ||
             m_buffer.size() > maximum_unparsed_bytes || error == beast_http::error::header_limit)
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -13,7 +13,8 @@
 namespace jasminepier::http
 {
 
-/// Parses received bytes into one response. Skips informational (1xx) responses.
+/// Parses received bytes into one response. Skips informational (1xx) responses and discards
+/// trailers.
 class response_reader
 {
 public:
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -145,6 +145,36 @@
         expect_not_forwarded(make_raw_response("HTTP/1.1 " + status + " Status"));
 }
 
+// Guards against a false "not run", and against believing fields that follow the body.
+TEST_F(faulty_answer_test, fields_behind_the_body_say_nothing_about_the_request)
+{
+    start_until_ready();
+    auto const make_response = [](std::string const& signature, std::string const& trailer)
+    {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n" + signature +
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n\r\n";
+    };
+    std::string const signature = "Server-Signature: signed\r\n";
+    for (std::string const trailer : {"Not-Executed: 1", "Content-Encoding: gzip",
+                                      "Server-Leaving: 1", "Server-Limit: 0", "Name: value"})
+    {
+        for (auto* server : servers())
+            server->set_raw_response(make_response(signature, trailer));
+        for (std::string const path : {"/check/raw", "/order/raw"})
+        {
+            auto const received = call("POST", path);
+            EXPECT_EQ(received.status, 200) << path << ' ' << trailer;
+            EXPECT_EQ(received.body, "body") << path << ' ' << trailer;
+            EXPECT_EQ(run_count(), 1) << path << ' ' << trailer;
+            EXPECT_EQ(received.headers.find(trailer.substr(0, trailer.find(':'))), std::nullopt);
+        }
+    }
+    for (auto* server : servers())
+        server->set_raw_response(make_response("", "Server-Signature: signed"));
+    EXPECT_EQ(call("POST", "/order/raw").status, 502);
+    expect_sound_requests_served();
+}
+
 // Guards against failing an idempotent request that another server can serve.
 TEST_F(faulty_answer_test, idempotent_request_is_retried_after_a_broken_answer)
 {
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -229,6 +229,25 @@
     }
 }
 
+// Guards against taking fields that follow a chunked body for fields of the head, which would let
+// them state that the request didn't run. They came into the head if all arrived at once.
+TEST(response_reader, trailers_are_not_fields_of_the_head)
+{
+    std::string const text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+                             "0\r\nNot-Executed: 1\r\nServer-Signature: s\r\n\r\n";
+    EXPECT_EQ(read_state(text), response_reader::state::complete);
+    for (std::size_t length = 0; length <= text.size(); ++length)
+    {
+        response_reader reader;
+        reader.feed(std::string_view(text).substr(0, length));
+        reader.feed(std::string_view(text).substr(length));
+        auto const& fields = reader.head().headers;
+        EXPECT_EQ(std::distance(fields.begin(), fields.end()), 1) << length;
+        EXPECT_EQ(reader.take_body(), "ab");
+        EXPECT_TRUE(reader.connection_reusable());
+    }
+}
+
 /// Feeds `prefix` and then `repeated` until the reader ends or `maximum_bytes` have been fed.
 response_reader::state feed_without_end(std::string_view prefix, std::string_view repeated,
                                         std::size_t maximum_bytes)
