HTTP: Reject heads in which a field line begins with a blank

Callers saw: a server in trouble put a blank before the name of a field, and the caller got the line as a part of the field above it ("Server-Signature: signed Name: v"), with status 200. If the line was the one that frames the body, the caller got a body with the chunk sizes in it.

Cause: Beast takes a line that begins with a blank for the continuation of the line above, as HTTP/1.1 once allowed, and joins the two.

Evidence: tests failed before for all lines that begin with a blank behind another line: in both clients, at all four kinds of routes of jasminepier-node, and for orders, lookups and updates of jasminepier-entry, which recorded the body for the order's key. Names with a blank or a control byte at any other place, such values, lines without a colon, and the same in informational heads and in trailers were rejected before; their tests passed and stay.

Change: the reader looks at the bytes of the head as they are parsed and ends the response as malformed. RFC 9112, section 5.2: a sender must not fold lines, and a proxy must replace each fold by blanks or answer 502. Only the second one is safe, as nothing shows whether the server meant to fold. What is allowed passes as before: blanks around values, empty values, bytes above 0x7f, and bodies that begin with a blank.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -24,6 +24,16 @@
     return status >= 100 && status <= 599;
 }
 
+/// Beast joins a line that begins with a blank to the one before, with the field or the framing
+/// that it was meant to hold. RFC 9112, section 5.2, lets a proxy reject such a response.
+bool has_continued_line(std::string_view lines) noexcept
+{
+    auto const is_blank = [](char character) { return character == ' ' || character == '\t'; };
+    return (!lines.empty() && is_blank(lines.front())) ||
+           lines.find("\n ") != std::string_view::npos ||
+           lines.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 response_reader::response_reader(bool expect_body) : m_expect_body(expect_body)
@@ -75,6 +85,12 @@
     {
         boost::beast::error_code error;
         auto const consumed = m_parser->put(m_buffer.data(), error);
+        std::string_view const parsed(static_cast<char const*>(m_buffer.data().data()), consumed);
+        if (m_state == state::reading_head && has_continued_line(parsed))
+        {
+            m_state = state::malformed;
+            return;
+        }
         m_buffer.consume(consumed);
         if (m_parser->is_header_done() && m_state == state::reading_head)
         {
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -145,6 +145,17 @@
         expect_not_forwarded(make_raw_response("HTTP/1.1 " + status + " Status"));
 }
 
+// Guards against forwarding a line whose name holds a blank or a control byte, and a body that such
+// a line frames otherwise.
+TEST_F(faulty_answer_test, broken_field_line_is_not_forwarded)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    for (std::string const line : {"Na me: v", "Name : v", " Name: v", "Na\x01me: v", "Name\t: v",
+                                   "Content-Length : 2", " Transfer-Encoding: chunked"})
+        expect_not_forwarded(make_raw_response("HTTP/1.1 200 OK", line));
+}
+
 // Guards against a false "not run", and against believing fields that follow the body.
 TEST_F(faulty_answer_test, fields_behind_the_body_say_nothing_about_the_request)
 {
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -111,5 +111,15 @@
         expect_not_forwarded("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+// Guards against forwarding or recording a response with a broken line in its head, or a body that
+// such a line frames otherwise.
+TEST_F(faulty_entry_answer_test, broken_field_line_is_not_forwarded)
+{
+    for (std::string const line : {"Na me: v", "Name : v", " Name: v", "Na\x01me: v",
+                                   "Content-Length : 2", " Transfer-Encoding: chunked"})
+        expect_not_forwarded("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + line +
+                             "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+}
+
 } // namespace
 } // namespace jasminepier::tests
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -8,6 +8,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace jasminepier::http
 {
 namespace
@@ -248,6 +251,83 @@
     }
 }
 
+std::vector<std::string> const broken_field_lines{"Na me: v",
+                                                  "Name : v",
+                                                  "Name\t: v",
+                                                  " Name: v",
+                                                  "\tName: v",
+                                                  "Na\x01me: v",
+                                                  "\x1fName: v",
+                                                  "Name\x7f: v",
+                                                  "Na\vme: v",
+                                                  "Na\rme: v",
+                                                  "Name\r: v",
+                                                  ": v",
+                                                  "Name",
+                                                  "Name v",
+                                                  "Na(me): v",
+                                                  "Na\xe9me: v",
+                                                  "Name: v\x01",
+                                                  "Name: v\x7fv",
+                                                  "Name: v\rv",
+                                                  "Na\nme: v",
+                                                  "Name: v\r\n w",
+                                                  "Name: v\r\n\tw",
+                                                  "Name:\r\n w",
+                                                  "Name: v\r\n \r\nName: w",
+                                                  std::string("Na\0me: v", 8),
+                                                  std::string("Name: v\0v", 9)};
+
+// Guards against forwarding a line whose name holds a blank or a control byte, and against a length
+// or a coding in such a line that leaves the reader with another body.
+TEST(response_reader, head_with_a_broken_field_line_is_no_response)
+{
+    std::string const status_line = "HTTP/1.1 200 OK\r\n";
+    std::string const length = "Content-Length: 2\r\n";
+    for (auto const& line : broken_field_lines)
+        for (auto const& head :
+             {status_line + line + "\r\n" + length, status_line + length + line + "\r\n",
+              status_line + length + line + "\r\nServer-Signature: s\r\n",
+              status_line + "Server-Signature: s\r\n" + line + "\r\n" + length,
+              "HTTP/1.1 103 Early Hints\r\nLink: l\r\n" + line + "\r\n\r\n" + status_line + length})
+            for (bool const expect_body : {true, false})
+            {
+                EXPECT_EQ(read_state(head + "\r\nab", expect_body),
+                          response_reader::state::malformed);
+                EXPECT_EQ(parse_response(head + "\r\nab").head().status, 0);
+            }
+}
+
+// Guards against rejecting what the protocol allows: optional blanks around values, empty values,
+// bytes above 0x7f in values, all characters of a token in names, and blanks that begin a body.
+TEST(response_reader, heads_that_the_protocol_allows_are_read)
+{
+    std::string const status_line = "HTTP/1.1 200 OK\r\n";
+    for (std::string const line :
+         {"Name:v", "Name: \t v \t", "Name:", "Name: ", "Name: v\xe9\x80", "Name: v \t v",
+          "!#$%&'*+-.^_`|~09azAZ: v", "Name: \"v\\\"v\"", "Name: (v)"})
+        for (std::string const body : {"ab", " a", "\n ", "\t\n"})
+        {
+            auto const text = status_line + line + "\r\nContent-Length: 2\r\n\r\n" + body;
+            EXPECT_EQ(read_state(text), response_reader::state::complete) << text;
+            auto reader = parse_response(text);
+            EXPECT_EQ(reader.take_body(), body);
+            EXPECT_TRUE(reader.connection_reusable());
+        }
+}
+
+// Guards against a response that looks complete although a line behind its body is broken.
+TEST(response_reader, broken_trailer_makes_a_response_malformed)
+{
+    std::string const text =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n";
+    for (std::string const trailer : {"Na me: v", "Name : v", " Name: v", "Na\x01me: v", "Name",
+                                      "Name: v\x01", "Content-Length: 2"})
+        EXPECT_EQ(read_state(text + trailer + "\r\n\r\n"), response_reader::state::malformed)
+            << trailer;
+    EXPECT_EQ(read_state(text + "Name: v\r\n\r\n"), response_reader::state::complete);
+}
+
 /// Feeds `prefix` and then `repeated` until the reader ends or `maximum_bytes` have been fed.
 response_reader::state feed_without_end(std::string_view prefix, std::string_view repeated,
                                         std::size_t maximum_bytes)
--- a/tests/server_exchange_test.cpp
+++ b/tests/server_exchange_test.cpp
@@ -198,6 +198,20 @@
         EXPECT_TRUE(this->call({"HTTP/1.1 " + status + rest}).is_complete) << status;
 }
 
+// Guards against delivering a response with a broken line in its head, or a body that such a line
+// frames otherwise.
+TYPED_TEST(server_exchange, response_with_a_broken_field_line_is_malformed)
+{
+    for (std::string const line : {"Na me: v", "Name : v", "Na\x01me: v", "Name: v\r\n Name: v",
+                                   "Name: v\r\n Transfer-Encoding: chunked"})
+    {
+        auto const response =
+            this->call({"HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"});
+        EXPECT_FALSE(response.is_complete) << line;
+        EXPECT_FALSE(response.connection_is_reusable) << line;
+    }
+}
+
 // Guards against a client that reads until its memory is full.
 TYPED_TEST(server_exchange, responses_without_end_are_given_up)
 {
