HTTP: Reject responses with a transfer coding that isn't undone

Callers saw: status 200 and the server's signature with a body that was not the server's: the chunk sizes of "chunked, chunked" and "chunked, identity" as text, or the bytes of another coding, such as gzip, without the field that names it.

Cause: Beast undoes chunks where they are the last coding and ignores all other codings; Transfer-Encoding isn't forwarded, as it concerns one connection.

Change: a response is malformed unless its only coding is chunked or identity. No request asks for another coding (TE is not forwarded), so no server may use one (RFC 9112, section 7.4). "identity", from older versions of HTTP/1.1, names no coding and passes as before, like "Chunked" and lists with empty elements.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "http/response_reader.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 #include <limits>
 
@@ -34,6 +35,25 @@
            lines.find("\n\t") != std::string_view::npos;
 }
 
+/// Returns false if the body has a coding that the reader doesn't undo. Beast undoes chunks if they
+/// are the last coding, ignores the others, and passes the chunks of "chunked, identity" as a body.
+bool has_supported_codings(beast_http::fields const& fields)
+{
+    std::size_t count = 0;
+    auto const [begin, end] = fields.equal_range(beast_http::field::transfer_encoding);
+    for (auto field = begin; field != end; ++field)
+    {
+        beast_http::opt_token_list const codings(field->value());
+        if (!beast_http::validate_list(codings))
+            return false;
+        for (auto const& coding : codings)
+            if (++count > 1 ||
+                (!header_list::equal(coding, "chunked") && !header_list::equal(coding, "identity")))
+                return false;
+    }
+    return true;
+}
+
 } // namespace
 
 response_reader::response_reader(bool expect_body) : m_expect_body(expect_body)
@@ -109,6 +129,11 @@
                 start();
                 continue;
             }
+            if (!has_supported_codings(m_parser->get()))
+            {
+                m_state = state::malformed;
+                return;
+            }
             read_head();
             m_state = state::reading_body;
             m_parser->eager(true);
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -156,6 +156,15 @@
         expect_not_forwarded(make_raw_response("HTTP/1.1 200 OK", line));
 }
 
+// Guards against forwarding a body without its coding.
+TEST_F(faulty_answer_test, unknown_transfer_coding_is_not_forwarded)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    for (std::string const coding : {"gzip", "chunked, chunked", "chunked, identity"})
+        expect_not_forwarded(make_raw_response("HTTP/1.1 200 OK", "Transfer-Encoding: " + coding));
+}
+
 // Guards against a false "not run", and against believing fields that follow the body.
 TEST_F(faulty_answer_test, fields_behind_the_body_say_nothing_about_the_request)
 {
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -121,5 +121,13 @@
                              "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
 }
 
+// Guards against forwarding or recording a body without its coding.
+TEST_F(faulty_entry_answer_test, unknown_transfer_coding_is_not_forwarded)
+{
+    for (std::string const coding : {"gzip", "gzip, chunked", "chunked, chunked"})
+        expect_not_forwarded("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: " +
+                             coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+}
+
 } // namespace
 } // namespace jasminepier::tests
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -328,6 +328,40 @@
     EXPECT_EQ(read_state(text + "Name: v\r\n\r\n"), response_reader::state::complete);
 }
 
+// Guards against a body that isn't the server's: the reader doesn't undo any coding but chunks.
+TEST(response_reader, response_with_an_unknown_transfer_coding_is_no_response)
+{
+    std::string const status_line = "HTTP/1.1 200 OK\r\n";
+    std::string const coding = "Transfer-Encoding: ";
+    std::string const chunks = "\r\n\r\n2\r\nab\r\n0\r\n\r\n";
+    for (std::string const value :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked, identity",
+          "identity, chunked", "xchunked", "chunkedx", "chunked;q=1", "\"chunked\"", "chunked gzip",
+          "chunked\r\nTransfer-Encoding: chunked", "gzip\r\nTransfer-Encoding: chunked",
+          "chunked\r\nTransfer-Encoding: gzip", "identity\r\nTransfer-Encoding: chunked",
+          "chunked\r\nTransfer-Encoding: identity", "chunked\r\nContent-Length: 2",
+          "gzip\r\nContent-Length: 12"})
+        for (bool const expect_body : {true, false})
+        {
+            auto const text = status_line + coding + value + chunks;
+            EXPECT_EQ(read_state(text, expect_body), response_reader::state::malformed) << text;
+            EXPECT_EQ(parse_response(text).head().status, 0);
+        }
+    for (std::string const value : {"chunked", "Chunked", "chunked \t", "chunked,", ", chunked"})
+    {
+        auto reader = parse_response(status_line + coding + value + chunks);
+        EXPECT_EQ(reader.current_state(), response_reader::state::complete) << value;
+        EXPECT_EQ(reader.take_body(), "ab") << value;
+        EXPECT_TRUE(reader.connection_reusable()) << value;
+    }
+    auto plain = parse_response(status_line + coding + "identity\r\nContent-Length: 2\r\n\r\nab");
+    EXPECT_EQ(plain.current_state(), response_reader::state::complete);
+    auto unframed = parse_response(status_line + coding + "identity\r\n\r\nab");
+    unframed.feed_eof();
+    EXPECT_EQ(unframed.current_state(), response_reader::state::complete);
+    EXPECT_EQ(unframed.take_body(), "ab");
+}
+
 /// Feeds `prefix` and then `repeated` until the reader ends or `maximum_bytes` have been fed.
 response_reader::state feed_without_end(std::string_view prefix, std::string_view repeated,
                                         std::size_t maximum_bytes)
