HTTP: Don't reuse connections on which a body may follow its response

What callers could have seen: a retry, or a failure where no retry is left. The bytes of a body that a server sent behind a 204 would have come where the response to the next request is expected, and have been taken for a broken one.

Cause: a response to which the protocol allows no body was complete with its head, also if the head stated one, and its connection was used again if the bytes weren't there yet. RFC 9112, section 6.1, also asks a client not to use a connection again after a response of HTTP/1.0 with a transfer coding.

Evidence: http_messages_test failed before for 204 with a length, 204 with chunks, and HTTP/1.0 with chunks and "keep-alive". That is shown with the reader; no such run of a whole node was made.

Change: such a response passes, and its connection is closed. Connections are used again as before after 204 without a body, 304 with a length, and HTTP/1.0 with "keep-alive" and a length.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -17,6 +17,9 @@
 // Bytes that Beast leaves in the buffer until they form a complete line: a chunk header with its
 // extension, or a trailer.
 constexpr std::size_t maximum_unparsed_bytes = std::size_t{128} * 1024;
+constexpr int no_content_status = 204;
+// As Beast states versions.
+constexpr unsigned http_1_1 = 11;
 
 /// Beast accepts any three digits. RFC 9110, section 15: "All valid status codes are within the
 /// range of 100 to 599, inclusive."
@@ -177,11 +180,17 @@
 
 bool response_reader::connection_reusable() const noexcept
 {
+    auto const length = m_head.headers.find("Content-Length");
+    auto const coding = m_head.headers.find("Transfer-Encoding");
     // A server that ends its body with the connection may also close it after a response to HEAD.
-    bool const has_framing =
-        m_head.headers.find("Content-Length") || m_head.headers.find("Transfer-Encoding");
+    bool const has_framing = length || coding;
+    // The server may still send a body that its head doesn't allow, or one that it doesn't take for
+    // chunks (RFC 9112, section 6.1).
+    bool const has_doubtful_framing =
+        (m_head.status == no_content_status && (coding || length.value_or("0") != "0")) ||
+        (coding && m_parser->get().version() < http_1_1);
     return m_state == state::complete && m_buffer.size() == 0 && m_parser->keep_alive() &&
-           !m_parser->need_eof() && (m_expect_body || has_framing);
+           !m_parser->need_eof() && (m_expect_body || has_framing) && !has_doubtful_framing;
 }
 
 } // namespace jasminepier::http
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -362,6 +362,25 @@
     EXPECT_EQ(unframed.take_body(), "ab");
 }
 
+// Guards against using a connection on which bytes of the body may follow.
+TEST(response_reader, doubtful_framing_prevents_connection_reuse)
+{
+    for (std::string const text :
+         {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\nab\r\n0\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n"})
+    {
+        EXPECT_EQ(read_state(text), response_reader::state::complete) << text;
+        EXPECT_FALSE(parse_response(text).connection_reusable()) << text;
+    }
+    for (std::string const text :
+         {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nab",
+          "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n"})
+        EXPECT_TRUE(parse_response(text).connection_reusable()) << text;
+}
+
 /// Feeds `prefix` and then `repeated` until the reader ends or `maximum_bytes` have been fed.
 response_reader::state feed_without_end(std::string_view prefix, std::string_view repeated,
                                         std::size_t maximum_bytes)
