HTTP: Take a switch to another protocol for no response

Callers saw: a 200 whose bytes followed "101 Switching Protocols", or, where nothing followed, no answer until the deadline.

Cause: response_reader skipped all 1xx responses, also the one behind which no HTTP follows. No request asks for another protocol (Upgrade is not forwarded).

Broken field lines and statuses in informational heads were rejected already; their test stays beside it.

Change: 101 is malformed, as any status that a server can't send for such a request. 100, 102 to 199 are skipped as before.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -17,15 +17,16 @@
 // Bytes that Beast leaves in the buffer until they form a complete line: a chunk header with its
 // extension, or a trailer.
 constexpr std::size_t maximum_unparsed_bytes = std::size_t{128} * 1024;
+constexpr unsigned switching_protocols_status = 101;
 constexpr int no_content_status = 204;
 // As Beast states versions.
 constexpr unsigned http_1_1 = 11;
 
 /// Beast accepts any three digits. RFC 9110, section 15: "All valid status codes are within the
-/// range of 100 to 599, inclusive."
-constexpr bool is_valid_status(unsigned status) noexcept
+/// range of 100 to 599, inclusive." No request asks for another protocol.
+constexpr bool is_expected_status(unsigned status) noexcept
 {
-    return status >= 100 && status <= 599;
+    return status >= 100 && status <= 599 && status != switching_protocols_status;
 }
 
 /// Beast joins a line that begins with a blank to the one before, with the field or the framing
@@ -117,7 +118,7 @@
         m_buffer.consume(consumed);
         if (m_parser->is_header_done() && m_state == state::reading_head)
         {
-            if (!is_valid_status(m_parser->get().result_int()))
+            if (!is_expected_status(m_parser->get().result_int()))
             {
                 m_state = state::malformed;
                 return;
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -165,6 +165,27 @@
         expect_not_forwarded(make_raw_response("HTTP/1.1 200 OK", "Transfer-Encoding: " + coding));
 }
 
+// Guards against taking bytes of another protocol, or a broken head, for the beginning of a
+// response.
+TEST_F(faulty_answer_test, broken_head_before_the_response_is_not_skipped)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    auto const response = make_raw_response("HTTP/1.1 200 OK");
+    for (std::string const head :
+         {"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nNa me: v\r\n\r\n", "HTTP/1.1 099 Status\r\n\r\n"})
+        expect_not_forwarded(head + response);
+    for (auto* server : servers())
+        server->set_raw_response("HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n" + response);
+    for (std::string const path : {"/check/raw", "/order/raw"})
+    {
+        auto const received = call("POST", path);
+        EXPECT_EQ(received.status, 200) << path;
+        EXPECT_EQ(received.body, "body") << path;
+    }
+}
+
 // Guards against a false "not run", and against believing fields that follow the body.
 TEST_F(faulty_answer_test, fields_behind_the_body_say_nothing_about_the_request)
 {
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -328,6 +328,21 @@
     EXPECT_EQ(read_state(text + "Name: v\r\n\r\n"), response_reader::state::complete);
 }
 
+// Guards against reading bytes of another protocol as a response.
+TEST(response_reader, switch_to_another_protocol_is_no_response)
+{
+    std::string const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    std::string const fields = "Connection: Upgrade\r\nUpgrade: other\r\n\r\n";
+    std::string const switching = "HTTP/1.1 101 Switching Protocols\r\n";
+    for (auto const& text : {switching + "\r\n", switching + fields, switching + fields + response,
+                             "HTTP/1.1 100 Continue\r\n\r\n" + switching + fields + response})
+        EXPECT_EQ(read_state(text), response_reader::state::malformed) << text;
+    for (std::string const status : {"100", "102", "103", "104", "199"})
+        EXPECT_EQ(read_state("HTTP/1.1 " + status + " Status\r\nName: v\r\n\r\n" + response),
+                  response_reader::state::complete)
+            << status;
+}
+
 // Guards against a body that isn't the server's: the reader doesn't undo any coding but chunks.
 TEST(response_reader, response_with_an_unknown_transfer_coding_is_no_response)
 {
