Entry: Don't take a success or a redirection for a refusal

Callers saw: 400 bad_request with execution "not_run" for a completion that the engine had answered with 201, 204 or 302, and was running.

Cause: completion_transport took every status but 200, 404, 429 and 5xx for the engine's refusal of the request.

Evidence: faulty_entry_answer_test failed before for 201, 204 and 302.

Change: a status that is no error ends the attempt like a lost connection, as attempt_failure::connection_lost says of unexpected statuses: the generation is resumed, and in the test the caller gets all of it. If it is gone, it is tried again within the retry budget and otherwise reported as generation_lost, execution unknown. The engine's errors are reported as before.

--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -183,6 +183,10 @@
         m_connection_was_lost = true;
         return make_failure(attempt_failure::connection_lost, "the engine closed the connection");
     }
+    bool const is_error = status / 100 == 4 || status / 100 == 5;
+    // The engine may run the request.
+    if (m_purpose == exchange_purpose::start && !is_error)
+        return make_failure(attempt_failure::connection_lost, reason);
     if (m_purpose == exchange_purpose::resume || status == 404 || status >= 500)
         return make_failure(status == 503 && m_purpose == exchange_purpose::start
                                 ? attempt_failure::declined
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -129,5 +129,22 @@
                              coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
 }
 
+// Guards against a false "not run": an engine that answers with a success or a redirection may run
+// the generation.
+TEST_F(faulty_entry_answer_test, unexpected_status_is_no_refusal)
+{
+    for (std::string const status : {"201 Created", "204 No Content", "302 Found"})
+    {
+        set_raw_answer("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+        auto const completion = complete();
+        EXPECT_EQ(completion.status, 200) << status;
+        EXPECT_NE(completion.body.find(expected_text(5)), std::string::npos) << completion.body;
+    }
+    set_raw_answer("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(complete().status, 400);
+    set_raw_answer("");
+    EXPECT_EQ(complete().status, 200);
+}
+
 } // namespace
 } // namespace jasminepier::tests
