Decision: Say "not run" only if no earlier attempt may have run

Callers could have seen: execution "not_run" for a completion whose first attempt may have run: 400, if the engine refused the second attempt, or 503, if connections broke, or a broken answer came, while the request was being sent.

Cause: generation_delivery remembered whether an attempt had been sent whole, and looked at that only for refusals by the router.

Evidence: generation_delivery_test failed before in both cases.

Change: a failure other than not_connected, declined or rejected means that the request may have run; from then on failures are reported as generation_lost, execution unknown. A first attempt that the engine refuses is still "not_run".

--- a/libraries/decision/generation_delivery.hpp
+++ b/libraries/decision/generation_delivery.hpp
@@ -344,8 +344,16 @@
         }
     }
 
+    /// Returns true if the engine may have run the request although its attempt failed like this.
+    static constexpr bool may_have_run(attempt_failure failure) noexcept
+    {
+        return failure != attempt_failure::not_connected && failure != attempt_failure::declined &&
+               failure != attempt_failure::rejected;
+    }
+
     std::optional<start_failure> perform_retry_action(start_failure const& failed)
     {
+        m_may_have_run = m_may_have_run || may_have_run(failed.failure);
         auto const progress = m_delivered > 0 ? delivery_progress::partly_delivered
                                               : delivery_progress::nothing_delivered;
         switch (retry_action_for(m_settings.kind, failed.failure, progress))
@@ -360,7 +368,8 @@
             m_transport.abandon_attempt(failed.failure);
             return rerun(failed);
         case retry_action::report_rejected:
-            fail(base::error_kind::bad_request, failed.reason);
+            fail(m_may_have_run ? base::error_kind::generation_lost : base::error_kind::bad_request,
+                 failed.reason);
             break;
         case retry_action::report_not_run:
         case retry_action::report_unknown:
@@ -388,7 +397,7 @@
     /// engine.
     void report_refusal(start_failure const& failed)
     {
-        if (!m_reached_engine && m_delivered == 0 &&
+        if (!m_reached_engine && !m_may_have_run && m_delivered == 0 &&
             base::error_response_for(failed.refusal->kind).execution ==
                 base::execution_status::not_run)
             return fail(failed.refusal->kind, failed.refusal->message);
@@ -399,8 +408,8 @@
 
     base::error_kind loss_error_kind() const noexcept
     {
-        return m_reached_engine ? base::error_kind::generation_lost
-                                : base::error_kind::server_unreachable;
+        return m_reached_engine || m_may_have_run ? base::error_kind::generation_lost
+                                                  : base::error_kind::server_unreachable;
     }
 
     void fail(base::error_kind kind, std::string message)
@@ -423,6 +432,8 @@
     bool m_ended = false;
     /// At least one attempt was sent to an engine.
     bool m_reached_engine = false;
+    /// An engine may have run the request in an attempt that failed.
+    bool m_may_have_run = false;
     /// Index of the next token of the current generation.
     std::int64_t m_next_index = 0;
     /// The latest token had the expected index.
--- a/tests/generation_delivery_test.cpp
+++ b/tests/generation_delivery_test.cpp
@@ -24,6 +24,8 @@
     other_generation,
     crash,
     early_end,
+    /// The engine refuses the request.
+    rejection,
 };
 
 struct scenario
@@ -35,6 +37,8 @@
     bool renumbers_tokens = false;
     bool forges_generation_id = false;
     bool resumes_on_new_generation = false;
+    /// Every start breaks off after a part of the request has been sent.
+    bool loses_starts = false;
 };
 
 /// A transport to simulated engines. Each read consumes one fault of the script.
@@ -47,7 +51,9 @@
     {
         ++m_generation;
         m_next_index = 0;
-        m_generation_lost = false;
+        m_generation_lost = m_script.loses_starts;
+        if (m_script.loses_starts)
+            return start_failure{attempt_failure::connection_lost, {}, "lost while sending"};
         return std::nullopt;
     }
     std::optional<start_failure> resume(std::int64_t index)
@@ -85,6 +91,8 @@
             return token_event(m_generation);
         case fault::other_generation:
             return event_of_other_generation();
+        case fault::rejection:
+            return failure(attempt_failure::rejected);
         case fault::early_end:
             return {event_type::end, generation_id(), {}, {}, {}};
         case fault::none:
@@ -289,6 +297,25 @@
     EXPECT_FALSE(deliver(script, {}).correct) << "verified replay";
 }
 
+// Guards against a false "not run" after an attempt whose outcome is unknown.
+TEST(generation_delivery, is_reported_as_not_run_only_if_no_attempt_may_have_run)
+{
+    auto const fail_delivery = [](scenario const& script)
+    {
+        auto const run = deliver(script, {});
+        EXPECT_EQ(run.outcome.status, delivery_status::failed);
+        return run.outcome.error.kind;
+    };
+    scenario script;
+    script.faults = {fault::rejection};
+    EXPECT_EQ(fail_delivery(script), base::error_kind::bad_request);
+    script.faults = {fault::crash, fault::rejection};
+    EXPECT_EQ(fail_delivery(script), base::error_kind::generation_lost);
+    script.faults = {};
+    script.loses_starts = true;
+    EXPECT_EQ(fail_delivery(script), base::error_kind::generation_lost);
+}
+
 // Guards against unbounded memory use by a buffered response and against endless retries.
 TEST(generation_delivery, limits_buffered_bytes_and_attempts)
 {
