Node: Send nothing behind a stream's response that has no body

Callers saw: on streaming routes, the bytes "0 CR LF CR LF" behind a server's 204, where the next response on the connection was due. A HEAD request got no answer before its deadline, then 504.

Cause: stream_relay sent every success as chunks, also those to which the protocol gives no body, and waited for the body of a response to HEAD.

Change: a 204, or the response to HEAD, ends with its head; it gets no Transfer-Encoding, and no last chunk. The reader is told that HEAD has no body, and a response to HEAD without a length isn't taken for a crash that came before the first event.

--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -21,6 +21,7 @@
 // another server, even if it sends comments or parts of an event. Callers wait for about four times
 // the objective.
 constexpr double silence_timeout_factor = 1.4;
+constexpr int no_content_status = 204;
 // Maximum time between two checks of a handover or of a resumable stream's silence.
 constexpr base::milliseconds leaving_check_interval{100};
 
@@ -57,7 +58,8 @@
     m_is_continuation = !continue_from.empty();
     auto const forwarded = platform::make_forwarded_head(m_context.request, metadata);
     m_exchange = std::make_unique<http::client_exchange>(
-        server.address, http::make_outgoing(forwarded, m_context.request.body), true, now());
+        server.address, http::make_outgoing(forwarded, m_context.request.body), expects_body(),
+        now());
     m_last_progress = m_exchange->start_time();
     m_event_splitter = {};
     m_head_validated = false;
@@ -70,6 +72,16 @@
     m_context.last_server = server.id;
 }
 
+bool stream_relay::expects_body() const
+{
+    return m_context.request.method != "HEAD";
+}
+
+bool stream_relay::response_has_body() const
+{
+    return expects_body() && m_response_head->status != no_content_status;
+}
+
 bool stream_relay::is_movable() const
 {
     return m_context.service->engine && m_context.service->engine->can_move_generations &&
@@ -127,7 +139,8 @@
     m_context.first_event = now();
     m_context.status = m_response_head->status;
     auto fields = platform::end_to_end_fields(*m_response_head);
-    fields.add("Transfer-Encoding", "chunked");
+    if (response_has_body())
+        fields.add("Transfer-Encoding", "chunked");
     m_context.close_connection_during_shutdown();
     if (!m_context.keep_connection)
         fields.add("Connection", "close");
@@ -138,6 +151,8 @@
 
 bool stream_relay::send_last_chunk()
 {
+    if (!response_has_body())
+        return true;
     auto const comments = m_event_splitter.remainder();
     return m_context.caller.send((comments.empty() ? "" : encode_chunk(comments)) + "0\r\n\r\n",
                                  m_context.send_limits());
@@ -226,7 +241,8 @@
     bool const stopped = m_exchange->ended_with_connection() && m_handover &&
                          m_handover->may_have_stopped_generation();
     // A server that crashes as it begins to answer closes its connection in order, too.
-    bool const empty = m_exchange->ended_with_connection() && !m_any_event_received;
+    bool const empty =
+        expects_body() && m_exchange->ended_with_connection() && !m_any_event_received;
     bool const broken_off =
         !m_exchange->complete() || m_event_splitter.has_partial_event() || stopped || empty;
     return broken_off ? stream_outcome::broken : stream_outcome::complete;
--- a/services/node/stream_relay.hpp
+++ b/services/node/stream_relay.hpp
@@ -56,6 +56,10 @@
     bool send_head();
     /// Sends comments that follow the last event, and the end of the response.
     bool send_last_chunk();
+    /// Returns false for a HEAD request.
+    bool expects_body() const;
+    /// Returns true if a body follows the head of the response to the caller.
+    bool response_has_body() const;
     /// Returns true if the request is a generation that its service can move.
     bool is_movable() const;
     /// Returns true if the generation may be handed over to another engine.
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/support/node_fixture.hpp"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <future>
 #include <set>
@@ -186,6 +187,47 @@
     }
 }
 
+// Guards against bytes behind a response that has no body. The caller would take them for the
+// beginning of the next response.
+TEST_F(faulty_answer_test, response_without_a_body_is_followed_by_nothing)
+{
+    start_until_ready();
+    auto const call_raw = [this](std::string const& method, std::string const& path)
+    {
+        auto request = make_request(method, path, "raw-" + std::to_string(++m_request_count));
+        request.headers.add("Connection", "close");
+        Poco::Net::StreamSocket socket(
+            Poco::Net::SocketAddress(loopback_host, m_node.ports().callers));
+        socket.setReceiveTimeout(Poco::Timespan(10, 0));
+        send_all(socket, http::write_request(request));
+        std::string received;
+        std::array<char, 4096> bytes{};
+        for (int count = 0; (count = socket.receiveBytes(bytes.data(), bytes.size())) > 0;)
+            received.append(bytes.data(), static_cast<std::size_t>(count));
+        return received;
+    };
+    std::string const fields = "Attempt-Id: {id}\r\nServer-Signature: signed\r\n";
+    struct no_body
+    {
+        std::string method;
+        std::string response;
+    };
+    for (auto const& [method, response] :
+         {no_body{"POST", "HTTP/1.1 204 No Content\r\n" + fields + "\r\n"},
+          no_body{"HEAD", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n"},
+          no_body{"HEAD", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n"}})
+        for (std::string const route : {"/check/", "/order/", "/plan/", "/question/"})
+        {
+            for (auto* server : servers())
+                server->set_raw_response(response);
+            auto const received = call_raw(method, route + "raw");
+            auto const head_end = received.find("\r\n\r\n");
+            ASSERT_NE(head_end, std::string::npos) << method << ' ' << route;
+            EXPECT_EQ(received.substr(head_end + 4), "") << received;
+            EXPECT_EQ(received.substr(0, 10), response.substr(0, 10)) << route << received;
+        }
+}
+
 // Guards against a false "not run", and against believing fields that follow the body.
 TEST_F(faulty_answer_test, fields_behind_the_body_say_nothing_about_the_request)
 {
