Node: Believe a report only if its status is 200

Callers saw: 503 for generations that the engine could have served, while the store was away: the engine had answered a question for its report with 404 or 500 and a body that said "draining".

Cause: server_prober read the body of every complete response.

Change: other statuses are ignored, as a probe without an answer is.

--- a/services/node/server_prober.cpp
+++ b/services/node/server_prober.cpp
@@ -19,6 +19,8 @@
 // A report lists the runs of an engine, some tens of bytes each.
 constexpr std::size_t maximum_report_bytes = std::size_t{256} * 1024;
 
+constexpr int report_status = 200;
+
 struct engine_probe
 {
     std::string server;
@@ -79,7 +81,9 @@
     }
     for (auto const& probe : probes)
     {
-        if (!probe.exchange.complete() || !platform::report_shows_draining(probe.body))
+        bool const is_report =
+            probe.exchange.complete() && probe.exchange.head().status == report_status;
+        if (!is_report || !platform::report_shows_draining(probe.body))
             continue;
         auto const now = clock.now();
         m_state.with(
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -278,12 +278,16 @@
 {
     start_until_ready();
     std::string const rest = " Status\r\nContent-Length: 20\r\n\r\n{\"state\":\"draining\"}";
-    m_engine_1.set_raw_report("HTTP/1.1 000" + rest);
     // Without the store, the node asks the engines that it uses.
     m_store.set_mode(store_mode::unavailable);
-    EXPECT_EQ(call("POST", "/plan/stream-300").status, 200);
-    EXPECT_EQ(call("POST", "/plan/stream-1").status, 200);
-    EXPECT_EQ(m_node.program().output().find("server_says_leaving"), std::string::npos);
+    for (std::string const status : {"404", "500", "000"})
+    {
+        m_engine_1.set_raw_report("HTTP/1.1 " + status + rest);
+        EXPECT_EQ(call("POST", "/plan/stream-200").status, 200) << status;
+        EXPECT_EQ(call("POST", "/plan/stream-1").status, 200) << status;
+        EXPECT_EQ(m_node.program().output().find("server_says_leaving"), std::string::npos)
+            << status;
+    }
     m_engine_1.set_raw_report("HTTP/1.1 200" + rest);
     EXPECT_EQ(call("POST", "/plan/stream-300").status, 200);
     EXPECT_NE(m_node.program().output().find("server_says_leaving"), std::string::npos);
