--- a/services/node/server_prober.cpp
+++ b/services/node/server_prober.cpp
@@ -18,7 +18,6 @@
 constexpr base::milliseconds probe_timeout{250};
 // A report lists the runs of an engine, some tens of bytes each.
 constexpr std::size_t maximum_report_bytes = std::size_t{256} * 1024;
-
 constexpr int report_status = 200;
 
 struct engine_probe
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -287,6 +287,20 @@
     EXPECT_EQ(store_dialect::read_write_status(500), store::write_response::unknown);
 }
 
+// Guards against sending an engine a request of another engine's making: handles are written into
+// the heads of requests.
+TEST(platform_engine, handle_with_a_blank_or_a_control_byte_is_not_used)
+{
+    for (std::string const handle : {"h 1", " h1", "h1 HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n", "h\\n1",
+                                     "h\\t1", "h\\u00011", "h\\u007f1", "h\\u00e91"})
+        EXPECT_EQ(read_copy_response("{\"kv_handle\":\"" + handle + "\",\"created\":12}").handle,
+                  "")
+            << handle;
+    for (std::string const handle : {"h1", "h-1_2.3~4", "4be1:7/2", "a+b=="})
+        EXPECT_EQ(read_copy_response("{\"kv_handle\":\"" + handle + "\",\"created\":12}").handle,
+                  handle);
+}
+
 TEST(platform_engine, parses_copy_responses_and_reports)
 {
     EXPECT_EQ(read_copy_response(R"({"kv_handle":"h1","created":12})").handle, "h1");
