Tests: Keep what was right about broken and unusual answers

Handled before: streams whose chunks or trailers are broken end without their last chunk, and unusual responses that the protocol allows are forwarded: names and values of any allowed characters, HTTP/1.0, responses that end with their connection, chunk extensions, trailers, informational responses, a status without a registered meaning, and a repeated length.

--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -187,6 +187,63 @@
     }
 }
 
+// Guards against rejecting unusual responses that the protocol allows.
+TEST_F(faulty_answer_test, responses_that_the_protocol_allows_are_forwarded)
+{
+    start_until_ready();
+    std::string const fields = "attempt-id:{id}\r\nSERVER-SIGNATURE: \t signed \t\r\n";
+    for (std::string const& response :
+         {"HTTP/1.1 200 \r\n" + fields + "Content-Length: 4\r\n\r\nbody",
+          "HTTP/1.1 299 Caf\xe9 \t!\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
+          "HTTP/1.0 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
+          "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+          "HTTP/1.1 200 OK\r\n" + fields +
+              "!#$%&'*+-.^_`|~: \xff\r\nEmpty:\r\n"
+              "Content-Length: 4\r\n\r\nbody",
+          "HTTP/1.1 200 OK\r\n" + fields +
+              "Transfer-Encoding: Chunked\r\n\r\n"
+              "002;a=b\r\nbo\r\n2;c=\"d\"\r\ndy\r\n0\r\nName: v\r\n\r\n",
+          "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"
+          "HTTP/1.1 200 OK\r\n" +
+              fields + "Content-Length: 4\r\n\r\nbody"})
+    {
+        for (auto* server : servers())
+            server->set_raw_response(response);
+        for (std::string const path : {"/check/raw", "/order/raw"})
+        {
+            auto const received = call("POST", path);
+            EXPECT_EQ(received.status / 100, 2) << response;
+            EXPECT_EQ(received.body, "body") << response;
+            EXPECT_EQ(received.headers.find("Server-Signature"), "signed") << response;
+        }
+    }
+}
+
+// Guards against a stream that looks complete although bytes behind its events are broken.
+TEST_F(faulty_answer_test, stream_with_broken_chunks_is_not_terminated_as_complete)
+{
+    start_until_ready();
+    std::string const event = make_events(1, 1);
+    std::string const begin =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "13\r\n" +
+        event + "\r\n";
+    ASSERT_EQ(event.size(), 0x13U);
+    for (std::string const rest : {"x\r\n", "-1\r\n", "1\r\nab\r\n0\r\n\r\n",
+                                   "0\r\nNa me: v\r\n\r\n", "0\r\nName: v\x01\r\n\r\n"})
+    {
+        m_engine_1.set_raw_response(begin + rest);
+        auto const received = call("POST", "/plan/raw");
+        EXPECT_EQ(received.status, 200) << rest;
+        EXPECT_EQ(received.body, event) << rest;
+        EXPECT_FALSE(received.is_complete) << rest;
+        EXPECT_EQ(run_count(), 1) << rest;
+    }
+    m_engine_1.set_raw_response(begin + "0\r\nName: v\r\n\r\n");
+    EXPECT_TRUE(call("POST", "/plan/raw").is_complete);
+}
+
 // Guards against bytes behind a response that has no body. The caller would take them for the
 // beginning of the next response.
 TEST_F(faulty_answer_test, response_without_a_body_is_followed_by_nothing)
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -129,6 +129,25 @@
                              coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
 }
 
+// Guards against rejecting unusual responses that the protocol allows.
+TEST_F(faulty_entry_answer_test, responses_that_the_protocol_allows_are_forwarded)
+{
+    for (std::string const answer : {"HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nbody",
+                                     "HTTP/1.0 299 Caf\xe9\r\nEmpty:\r\n\r\nbody",
+                                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                     "Chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\nName: v\r\n\r\n",
+                                     "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"
+                                     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"})
+    {
+        set_raw_answer(answer);
+        auto const lookup = call("GET", "stock");
+        EXPECT_EQ(lookup.status / 100, 2) << answer;
+        EXPECT_EQ(lookup.body, "body") << answer;
+        auto const name = "elm-" + std::to_string(++m_order_count);
+        EXPECT_EQ(call("POST", "orders", name, name).body, "body") << answer;
+    }
+}
+
 // Guards against a false "not run": an engine that answers with a success or a redirection may run
 // the generation.
 TEST_F(faulty_entry_answer_test, unexpected_status_is_no_refusal)
