Entry: Log why the answer of an engine was given up

What operators saw: "the engine closed the connection" as the reason of an attempt that ended with a malformed or oversized answer.

Change: the log line and the error message state the client's reason, such as "no response: malformed". Nothing else depends on it.

--- a/services/entry/completion_transport.cpp
+++ b/services/entry/completion_transport.cpp
@@ -169,9 +169,14 @@
 
 attempt_event completion_transport::receive_response_head()
 {
+    std::string failure;
     auto const status =
         base::handle([&]() -> base::result<int> { return m_exchange->receive_status(); },
-                     [](base::error const&) { return 0; });
+                     [&](base::error const& error)
+                     {
+                         failure = error.message;
+                         return 0;
+                     });
     if (status == 200)
     {
         m_reader = std::make_unique<backend::event_stream_reader>(m_exchange->body());
@@ -181,7 +186,7 @@
     if (status == 0)
     {
         m_connection_was_lost = true;
-        return make_failure(attempt_failure::connection_lost, "the engine closed the connection");
+        return make_failure(attempt_failure::connection_lost, std::move(failure));
     }
     bool const is_error = status / 100 == 4 || status / 100 == 5;
     // The engine may run the request.
