--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -1,4 +1,5 @@
 /// Runs a node against servers whose answers are broken, never end, or end within their head.
+#include "tests/support/concatenate.hpp"
 #include "tests/support/node_fixture.hpp"
 
 #include <algorithm>
@@ -339,7 +340,7 @@
     m_store.set_mode(store_mode::unavailable);
     for (std::string const status : {"404", "500", "000"})
     {
-        m_engine_1.set_raw_report("HTTP/1.1 " + status + rest);
+        m_engine_1.set_raw_report(concatenate({"HTTP/1.1 ", status, rest}));
         EXPECT_EQ(call("POST", "/plan/stream-200").status, 200) << status;
         EXPECT_EQ(call("POST", "/plan/stream-1").status, 200) << status;
         EXPECT_EQ(m_node.program().output().find("server_says_leaving"), std::string::npos)
--- a/tests/server_exchange_test.cpp
+++ b/tests/server_exchange_test.cpp
@@ -2,6 +2,7 @@
 #include "backend/http_exchange.hpp"
 #include "http/client_exchange.hpp"
 #include "http/wait_set.hpp"
+#include "tests/support/concatenate.hpp"
 #include "tests/support/connection_server.hpp"
 #include "tests/support/port_reservation.hpp"
 
@@ -190,12 +191,12 @@
     std::string const rest = " Status\r\nContent-Length: 5\r\n\r\nwhole";
     for (std::string const status : {"000", "099", "600", "999"})
     {
-        auto const response = this->call({"HTTP/1.1 " + status + rest});
+        auto const response = this->call({concatenate({"HTTP/1.1 ", status, rest})});
         EXPECT_FALSE(response.is_complete) << status;
         EXPECT_FALSE(response.connection_is_reusable) << status;
     }
     for (std::string const status : {"200", "299", "599"})
-        EXPECT_TRUE(this->call({"HTTP/1.1 " + status + rest}).is_complete) << status;
+        EXPECT_TRUE(this->call({concatenate({"HTTP/1.1 ", status, rest})}).is_complete) << status;
 }
 
 // Guards against delivering a response with a broken line in its head, or a body that such a line
