HTTP: Don't count a body that arrives with its head as unparsed

A read of more than 128 KiB would have ended a sound response as oversized. Both programs read 16 KiB at a time; the reader's other users may read more.

Change: the limit is checked when the body has been parsed. The steps that follow a complete head move to finish_head.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -107,40 +107,20 @@
     while (m_buffer.size() > 0 &&
            (m_state == state::reading_head || m_state == state::reading_body))
     {
+        bool const reading_head = m_state == state::reading_head;
         boost::beast::error_code error;
         auto const consumed = m_parser->put(m_buffer.data(), error);
         std::string_view const parsed(static_cast<char const*>(m_buffer.data().data()), consumed);
-        if (m_state == state::reading_head && has_continued_line(parsed))
+        if (reading_head && has_continued_line(parsed))
         {
             m_state = state::malformed;
             return;
         }
         m_buffer.consume(consumed);
-        if (m_parser->is_header_done() && m_state == state::reading_head)
+        if (reading_head && !error && m_parser->is_header_done())
         {
-            if (!is_expected_status(m_parser->get().result_int()))
-            {
-                m_state = state::malformed;
-                return;
-            }
-            if (m_parser->get().result_int() / 100 == 1 && m_parser->is_done())
-            {
-                if (++m_informational_responses > maximum_informational_responses)
-                {
-                    m_state = state::oversized;
-                    return;
-                }
-                start();
-                continue;
-            }
-            if (!has_supported_codings(m_parser->get()))
-            {
-                m_state = state::malformed;
-                return;
-            }
-            read_head();
-            m_state = state::reading_body;
-            m_parser->eager(true);
+            finish_head();
+            continue;
         }
         if (m_parser->get().body().size() > maximum_untaken_body_bytes ||
             m_buffer.size() > maximum_unparsed_bytes || error == beast_http::error::header_limit)
@@ -162,6 +142,27 @@
     }
 }
 
+void response_reader::finish_head()
+{
+    auto const status = m_parser->get().result_int();
+    if (!is_expected_status(status) || !has_supported_codings(m_parser->get()))
+    {
+        m_state = state::malformed;
+        return;
+    }
+    if (status / 100 == 1 && m_parser->is_done())
+    {
+        if (++m_informational_responses > maximum_informational_responses)
+            m_state = state::oversized;
+        else
+            start();
+        return;
+    }
+    read_head();
+    m_state = m_parser->is_done() ? state::complete : state::reading_body;
+    m_parser->eager(true);
+}
+
 void response_reader::read_head()
 {
     auto const& message = m_parser->get();
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -67,6 +67,9 @@
 
     void start();
     void parse();
+    /// Checks the head that has been parsed, and begins the next response after an informational
+    /// one.
+    void finish_head();
     void read_head();
 
     bool m_expect_body;
--- a/tests/response_validity_test.cpp
+++ b/tests/response_validity_test.cpp
@@ -148,6 +148,15 @@
         }
 }
 
+// Guards against taking the body that arrives with its head for a head without end.
+TEST(response_reader, head_may_arrive_with_a_large_body)
+{
+    std::string const body(std::size_t{512} * 1024, 'b');
+    auto reader = parse_response("HTTP/1.1 200 OK\r\nContent-Length: 524288\r\n\r\n" + body);
+    EXPECT_EQ(reader.current_state(), response_reader::state::complete);
+    EXPECT_TRUE(reader.take_body() == body);
+}
+
 // Guards against a response that looks complete although a line behind its body is broken.
 TEST(response_reader, broken_trailer_makes_a_response_malformed)
 {
