Claims: Don't send a recorded response that has no valid status

Callers saw: "HTTP/1.1 0" as the answer to an order with a key.

Cause: parse_claim took any integer for the status of a recorded response, and 0 if there was none. Whatever it returned was sent: 99, 600 and -1, too, and 2^32 + 200 became 200.

Change: a claim that is done counts as one of unknown outcome if its response has no status from 200 to 599. Callers get outcome_unknown (502), as for such an answer on the wire, and the order isn't sent again. The range is written once, in http/status.hpp.

--- a/libraries/claims/claim.cpp
+++ b/libraries/claims/claim.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/json.hpp"
+#include "http/status.hpp"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
@@ -45,6 +46,19 @@
     return bytes;
 }
 
+base::result<void> read_response(base::json_object const& source, claim_record& record)
+{
+    BOOST_LEAF_AUTO(status, base::read_integer(source, "status"));
+    if (!http::is_final_status(status))
+        return base::fail(base::error_kind::bad_request, "member 'status' is no final status");
+    record.status = static_cast<int>(status);
+    BOOST_LEAF_ASSIGN(record.content_type, base::read_string_or(source, "content_type", ""));
+    BOOST_LEAF_AUTO(body, base::read_string_or(source, "body_base64", ""));
+    record.body = decode_base64(body);
+    BOOST_LEAF_ASSIGN(record.body_omitted, base::read_bool_or(source, "body_omitted", false));
+    return {};
+}
+
 } // namespace
 
 base::result<claim_record> parse_claim(std::string const& text)
@@ -57,12 +71,20 @@
     BOOST_LEAF_ASSIGN(record.node, base::read_string(source, "node"));
     BOOST_LEAF_ASSIGN(record.request_hash, base::read_string(source, "request_hash"));
     BOOST_LEAF_ASSIGN(record.time, base::read_integer(source, "time"));
-    BOOST_LEAF_AUTO(status, base::read_integer_or(source, "status", 0));
-    record.status = static_cast<int>(status);
-    BOOST_LEAF_ASSIGN(record.content_type, base::read_string_or(source, "content_type", ""));
-    BOOST_LEAF_AUTO(body, base::read_string_or(source, "body_base64", ""));
-    record.body = decode_base64(body);
-    BOOST_LEAF_ASSIGN(record.body_omitted, base::read_bool_or(source, "body_omitted", false));
+    if (record.state != claim_state::done)
+        return record;
+    bool const has_response = base::handle(
+        [&]() -> base::result<bool>
+        {
+            BOOST_LEAF_CHECK(read_response(source, record));
+            return true;
+        },
+        [](base::error const&) { return false; });
+    if (!has_response)
+    {
+        record.state = claim_state::unknown;
+        record.response_is_invalid = true;
+    }
     return record;
 }
 
--- a/libraries/claims/claim.hpp
+++ b/libraries/claims/claim.hpp
@@ -40,14 +40,19 @@
     std::string request_hash;
     /// When the claim entered its state, seconds since the Unix epoch.
     std::int64_t time = 0;
+    /// Status of the service's response, from 200 to 599 if the state is `done`.
     int status = 0;
     std::string content_type;
     std::string body;
     /// True if the body was larger than `maximum_recorded_body_bytes`.
     bool body_omitted = false;
+    /// True if the state is `unknown` because the recorded response is one that no service can have
+    /// sent.
+    bool response_is_invalid = false;
 };
 
-/// Fails with bad_request if the value is malformed.
+/// Fails with bad_request if the value is malformed. A claim that is done counts as `unknown` if
+/// its recorded response is invalid.
 base::result<claim_record> parse_claim(std::string const& text);
 std::string write_claim(claim_record const& record);
 
--- a/libraries/claims/claimant.hpp
+++ b/libraries/claims/claimant.hpp
@@ -233,7 +233,8 @@
                 record->status, record->content_type, record->body, record->body_omitted, true}}};
         case claim_state::unknown:
             return end_with_error(base::error_kind::outcome_unknown,
-                                  "whether the call ran is unknown");
+                                  record->response_is_invalid ? "the recorded response is invalid"
+                                                              : "whether the call ran is unknown");
         case claim_state::not_run:
             return write_at_version{stored.version};
         case claim_state::claimed:
--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -1,5 +1,7 @@
 #include "http/response_reader.hpp"
 
+#include "http/status.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -22,11 +24,12 @@
 // As Beast states versions.
 constexpr unsigned http_1_1 = 11;
 
-/// Beast accepts any three digits. RFC 9110, section 15: "All valid status codes are within the
-/// range of 100 to 599, inclusive." No request asks for another protocol.
+/// Beast accepts any three digits. No request asks for another protocol.
 constexpr bool is_expected_status(unsigned status) noexcept
 {
-    return status >= 100 && status <= 599 && status != switching_protocols_status;
+    bool const is_informational =
+        status >= 100 && status < 200 && status != switching_protocols_status;
+    return is_informational || is_final_status(status);
 }
 
 /// Beast joins a line that begins with a blank to the one before, with the field or the framing
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -1,5 +1,6 @@
 /// Runs an entry process against a plain service and an engine whose answers are broken.
 #include "base/json.hpp"
+#include "claims/claim.hpp"
 #include "tests/support/deployment.hpp"
 #include "tests/support/stream_client.hpp"
 
@@ -100,6 +101,40 @@
         EXPECT_EQ(complete().status, 200);
     }
 
+    /// Places an order and replaces `text` in its record in the store.
+    void change_recorded_response(std::string const& key, std::string const& text,
+                                  std::string const& replacement)
+    {
+        EXPECT_EQ(call("POST", "orders", key, key).status, 200);
+        auto const name = claims::claim_name("demo", "shop", key);
+        auto const stored =
+            m_deployment.call(platform_port, "GET", "/objects/" + claims::claim_kind + "/" + name);
+        auto record = base::handle(
+            [&]() -> base::result<std::string>
+            {
+                BOOST_LEAF_AUTO(document, base::parse_json_object(stored.body));
+                BOOST_LEAF_AUTO(value, base::read_object(document, "value"));
+                return base::write_json(value);
+            },
+            [](base::error const& failure) { return failure.message; });
+        auto const start = record.find(text);
+        ASSERT_NE(start, std::string::npos) << record;
+        m_deployment.put(claims::claim_kind, name, record.replace(start, text.size(), replacement));
+    }
+
+    /// Checks that the caller of an order whose record was changed gets no recorded response, and
+    /// that the order doesn't run again.
+    void expect_outcome_unknown(std::string const& key)
+    {
+        for (int i = 0; i < 2; ++i)
+        {
+            auto const repeated = call("POST", "orders", key, key);
+            EXPECT_EQ(repeated.status, 502) << key;
+            EXPECT_TRUE(has_error(repeated, "outcome_unknown")) << repeated.body;
+        }
+        EXPECT_EQ(execution_count("/orders|" + key), 1) << key;
+    }
+
     deployment m_deployment{"127.0.23.1"};
     int m_order_count = 0;
 };
@@ -111,6 +146,24 @@
         expect_not_forwarded("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+// Guards against sending a recorded response again that has no valid status. Versions that
+// forwarded such responses recorded them with status 0, and records are kept for a day.
+TEST_F(faulty_entry_answer_test, recorded_response_without_a_valid_status_is_not_sent)
+{
+    std::string const member = R"("status":)";
+    // The last number is 2^32 + 200.
+    for (std::string const& replacement :
+         {member + "0", member + "99", member + "600", member + "null", member + "4294967496",
+          std::string(R"("other":200)")})
+    {
+        auto const key = "ash-" + std::to_string(++m_order_count);
+        change_recorded_response(key, member + "200", replacement);
+        expect_outcome_unknown(key);
+    }
+    change_recorded_response("ash-sound", member + "200", member + "299");
+    EXPECT_EQ(call("POST", "orders", "ash-sound", "ash-sound").status, 299);
+}
+
 // Guards against forwarding or recording a response with a broken line in its head, or a body that
 // such a line frames otherwise.
 TEST_F(faulty_entry_answer_test, broken_field_line_is_not_forwarded)
