Claims: Don't send a recorded response without its body

What callers could see: after a record was damaged or written by something else, a success with an empty body for the service's response, or a head that ends where the record's content type holds a line end, so that the rest of it is taken for the next response. It was found by a test, not reported.

Cause: parse_claim took a missing body for an empty one, ignored that the decoder stops at the first invalid character, and took any text for a content type.

Evidence: faulty_entry_answer_test: unreadable_recorded_response_is_not_sent failed before for a body with an invalid character, a missing body and a content type with line ends (the caller read "HTTP/1.1 200" and an empty body). claim_record_test failed before for the same and for other such members.

Change: such a response is invalid, like one without a valid status.

--- a/libraries/claims/claim.cpp
+++ b/libraries/claims/claim.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/StreamCopier.h>
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -46,6 +47,12 @@
     return bytes;
 }
 
+/// A control character in a header field could end the head of the response that is sent.
+bool is_control_character(char character) noexcept
+{
+    return (character >= '\0' && character < ' ' && character != '\t') || character == '\x7f';
+}
+
 base::result<void> read_response(base::json_object const& source, claim_record& record)
 {
     BOOST_LEAF_AUTO(status, base::read_integer(source, "status"));
@@ -53,9 +60,17 @@
         return base::fail(base::error_kind::bad_request, "member 'status' is no final status");
     record.status = static_cast<int>(status);
     BOOST_LEAF_ASSIGN(record.content_type, base::read_string_or(source, "content_type", ""));
-    BOOST_LEAF_AUTO(body, base::read_string_or(source, "body_base64", ""));
-    record.body = decode_base64(body);
+    if (std::any_of(record.content_type.begin(), record.content_type.end(), is_control_character))
+        return base::fail(base::error_kind::bad_request,
+                          "member 'content_type' has a control character");
     BOOST_LEAF_ASSIGN(record.body_omitted, base::read_bool_or(source, "body_omitted", false));
+    if (record.body_omitted)
+        return {};
+    BOOST_LEAF_AUTO(body, base::read_string(source, "body_base64"));
+    record.body = decode_base64(body);
+    // The decoder stops at the first invalid character.
+    if (encode_base64(record.body) != body)
+        return base::fail(base::error_kind::bad_request, "member 'body_base64' is not encoded");
     return {};
 }
 
--- a/tests/claim_record_test.cpp
+++ b/tests/claim_record_test.cpp
@@ -70,6 +70,52 @@
     }
 }
 
+// Guards against sending a shortened body, or a header field that ends the head, for the service's
+// response.
+TEST(claim_record, response_without_a_readable_body_or_content_type_is_not_given_back)
+{
+    std::string const status = R"("status":200,)";
+    std::string const type = R"("content_type":"text/plain")";
+    for (std::string const body :
+         {R"("body_base64":"Ym9keQ")", R"("body_base64":"Ym9k%Q==")", R"("body_base64":"%%%%")",
+          R"("body_base64":"Ym9keQ==Ym9keQ==")", R"("body_base64":7)", R"("body_base64":null)",
+          R"("body_omitted":false)", R"("body_omitted":"yes")"})
+        expect_invalid_response(concatenate({status, type, ",", body}));
+    expect_invalid_response(status + type);
+    std::string const body = R"("body_base64":"Ym9keQ==")";
+    for (std::string const value :
+         {R"("a\r\nName: v")", R"("a\n")", R"("a\u0000")", R"("a\u007f")", "7"})
+        expect_invalid_response(concatenate({status, R"("content_type":)", value, ",", body}));
+    for (std::string const& response :
+         {type + "," + body, R"("content_type":"text/plain; a=\"\u00e9\t\"",)" + body,
+          R"("content_type":"",)" + body, type + R"(,"body_base64":"")",
+          type + R"(,"body_omitted":true)"})
+    {
+        auto const record = read_claim_with("done", status + response);
+        ASSERT_TRUE(record);
+        EXPECT_EQ(record->state, claim_state::done) << response;
+        EXPECT_EQ(record->body_omitted, response.ends_with("true")) << response;
+    }
+}
+
+// Guards against losing bytes of a response between recording it and giving it back.
+TEST(claim_record, recorded_response_is_given_back_unchanged)
+{
+    claim_record written;
+    written.state = claim_state::done;
+    written.status = 200;
+    written.content_type = "application/octet-stream";
+    for (std::size_t length = 0; length < 600; length += 7)
+    {
+        auto const read = read_claim(write_claim(written));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->state, claim_state::done) << length;
+        EXPECT_TRUE(read->body == written.body) << length;
+        for (int i = 0; i < 7; ++i)
+            written.body.push_back(static_cast<char>(written.body.size() * 37));
+    }
+}
+
 // Guards against rejecting claims that have no response yet, or none at all.
 TEST(claim_record, other_states_need_no_response)
 {
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -164,6 +164,27 @@
     EXPECT_EQ(call("POST", "orders", "ash-sound", "ash-sound").status, 299);
 }
 
+// Guards against sending a recorded response again without the service's body, or with a header
+// field that ends the head.
+TEST_F(faulty_entry_answer_test, unreadable_recorded_response_is_not_sent)
+{
+    struct change
+    {
+        std::string text;
+        std::string replacement;
+    };
+    for (auto const& [text, replacement] :
+         {change{R"("body_base64":")", R"("body_base64":"%)"},
+          change{R"("body_base64")", R"("other")"},
+          change{R"("application/json")",
+                 R"("text/plain\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 Status")"}})
+    {
+        auto const key = "fir-" + std::to_string(++m_order_count);
+        change_recorded_response(key, text, replacement);
+        expect_outcome_unknown(key);
+    }
+}
+
 // Guards against forwarding or recording a response with a broken line in its head, or a body that
 // such a line frames otherwise.
 TEST_F(faulty_entry_answer_test, broken_field_line_is_not_forwarded)
