Node: Don't forward a response that begins within a stream

Callers saw: "HTTP/1.1 000 Status" and the fields behind it as an event of their stream, where a server in trouble had broken off its answer and begun another one. If the server had sent "id: 2" of an event before, the caller got an event 2 without data, and a stream that was resumed went on with event 3 and looked complete.

Cause: a stream without a length, or one that is shorter than its length, goes on with whatever the server sends next. The splitter took any line for a field, and fields with unknown names are forwarded.

Change: a status line in the name of a field ends the stream as broken. It is resumed behind the last whole event if that is allowed, and ends visibly cut otherwise. The log says reason=interrupted. A status line in the value of a field, in a comment or in the body of a plain response is forwarded as before: nothing shows that the server didn't mean it.

--- a/libraries/serving/event_stream_splitter.cpp
+++ b/libraries/serving/event_stream_splitter.cpp
@@ -1,5 +1,6 @@
 #include "serving/event_stream_splitter.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace jasminepier::serving
@@ -7,6 +8,8 @@
 namespace
 {
 
+constexpr std::string_view http_version_prefix = "HTTP/1.";
+
 /// Removes the first line and its end, which is LF, CRLF or CR, from `text`. Returns the line
 /// without its end, or nullopt if no line is complete.
 std::optional<std::string_view> take_line(std::string_view& text)
@@ -56,12 +59,42 @@
     return is_field(text);
 }
 
+bool is_digit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
+/// Returns true if the name of the line's field holds the status line of a response. What precedes
+/// it may be the beginning of a line that the server has not ended.
+bool has_status_line(std::string_view line)
+{
+    constexpr std::size_t version_and_status_size = 5;
+    auto const name = line.substr(0, line.find(':'));
+    auto const start = name.find(http_version_prefix);
+    if (start == std::string_view::npos)
+        return false;
+    auto const rest = name.substr(start + http_version_prefix.size());
+    return rest.size() >= version_and_status_size && is_digit(rest[0]) && rest[1] == ' ' &&
+           std::all_of(rest.begin() + 2, rest.begin() + version_and_status_size, is_digit) &&
+           (rest.size() == version_and_status_size || rest[version_and_status_size] == ' ');
+}
+
+bool begins_response(std::string_view event)
+{
+    if (event.find(http_version_prefix) == std::string_view::npos)
+        return false;
+    while (auto const line = take_line(event))
+        if (has_status_line(*line))
+            return true;
+    return false;
+}
+
 } // namespace
 
 std::vector<server_sent_event> event_stream_splitter::feed(std::string_view bytes)
 {
     std::vector<server_sent_event> events;
-    if (oversized())
+    if (oversized() || m_interrupted)
         return events;
     m_pending.append(bytes);
     std::string_view remaining = m_pending;
@@ -71,6 +104,9 @@
         if (end == std::string_view::npos)
             break;
         auto const event = remaining.substr(0, end);
+        m_interrupted = begins_response(event);
+        if (m_interrupted)
+            break;
         events.push_back({std::string(event), parse_event_id(event), has_field(event)});
         remaining.remove_prefix(end);
     }
--- a/libraries/serving/event_stream_splitter.hpp
+++ b/libraries/serving/event_stream_splitter.hpp
@@ -29,10 +29,15 @@
     /// Bounds the memory that a server can occupy with an event without end.
     static constexpr std::size_t maximum_event_bytes = std::size_t{256} * 1024;
 
-    /// Adds received bytes and returns the events that they complete.
+    /// Adds received bytes and returns the events that they complete, up to an event that holds the
+    /// beginning of another response.
     std::vector<server_sent_event> feed(std::string_view bytes);
     /// True if an event exceeds `maximum_event_bytes`. The splitter then returns no further events.
     bool oversized() const noexcept { return m_pending.size() > maximum_event_bytes; }
+    /// True if the server has begun another response instead of going on with the stream: a line
+    /// has the status line of a response where its field name is due. The splitter then returns no
+    /// further events.
+    bool interrupted() const noexcept { return m_interrupted; }
     /// True if the received bytes end inside an event. Comment lines are not part of an event
     /// unless fields follow them.
     bool has_partial_event() const;
@@ -41,6 +46,7 @@
 
 private:
     std::string m_pending;
+    bool m_interrupted = false;
 };
 
 /// Returns nullopt if `id` isn't an integer.
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -226,7 +226,7 @@
             m_error_body += bytes;
         else if (!bytes.empty() && !forward_events(bytes))
             return stream_outcome::caller_left;
-        if (m_event_splitter.oversized() ||
+        if (m_event_splitter.oversized() || m_event_splitter.interrupted() ||
             m_error_body.size() > http::response_reader::maximum_untaken_body_bytes)
             return stream_outcome::broken;
     }
@@ -362,6 +362,7 @@
         .field("request_id", m_context.metadata.request_id)
         .field("server", m_attempt->server().id)
         .field("reason", outcome == stream_outcome::not_run          ? "not_run"
+                         : m_event_splitter.interrupted()            ? "interrupted"
                          : outcome == stream_outcome::broken         ? "broken"
                          : outcome == stream_outcome::error_response ? "server_error"
                                                                      : "out_of_time")
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -245,6 +245,37 @@
     EXPECT_TRUE(call("POST", "/plan/raw").is_complete);
 }
 
+// Guards against forwarding another response for an event of the stream that it interrupts, and
+// against taking the event that the server had begun for a whole one.
+TEST_F(faulty_answer_test, response_within_a_stream_is_not_forwarded)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    auto const event = make_events(1, 1);
+    auto const response = make_raw_response("HTTP/1.1 000 Status");
+    for (std::string const framing : {"", "Content-Length: 1000\r\n"})
+        for (std::string const partial_event : {"", "id: 2\n", "id: 2\nda"})
+        {
+            SCOPED_TRACE(framing + partial_event);
+            for (auto* engine : {&m_engine_1, &m_engine_2})
+                engine->set_raw_response(concatenate(
+                    {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed\r\n",
+                     "Content-Type: text/event-stream\r\n", framing, "\r\n", event, partial_event,
+                     response}));
+            auto const cut = call("POST", "/plan/raw");
+            EXPECT_EQ(cut.status, 200);
+            EXPECT_EQ(cut.body, event);
+            EXPECT_FALSE(cut.is_complete);
+            EXPECT_EQ(run_count(), 1);
+            auto const resumed = call("POST", "/question/raw-3");
+            EXPECT_EQ(resumed.status, 200);
+            EXPECT_EQ(resumed.body, make_events(1, 3));
+            EXPECT_TRUE(resumed.is_complete);
+        }
+    EXPECT_NE(m_node.program().output().find("reason=interrupted"), std::string::npos);
+    expect_sound_requests_served();
+}
+
 // Guards against bytes behind a response that has no body. The caller would take them for the
 // beginning of the next response.
 TEST_F(faulty_answer_test, response_without_a_body_is_followed_by_nothing)
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -344,6 +344,35 @@
     }
 }
 
+// Guards against forwarding another response for an event of the stream that it interrupts, and
+// against taking a half event that it completes for a whole one.
+TEST(event_stream_splitter, status_line_in_place_of_a_field_interrupts_the_stream)
+{
+    std::string const event = "id: 1\ndata: a\n\n";
+    std::string const fields = "\r\nName: v\r\n\r\n";
+    for (auto const& rest :
+         {"HTTP/1.1 000 Status" + fields, "HTTP/1.1 200 OK" + fields, "HTTP/1.0 500" + fields,
+          "HTTP/1.1 500 Error: full" + fields, "id: 2\nHTTP/1.1 000 Status" + fields,
+          "id: 2\nHTTP/1.1 000 Status" + fields, "id: 2\ndaHTTP/1.1 000 Status" + fields,
+          ": c\n\nHTTP/1.1 000 " + fields})
+        for (std::size_t const block_size : {1U, 7U, 1000U})
+        {
+            serving::event_stream_splitter splitter;
+            auto const events = split_events(splitter, event + rest + event, block_size);
+            EXPECT_EQ(events, rest.starts_with(':') ? event + ": c\n\n" : event) << rest;
+            EXPECT_TRUE(splitter.interrupted()) << rest;
+        }
+    for (std::string const rest :
+         {"data: HTTP/1.1 000 Status\n\n", "data:HTTP/1.1 200 OK\n\n", ": HTTP/1.1 000 Status\n\n",
+          "HTTP/1.1\n\n", "HTTP/1.1 00 a\n\n", "HTTP/1.1 0000\n\n", "HTTP/1.x 000 a\n\n",
+          "name HTTP\nname\n\n", "id: HTTP/1.1 200 OK\n\n"})
+    {
+        serving::event_stream_splitter splitter;
+        EXPECT_EQ(split_events(splitter, event + rest + event, 1000), event + rest + event) << rest;
+        EXPECT_FALSE(splitter.interrupted()) << rest;
+    }
+}
+
 // Guards against taking comments and blank lines, which keep a connection open, for events.
 TEST(event_stream_splitter, events_have_fields_and_comments_have_none)
 {
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -210,7 +210,10 @@
         return send(socket, 200, fields, "response to " + id);
     if (action == "error")
         return send(socket, 500, fields, "failed");
-    if (action == "raw")
+    bool const resumed = request.headers.find("Last-Event-Id").has_value();
+    if (action.starts_with("raw-") && resumed)
+        return stream(socket, request, std::stoi(action.substr(4)), true), true;
+    if (action == "raw" || action.starts_with("raw-"))
         return send_all(socket, make_raw_response(id)), true;
     if (action == "shed")
     {
@@ -268,7 +271,6 @@
                false;
     if (action.starts_with("partial-"))
         return serve_partial_stream(socket, request, action), false;
-    bool const resumed = request.headers.find("Last-Event-Id").has_value();
     if (action.starts_with("stalled-") && resumed)
         return stream(socket, request, std::stoi(action.substr(8)), true), true;
     if (action.starts_with("stalled-"))
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -33,7 +33,8 @@
 /// connection and refuses connections for 400 ms, like a process that crashes), `losing-N-ACTION`
 /// (the same without a crash for the first N requests on the path; responds to later ones, with two
 /// events on `/plan/` and
-/// `/question/`), `raw` (sends the bytes of `set_raw_response` and keeps the connection open).
+/// `/question/`), `raw` (sends the bytes of `set_raw_response` and keeps the connection open),
+/// `raw-N` (the same; a resumed stream continues to N events).
 class fake_server
 {
 public:
