--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -48,11 +48,13 @@
 
     /// Checks that no caller gets the response, that it isn't taken for a refusal and that its
     /// connection isn't used again.
-    void expect_not_forwarded(std::string const& response)
+    void
+    expect_not_forwarded(std::string const& response,
+                         fake_server::raw_delivery delivery = fake_server::raw_delivery::at_once)
     {
         SCOPED_TRACE(response);
         for (auto* server : servers())
-            server->set_raw_response(response);
+            server->set_raw_response(response, delivery);
         for (std::string const route : {"/check/", "/order/", "/plan/", "/question/"})
         {
             auto const received = call("POST", route + "raw");
@@ -147,6 +149,102 @@
         expect_not_forwarded(make_raw_response("HTTP/1.1 " + status + " Status"));
 }
 
+// Guards against forwarding status 000 in another form than that of a whole response with a length.
+TEST_F(faulty_answer_test, status_000_is_not_forwarded_in_any_form)
+{
+    using enum fake_server::raw_delivery;
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    std::string const fields = "Attempt-Id: {id}\r\nServer-Signature: signed\r\n";
+    auto const body = make_events(1, 2);
+    auto const length = concatenate({"Content-Length: ", std::to_string(body.size()), "\r\n"});
+    auto const chunks = concatenate({"\r\n26\r\n", body, "\r\n0\r\n\r\n"});
+    ASSERT_EQ(body.size(), 0x26U);
+    for (std::string const status_line :
+         {"HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/1.1 000 ", "HTTP/1.1 000", "HTTP/1.1 00 OK",
+          "HTTP/1.1 0000 OK", "HTTP/1.1  000 OK", "HTTP/1.1 +00 OK", "HTTP/1.1  OK",
+          "HTTP/2 000 OK", "HTTP/0.9 000 OK", "000 OK", "Status: 000"})
+        expect_not_forwarded(concatenate({status_line, "\r\n", fields, length, "\r\n", body}));
+    auto const begin = "HTTP/1.1 000 OK\r\n" + fields;
+    std::string const interim = "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n";
+    std::string const type = "Content-Type: text/event-stream\r\n";
+    for (std::string const& response :
+         {concatenate({begin, type, length, "\r\n", body}),
+          concatenate({begin, type, "Transfer-Encoding: chunked\r\n", chunks}),
+          concatenate({begin, type, "\r\n", body}),
+          concatenate({begin, "Content-Length: 0\r\n\r\n"}),
+          concatenate(
+              {begin, "Connection: keep-alive\r\nKeep-Alive: timeout=5\r\n", length, "\r\n", body}),
+          concatenate({begin, "Connection: close\r\n", length, "\r\n", body}),
+          concatenate({begin, "Content-Length: 1000\r\n\r\n", body}),
+          concatenate({begin, "Not-Executed: 1\r\n", length, "\r\n", body}),
+          concatenate({"HTTP/1.1 000 OK\r\n", length, "\r\n", body}),
+          concatenate({interim, interim, begin, length, "\r\n", body}),
+          concatenate({"\r\n", begin, length, "\r\n", body}),
+          concatenate({begin, length, "\r\n", body, make_raw_response("HTTP/1.1 200 OK")}),
+          make_raw_response("HTTP/1.1 000 Continue") + make_raw_response("HTTP/1.1 200 OK")})
+        for (auto const delivery : {at_once, byte_by_byte, then_closed, then_reset})
+            expect_not_forwarded(response, delivery);
+}
+
+// Guards against status 000 in the place of a retry or of the rest of a stream.
+TEST_F(faulty_answer_test, status_000_of_a_second_server_is_not_forwarded)
+{
+    using enum fake_server::raw_delivery;
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    auto const event = make_events(1, 1);
+    m_engine_1.set_raw_response(
+        concatenate({"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed\r\n",
+                     "Transfer-Encoding: chunked\r\n\r\n13\r\n", event, "\r\n"}),
+        then_closed);
+    ASSERT_EQ(event.size(), 0x13U);
+    m_engine_2.set_raw_response(make_raw_response("HTTP/1.1 000 OK"));
+    m_shop_1.set_raw_response(make_raw_response("HTTP/1.1 500 Error"));
+    m_shop_2.set_raw_response(make_raw_response("HTTP/1.1 000 OK"));
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const stream = call("POST", "/question/raw");
+        EXPECT_EQ(stream.status, 200);
+        EXPECT_EQ(stream.body, event);
+        EXPECT_FALSE(stream.is_complete);
+        auto const plain = call("POST", "/check/raw");
+        EXPECT_EQ(plain.status, 500);
+        EXPECT_EQ(plain.body, "body");
+    }
+    EXPECT_FALSE(m_engine_2.requests().empty());
+    EXPECT_FALSE(m_shop_2.requests().empty());
+}
+
+// Guards against taking what follows a response for the response to the next request, or for a part
+// of the body.
+TEST_F(faulty_answer_test, status_000_behind_a_response_is_not_forwarded)
+{
+    using enum fake_server::raw_delivery;
+    start_until_ready();
+    std::string const head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed\r\n";
+    auto const body = make_events(1, 2);
+    auto const length = concatenate({"Content-Length: ", std::to_string(body.size()), "\r\n\r\n"});
+    for (auto const& response :
+         {concatenate({head, length, body}),
+          concatenate({head, "Transfer-Encoding: chunked\r\n\r\n26\r\n", body, "\r\n0\r\n\r\n"})})
+        for (auto const delivery : {at_once, byte_by_byte, then_closed, then_reset})
+        {
+            SCOPED_TRACE(response);
+            for (auto* server : servers())
+                server->set_raw_response(response + make_raw_response("HTTP/1.1 000 OK"), delivery);
+            for (std::string const path :
+                 {"/check/raw", "/check/raw", "/order/raw", "/plan/raw", "/question/raw"})
+            {
+                auto const received = call("POST", path);
+                EXPECT_EQ(received.status, 200) << path;
+                EXPECT_EQ(received.body, body) << path;
+                EXPECT_TRUE(received.is_complete) << path;
+            }
+            expect_sound_requests_served();
+        }
+}
+
 // Guards against forwarding a line whose name holds a blank or a control byte, and a body that such
 // a line frames otherwise.
 TEST_F(faulty_answer_test, broken_field_line_is_not_forwarded)
--- a/tests/faulty_entry_answer_test.cpp
+++ b/tests/faulty_entry_answer_test.cpp
@@ -146,6 +146,28 @@
         expect_not_forwarded("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+// Guards against forwarding or recording status 000 in another form than that of a whole response
+// with a length.
+TEST_F(faulty_entry_answer_test, status_000_is_not_forwarded_in_any_form)
+{
+    std::string const begin = "HTTP/1.1 000 Status\r\nContent-Type: text/event-stream\r\n";
+    std::string const interim = "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n";
+    for (std::string const& answer :
+         {begin + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", begin + "\r\nbody",
+          begin + "Content-Length: 0\r\n\r\n", begin + "Content-Length: 9\r\n\r\nbody",
+          interim + begin + "Content-Length: 4\r\n\r\nbody",
+          begin + "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+          "\r\n" + begin + "Content-Length: 4\r\n\r\nbody",
+          std::string("HTTP/1.0 000 Status\r\n\r\nbody"),
+          std::string("HTTP/1.1 000\r\nContent-Length: 0\r\n\r\n"),
+          std::string("HTTP/1.1 00 Status\r\nContent-Length: 0\r\n\r\n"),
+          std::string("HTTP/1.1 0000 Status\r\nContent-Length: 0\r\n\r\n"),
+          std::string("HTTP/1.1  Status\r\nContent-Length: 0\r\n\r\n"),
+          std::string("HTTP/2 000 Status\r\nContent-Length: 0\r\n\r\n"),
+          std::string("Status: 000\r\nContent-Length: 0\r\n\r\n")})
+        expect_not_forwarded(answer);
+}
+
 // Guards against sending a recorded response again that has no valid status. Versions that
 // forwarded such responses recorded them with status 0, and records are kept for a day.
 TEST_F(faulty_entry_answer_test, recorded_response_without_a_valid_status_is_not_sent)
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -81,10 +81,11 @@
     m_extra_fields = std::move(fields);
 }
 
-void fake_server::set_raw_response(std::string response)
+void fake_server::set_raw_response(std::string response, raw_delivery delivery)
 {
     std::lock_guard lock(m_mutex);
     m_raw_response = std::move(response);
+    m_raw_delivery = delivery;
 }
 
 void fake_server::set_raw_report(std::string response)
@@ -104,6 +105,25 @@
     return response;
 }
 
+bool fake_server::send_raw_response(Poco::Net::StreamSocket& socket, std::string const& id)
+{
+    auto const response = make_raw_response(id);
+    std::unique_lock lock(m_mutex);
+    auto const delivery = m_raw_delivery;
+    lock.unlock();
+    if (delivery == raw_delivery::byte_by_byte)
+    {
+        socket.setNoDelay(true);
+        for (char const byte : response)
+            send_all(socket, std::string(1, byte));
+        return true;
+    }
+    send_all(socket, response);
+    if (delivery == raw_delivery::then_reset)
+        reset(socket);
+    return delivery == raw_delivery::at_once;
+}
+
 http::header_list fake_server::make_fields(std::string const& id) const
 {
     std::lock_guard lock(m_mutex);
@@ -214,7 +234,7 @@
     if (action.starts_with("raw-") && resumed)
         return stream(socket, request, std::stoi(action.substr(4)), true), true;
     if (action == "raw" || action.starts_with("raw-"))
-        return send_all(socket, make_raw_response(id)), true;
+        return send_raw_response(socket, id);
     if (action == "shed")
     {
         fields.add("Not-Executed", "1");
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -33,8 +33,8 @@
 /// connection and refuses connections for 400 ms, like a process that crashes), `losing-N-ACTION`
 /// (the same without a crash for the first N requests on the path; responds to later ones, with two
 /// events on `/plan/` and
-/// `/question/`), `raw` (sends the bytes of `set_raw_response` and keeps the connection open),
-/// `raw-N` (the same; a resumed stream continues to N events).
+/// `/question/`), `raw` (sends the bytes of `set_raw_response`, and keeps the connection open
+/// unless told otherwise), `raw-N` (the same; a resumed stream continues to N events).
 class fake_server
 {
 public:
@@ -76,8 +76,18 @@
     void fail_requests() { m_fails = true; }
     /// Makes /report return the state `draining`.
     void start_draining() { m_draining = true; }
+    /// How the bytes of the response to `raw` are sent, and what follows them.
+    enum class raw_delivery
+    {
+        at_once,
+        byte_by_byte,
+        /// At once; the connection is closed afterwards.
+        then_closed,
+        /// At once; the connection is reset afterwards.
+        then_reset,
+    };
     /// Sets the response to `raw`, in which `{id}` stands for the request's id.
-    void set_raw_response(std::string response);
+    void set_raw_response(std::string response, raw_delivery delivery = raw_delivery::at_once);
     /// Makes /report return these bytes.
     void set_raw_report(std::string response);
 
@@ -121,6 +131,8 @@
     void copy_generation(Poco::Net::StreamSocket& socket, http::request const& request);
     /// Returns the response to `raw` for this request.
     std::string make_raw_response(std::string const& id) const;
+    /// Sends the response to `raw`. Returns true if the connection can be reused.
+    bool send_raw_response(Poco::Net::StreamSocket& socket, std::string const& id);
     /// Returns the fields of a response of this server, with its signature.
     http::header_list make_fields(std::string const& id) const;
     bool send(Poco::Net::StreamSocket& socket, int status, http::header_list fields,
@@ -131,6 +143,7 @@
     std::vector<received_request> m_requests;
     http::header_list m_extra_fields;
     std::string m_raw_response;
+    raw_delivery m_raw_delivery = raw_delivery::at_once;
     std::string m_raw_report;
     std::map<std::string, int> m_execution_counts;
     /// Requests on each path whose answers have been lost.
