HTTP: Take a length that no memory holds for an oversized response

Callers saw: 500, "internal", where a server in trouble stated a length such as 10^18. A lookup got it, too, although another server could have served it, and the failure didn't count against the server.

Cause: the parser reserves memory for a body of the stated length. The exception left the reader, and ended the request as an error of the node's own.

Change: the reader ends such a response as oversized, like others that exceed what it holds: 502, or another server's answer where a repeat is allowed.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <limits>
+#include <new>
 
 namespace jasminepier::http
 {
@@ -112,7 +113,17 @@
     {
         bool const reading_head = m_state == state::reading_head;
         boost::beast::error_code error;
-        auto const consumed = m_parser->put(m_buffer.data(), error);
+        std::size_t consumed = 0;
+        try
+        {
+            consumed = m_parser->put(m_buffer.data(), error);
+        }
+        // Beast reserves memory for a body of the stated length.
+        catch (std::bad_alloc const&)
+        {
+            m_state = state::oversized;
+            return;
+        }
         std::string_view const parsed(static_cast<char const*>(m_buffer.data().data()), consumed);
         if (reading_head && has_continued_line(parsed))
         {
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -26,7 +26,8 @@
         /// The bytes are not a valid HTTP response. Its status is outside 100 to 599, for example.
         malformed,
         /// A head, a chunk header or a trailer exceeds its limit, the response follows too many
-        /// informational ones, or more body bytes than allowed wait for `take_body`.
+        /// informational ones, no memory is left for the stated length, or more body bytes than
+        /// allowed wait for `take_body`.
         oversized,
     };
 
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -265,6 +265,15 @@
         expect_not_forwarded(make_raw_response("HTTP/1.1 200 OK", "Transfer-Encoding: " + coding));
 }
 
+// Guards against an error of this node's own, after which no other server is tried.
+TEST_F(faulty_answer_test, length_that_no_memory_holds_is_a_failure_of_the_server)
+{
+    m_store.put("servers", m_engine_2.id(), make_server_entry("engines", m_engine_2.address()));
+    start_until_ready();
+    expect_not_forwarded("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed\r\n"
+                         "Content-Length: 1000000000000000000\r\n\r\nbody");
+}
+
 // Guards against taking bytes of another protocol, or a broken head, for the beginning of a
 // response.
 TEST_F(faulty_answer_test, broken_head_before_the_response_is_not_skipped)
--- a/tests/response_validity_test.cpp
+++ b/tests/response_validity_test.cpp
@@ -157,6 +157,22 @@
     EXPECT_TRUE(reader.take_body() == body);
 }
 
+// Guards against an exception that ends the request although another server could serve it.
+TEST(response_reader, length_without_memory_is_oversized)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    for (std::string const length : {"1000000000000000000", "9000000000000000000"})
+        EXPECT_EQ(read_state(concatenate({head, length, "\r\n\r\nab"})),
+                  response_reader::state::oversized)
+            << length;
+    for (std::string const length : {"18446744073709551615", "18446744073709551616"})
+        EXPECT_EQ(read_state(concatenate({head, length, "\r\n\r\nab"})),
+                  response_reader::state::malformed)
+            << length;
+    EXPECT_EQ(read_state(head + "1000000000000000000\r\n\r\n", false),
+              response_reader::state::complete);
+}
+
 // Guards against a response that looks complete although a line behind its body is broken.
 TEST(response_reader, broken_trailer_makes_a_response_malformed)
 {
