Claims: Compare bytes of a content type without their sign

Nobody saw it: would not build where char is unsigned, as on arm64, since the comparison with 0 is always true there.

--- a/libraries/claims/claim.cpp
+++ b/libraries/claims/claim.cpp
@@ -50,7 +50,9 @@
 /// A control character in a header field could end the head of the response that is sent.
 bool is_control_character(char character) noexcept
 {
-    return (character >= '\0' && character < ' ' && character != '\t') || character == '\x7f';
+    // Bytes above 0x7f are allowed, and negative where `char` is signed.
+    auto const byte = static_cast<unsigned char>(character);
+    return (byte < ' ' && byte != '\t') || byte == '\x7f';
 }
 
 base::result<void> read_response(base::json_object const& source, claim_record& record)
