--- a/tests/claim_record_test.cpp
+++ b/tests/claim_record_test.cpp
@@ -87,7 +87,7 @@
          {R"("a\r\nName: v")", R"("a\n")", R"("a\u0000")", R"("a\u007f")", "7"})
         expect_invalid_response(concatenate({status, R"("content_type":)", value, ",", body}));
     for (std::string const& response :
-         {type + "," + body, R"("content_type":"text/plain; a=\"\u00e9\t\"",)" + body,
+         {concatenate({type, ",", body}), R"("content_type":"text/plain; a=\"\u00e9\t\"",)" + body,
           R"("content_type":"",)" + body, type + R"(,"body_base64":"")",
           type + R"(,"body_omitted":true)"})
     {
--- a/tests/http_messages_test.cpp
+++ b/tests/http_messages_test.cpp
@@ -5,6 +5,7 @@
 #include "http/response_reader.hpp"
 #include "http/status.hpp"
 #include "serving/event_stream_splitter.hpp"
+#include "tests/support/concatenate.hpp"
 
 #include <gtest/gtest.h>
 
@@ -358,7 +359,8 @@
         for (std::size_t const block_size : {1U, 7U, 1000U})
         {
             serving::event_stream_splitter splitter;
-            auto const events = split_events(splitter, event + rest + event, block_size);
+            auto const events =
+                split_events(splitter, tests::concatenate({event, rest, event}), block_size);
             EXPECT_EQ(events, rest.starts_with(':') ? event + ": c\n\n" : event) << rest;
             EXPECT_TRUE(splitter.interrupted()) << rest;
         }
@@ -368,7 +370,8 @@
           "name HTTP\nname\n\n", "id: HTTP/1.1 200 OK\n\n"})
     {
         serving::event_stream_splitter splitter;
-        EXPECT_EQ(split_events(splitter, event + rest + event, 1000), event + rest + event) << rest;
+        auto const stream = tests::concatenate({event, rest, event});
+        EXPECT_EQ(split_events(splitter, stream, 1000), stream) << rest;
         EXPECT_FALSE(splitter.interrupted()) << rest;
     }
 }
