Node: Log why a pull was made, what it received and how long it took

A node that stays behind writes peer_pull_failed with the peer's name alone. Both lines about pulls now name the reason, the revision, the bytes received and the time.

--- a/libraries/inner_protocol/call_socket.cpp
+++ b/libraries/inner_protocol/call_socket.cpp
@@ -16,7 +16,9 @@
         throw TTransportException(TTransportException::TIMED_OUT, "the response is not complete");
     setRecvTimeout(static_cast<int>(
         std::min<std::int64_t>(remaining.count(), std::numeric_limits<int>::max())));
-    return TSocket::read(buffer, length);
+    auto const received = TSocket::read(buffer, length);
+    m_received_bytes += received;
+    return received;
 }
 
 } // namespace jasminepier::inner_protocol
--- a/libraries/inner_protocol/rpc.hpp
+++ b/libraries/inner_protocol/rpc.hpp
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Bytes received on the latest connection, also by calls that failed.
+    std::uint64_t received_bytes() const noexcept
+    {
+        return m_socket ? m_socket->received_bytes() : 0;
+    }
+
 private:
     void connect()
     {
--- a/libraries/serving/object_catch_up.cpp
+++ b/libraries/serving/object_catch_up.cpp
@@ -21,6 +21,24 @@
 
 } // namespace
 
+std::string_view to_string(pull_reason reason) noexcept
+{
+    switch (reason)
+    {
+    case pull_reason::configuration:
+        return "configuration";
+    case pull_reason::evacuations:
+        return "evacuations";
+    case pull_reason::servers:
+        return "servers";
+    case pull_reason::store_unreachable:
+        return "store_unreachable";
+    case pull_reason::other_objects:
+        return "other_objects";
+    }
+    return "unknown";
+}
+
 void describe_objects(object_kinds const& kinds, configuration::versioned_store const& objects,
                       node_state_report& report)
 {
--- a/libraries/serving/object_catch_up.hpp
+++ b/libraries/serving/object_catch_up.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jasminepier::serving
@@ -50,6 +51,8 @@
     other_objects,
 };
 
+std::string_view to_string(pull_reason reason) noexcept;
+
 /// A pull of the objects that are newer than `since`.
 struct object_pull
 {
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -89,6 +89,7 @@
 
 bool peer_object_sync::pull_objects(serving::object_pull const& pull)
 {
+    auto const start = base::steady_clock_source{}.now();
     inner_protocol::rpc_client<inner_protocol::node_peerClient> client(
         pull.peer.peer_host, pull.peer.peer_port, pull_timeout);
     auto const pulled = client.call(
@@ -98,10 +99,17 @@
             peer.pull_objects(page, pull.since);
             return page;
         });
+    auto const elapsed =
+        std::chrono::duration_cast<base::milliseconds>(base::steady_clock_source{}.now() - start);
     if (!pulled)
     {
         observe_event("peer_pull", "failed");
-        base::log_line(base::log_level::info, "peer_pull_failed").field("peer", pull.peer.name);
+        base::log_line(base::log_level::info, "peer_pull_failed")
+            .field("peer", pull.peer.name)
+            .field("reason", serving::to_string(pull.reason))
+            .field("since", store::format_version(pull.since))
+            .field("received_bytes", client.received_bytes())
+            .field("elapsed_ms", elapsed.count());
         return false;
     }
     auto const objects = inner_protocol::from_thrift(pulled->objects);
@@ -110,8 +118,11 @@
     base::log_line(base::log_level::info, "objects_pulled")
         .field("peer", pull.peer.name)
         .field("objects", objects.size())
+        .field("reason", serving::to_string(pull.reason))
         .field("since", store::format_version(pull.since))
-        .field("revision", store::format_version(pulled->revision));
+        .field("revision", store::format_version(pulled->revision))
+        .field("received_bytes", client.received_bytes())
+        .field("elapsed_ms", elapsed.count());
     auto kinds = watched_kinds();
     // Before the servers, so that a new version does not start without its order.
     if (m_state.settings()->rollouts)
