Tests: Show that a large configuration arrives late on slow links

The virtual network moved the bytes of pulls without a limit, so the tests of the spread saw neither the size of a configuration nor the nodes that share a link. Links can be limited now, and pulls end at the program's time limit.

--- a/tests/support/virtual_serving_fleet.cpp
+++ b/tests/support/virtual_serving_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds cancellation_check_interval{400};
 constexpr milliseconds maximum_backoff{800};
 constexpr std::size_t objects_per_datagram = 2;
+// Size of an object that is no configuration.
+constexpr std::int64_t small_object_bytes = 300;
 
 /// Turns a report into what a node of the earlier version writes or reads.
 void use_one_revision(serving::node_state_report& state)
@@ -162,6 +164,7 @@
     {
         m_now += step_length;
         deliver_datagrams();
+        move_bytes();
         for (int i = 0; i < size(); ++i)
         {
             if (!m_nodes[index(i)].runs())
@@ -302,7 +305,8 @@
     int const peer = number_of(pull.peer.name);
     auto const& source = m_nodes[index(peer)];
     running_pull started{
-        pull, m_now + random_time(20, static_cast<int>(m_slowest_pull.count())), true, {}};
+        pull, m_now, m_now + random_time(20, static_cast<int>(m_slowest_pull.count())),
+        true, 0,     {}};
     if (source.killed)
         started.succeeds = false;
     else if (source.frozen || is_blocked(number, peer))
@@ -311,18 +315,89 @@
         started.end = m_now + pull_timeout;
     }
     else
+    {
         started.objects = source.objects.objects_newer_than(pull.since);
+        started.remaining_bytes = static_cast<double>(size_of(started.objects));
+    }
     local.pull = std::move(started);
 }
 
+std::int64_t virtual_serving_fleet::size_of(std::span<store::object const> objects) const
+{
+    std::int64_t bytes = 0;
+    for (auto const& object : objects)
+        bytes += object.kind == kinds.configuration ? m_configuration_bytes : small_object_bytes;
+    return bytes;
+}
+
+int virtual_serving_fleet::count_downloads(int number) const
+{
+    auto const& receiver = m_nodes[index(number)];
+    auto const responses = std::count_if(
+        receiver.store_threads.begin(), receiver.store_threads.end(),
+        [](store_thread const& each) { return each.current == store_thread::activity::receiving; });
+    return static_cast<int>(responses) +
+           (receiver.pull && receiver.pull->remaining_bytes > 0 ? 1 : 0);
+}
+
+int virtual_serving_fleet::count_uploads(int number) const
+{
+    auto const name = "n" + std::to_string(number);
+    return static_cast<int>(std::count_if(m_nodes.begin(), m_nodes.end(),
+                                          [&](member const& each) {
+                                              return each.pull && each.pull->remaining_bytes > 0 &&
+                                                     each.pull->pull.peer.name == name;
+                                          }));
+}
+
+void virtual_serving_fleet::move_bytes()
+{
+    if (m_link_rate <= 0)
+        return;
+    auto const link_bytes = m_link_rate * static_cast<double>(step_length.count());
+    std::vector<double> pulled(m_nodes.size());
+    std::vector<double> answered(m_nodes.size());
+    for (int i = 0; i < size(); ++i)
+    {
+        auto const downloads = count_downloads(i);
+        if (downloads == 0 || !m_nodes[index(i)].runs())
+            continue;
+        answered[index(i)] = link_bytes / downloads;
+        auto const& pull = m_nodes[index(i)].pull;
+        if (!pull || pull->remaining_bytes <= 0)
+            continue;
+        int const source = number_of(pull->pull.peer.name);
+        if (m_nodes[index(source)].runs() && !is_blocked(i, source))
+            pulled[index(i)] = link_bytes / std::max(downloads, count_uploads(source));
+    }
+    for (int i = 0; i < size(); ++i)
+    {
+        auto& receiver = m_nodes[index(i)];
+        if (receiver.pull)
+            receiver.pull->remaining_bytes -= pulled[index(i)];
+        for (auto& thread : receiver.store_threads)
+            if (thread.current == store_thread::activity::receiving)
+                thread.remaining_bytes -= answered[index(i)];
+    }
+}
+
 void virtual_serving_fleet::step_pulls(int number)
 {
     auto& local = m_nodes[index(number)];
     if (local.pull)
     {
-        if (m_now < local.pull->end)
+        // The connection takes its time, too.
+        bool const late = m_link_rate > 0 && m_now >= local.pull->end + pull_timeout;
+        bool const arriving = m_link_rate > 0 && local.pull->remaining_bytes > 0;
+        if (m_now < local.pull->end || (arriving && !late))
             return;
-        auto const finished = *std::exchange(local.pull, std::nullopt);
+        auto finished = *std::exchange(local.pull, std::nullopt);
+        if (arriving)
+        {
+            finished.succeeds = false;
+            finished.objects.clear();
+        }
+        m_failed_pulls += finished.succeeds ? 0 : 1;
         apply(number, finished.objects);
         local.catch_up.record_pull(finished.pull, finished.succeeds, local.view(), m_now);
         if (!finished.succeeds)
@@ -395,6 +470,14 @@
     thread.backoff = std::min(thread.backoff * 2, maximum_backoff);
 }
 
+void virtual_serving_fleet::receive_response(int number, store_thread& thread)
+{
+    if (m_link_rate <= 0 || thread.kind != kinds.configuration)
+        return finish_store_call(number, thread);
+    thread.current = store_thread::activity::receiving;
+    thread.remaining_bytes = static_cast<double>(m_configuration_bytes);
+}
+
 void virtual_serving_fleet::finish_store_call(int number, store_thread& thread)
 {
     auto& local = m_nodes[index(number)];
@@ -461,7 +544,15 @@
             return;
         if (thread.lost || local.access != store_access::reachable)
             return fail_store_call(number, thread);
-        return finish_store_call(number, thread);
+        return receive_response(number, thread);
+    }
+    if (thread.current == store_thread::activity::receiving)
+    {
+        if (local.access == store_access::reset)
+            return fail_store_call(number, thread);
+        if (thread.remaining_bytes <= 0 && !thread.lost)
+            finish_store_call(number, thread);
+        return;
     }
     if (local.access == store_access::reset || m_now >= thread.watch_end)
         return fail_store_call(number, thread);
@@ -481,7 +572,9 @@
                                          return item.second.kind == thread.kind &&
                                                 item.second.version > *thread.version;
                                      });
-    if (changed || m_now >= thread.next)
+    if (changed)
+        return receive_response(number, thread);
+    if (m_now >= thread.next)
         finish_store_call(number, thread);
 }
 
--- a/tests/support/virtual_serving_fleet.hpp
+++ b/tests/support/virtual_serving_fleet.hpp
@@ -47,8 +47,16 @@
         m_blocked_links = std::move(is_blocked);
     }
     void set_store_access(int number, store_access access);
-    /// Pulls take 20 ms to this time.
+    /// Pulls take 20 ms to this time, besides the time for their bytes if links are limited.
     void set_slowest_pull(base::milliseconds duration) { m_slowest_pull = duration; }
+    /// Limits what each node sends to peers, and what it receives from peers and the store, to
+    /// `bytes_per_millisecond`, and sets the size of the configuration. Transfers share a link
+    /// evenly.
+    void set_links(double bytes_per_millisecond, std::int64_t configuration_bytes)
+    {
+        m_link_rate = bytes_per_millisecond;
+        m_configuration_bytes = configuration_bytes;
+    }
     /// A frozen node does nothing and receives nothing.
     void set_frozen(int number, bool is_frozen) { m_nodes.at(index(number)).frozen = is_frozen; }
     /// The node shuts down as planned, but runs on.
@@ -77,6 +85,7 @@
     std::uint64_t store_calls() const noexcept { return m_store_calls; }
     /// Pulls that nodes of the present version have started.
     std::uint64_t pulls() const noexcept { return m_pulls; }
+    std::uint64_t failed_pulls() const noexcept { return m_failed_pulls; }
 
 private:
     struct report_datagram
@@ -106,6 +115,8 @@
             waiting,
             listing,
             watching,
+            /// The response has begun and is arriving.
+            receiving,
         } current = activity::listing;
         base::time_point next{};
         base::time_point watch_end{};
@@ -117,12 +128,16 @@
         bool waited = false;
         bool started = false;
         base::milliseconds backoff{100};
+        double remaining_bytes = 0;
     };
     struct running_pull
     {
         serving::object_pull pull;
+        base::time_point start;
+        /// The end if links are not limited.
         base::time_point end;
         bool succeeds = false;
+        double remaining_bytes = 0;
         std::vector<store::object> objects;
     };
     struct member
@@ -183,8 +198,15 @@
     serving::node_state_report make_state(member& sender);
     std::optional<serving::object_pull> plan_pull_of_earlier_version(member& local);
     void start_pull(int number, serving::object_pull const& pull);
+    std::int64_t size_of(std::span<store::object const> objects) const;
+    /// Transfers that share what a node receives, or what it sends to peers.
+    int count_downloads(int number) const;
+    int count_uploads(int number) const;
+    void move_bytes();
     void step_store(int number, store_thread& thread);
     void start_store_call(int number, store_thread& thread);
+    /// Receives the response of a call, whose bytes take their time on a limited link.
+    void receive_response(int number, store_thread& thread);
     void finish_store_call(int number, store_thread& thread);
     void fail_store_call(int number, store_thread& thread);
 
@@ -201,6 +223,10 @@
     std::int64_t m_revision = 100;
     std::uint64_t m_store_calls = 0;
     std::uint64_t m_pulls = 0;
+    std::uint64_t m_failed_pulls = 0;
+    /// 0 if links are not limited.
+    double m_link_rate = 0;
+    std::int64_t m_configuration_bytes = 0;
     struct tracked_change
     {
         std::string kind;
