Serving, Node: Leave the configuration out of pulls of other objects

Pulls of servers and evacuations begin up to 500 revisions back, so they brought the configuration again whenever it had changed since.

A pull now names the revision of the configuration that the node holds, and the peer leaves out one that is not newer. Peers of earlier versions ignore the new argument; nodes of earlier versions ask with 0 and get all as before.

object_catch_up_test's new case doesn't compile without the change.

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -142,7 +142,8 @@
 
 // Between nodes on the platform: shares what the store returned to one of them.
 service node_peer {
-  configuration_page pull_objects(1: i64 since_revision),
+  // Leaves out a configuration that is not newer than held_configuration. 0 asks for every object.
+  configuration_page pull_objects(1: i64 since_revision, 2: i64 held_configuration),
 }
 
 service entry_node {
--- a/libraries/serving/object_catch_up.cpp
+++ b/libraries/serving/object_catch_up.cpp
@@ -50,6 +50,18 @@
     report.server_digest = objects.digest(kinds.servers);
 }
 
+std::vector<store::object> select_pulled_objects(object_kinds const& kinds,
+                                                 configuration::versioned_store const& objects,
+                                                 std::int64_t since,
+                                                 std::int64_t held_configuration)
+{
+    auto selected = objects.objects_newer_than(since);
+    std::erase_if(
+        selected, [&](store::object const& object)
+        { return object.kind == kinds.configuration && object.version <= held_configuration; });
+    return selected;
+}
+
 void object_catch_up::update(catch_up_view const& view, base::time_point now)
 {
     auto const& reported = view.nodes.newest_reported();
@@ -184,6 +196,16 @@
                                                       base::random_source& random)
 {
     update(view, now);
+    auto pull = choose_pull(view, now, random);
+    if (pull)
+        pull->held_configuration = view.objects.kind_revision(m_kinds.configuration);
+    return pull;
+}
+
+std::optional<object_pull> object_catch_up::choose_pull(catch_up_view const& view,
+                                                        base::time_point now,
+                                                        base::random_source& random)
+{
     if (auto pull = plan_configuration_pull(view, now, random))
     {
         m_configuration.lag.record_asked_peer(pull->peer.name);
--- a/libraries/serving/object_catch_up.hpp
+++ b/libraries/serving/object_catch_up.hpp
@@ -65,8 +65,17 @@
     std::uint64_t peer_digest = 0;
     /// The pull contains every object that the node may have missed.
     bool is_complete = true;
+    /// Revision of the node's configuration, which the pull need not bring again.
+    std::int64_t held_configuration = 0;
 };
 
+/// Returns the objects that are newer than `since`, without a configuration that is not newer than
+/// `held_configuration`: it may be larger than all other objects together.
+std::vector<store::object> select_pulled_objects(object_kinds const& kinds,
+                                                 configuration::versioned_store const& objects,
+                                                 std::int64_t since,
+                                                 std::int64_t held_configuration);
+
 /// A change of a node's being behind, for its log.
 struct lag_event
 {
@@ -150,6 +159,8 @@
 
     kind_state* find_kind(std::string const& kind);
     kind_state const* find_kind(std::string const& kind) const;
+    std::optional<object_pull> choose_pull(catch_up_view const& view, base::time_point now,
+                                           base::random_source& random);
     std::optional<object_pull> plan_configuration_pull(catch_up_view const& view,
                                                        base::time_point now,
                                                        base::random_source& random);
--- a/services/node/peer_object_sync.cpp
+++ b/services/node/peer_object_sync.cpp
@@ -21,10 +21,15 @@
 public:
     explicit node_peer_handler(node_state& state) : m_state(state) {}
 
-    void pull_objects(inner_protocol::configuration_page& page, std::int64_t since) override
+    void pull_objects(inner_protocol::configuration_page& page, std::int64_t since,
+                      std::int64_t held_configuration) override
     {
-        auto const objects = m_state.with([&](node_state::tables& tables)
-                                          { return tables.objects.objects_newer_than(since); });
+        auto const objects = m_state.with(
+            [&](node_state::tables& tables)
+            {
+                return serving::select_pulled_objects(tables.catch_up.kinds(), tables.objects,
+                                                      since, held_configuration);
+            });
         page.revision = since;
         for (auto const& object : objects)
         {
@@ -96,7 +101,7 @@
         [&](inner_protocol::node_peerClient& peer)
         {
             inner_protocol::configuration_page page;
-            peer.pull_objects(page, pull.since);
+            peer.pull_objects(page, pull.since, pull.held_configuration);
             return page;
         });
     auto const elapsed =
--- a/tests/object_catch_up_test.cpp
+++ b/tests/object_catch_up_test.cpp
@@ -262,5 +262,21 @@
     EXPECT_EQ(pulls, 0);
 }
 
+// Guards against pulls of servers that carry a large configuration which the node already has.
+TEST_F(object_catch_up_test, a_pull_leaves_out_the_configuration_that_the_node_holds)
+{
+    configuration::versioned_store peer;
+    store::object const objects[] = {{"config", "main", 40, "", false},
+                                     {"servers", "s0", 45, "", false}};
+    peer.merge(objects);
+    object_kinds const kinds{"config", "evacuations", "servers"};
+
+    auto const selected = select_pulled_objects(kinds, peer, 0, 40);
+
+    ASSERT_EQ(selected.size(), 1U);
+    EXPECT_EQ(selected[0].kind, "servers");
+    EXPECT_EQ(select_pulled_objects(kinds, peer, 0, 39).size(), 2U);
+}
+
 } // namespace
 } // namespace jasminepier::serving
--- a/tests/support/virtual_serving_fleet.cpp
+++ b/tests/support/virtual_serving_fleet.cpp
@@ -316,7 +316,8 @@
     }
     else
     {
-        started.objects = source.objects.objects_newer_than(pull.since);
+        started.objects = serving::select_pulled_objects(kinds, source.objects, pull.since,
+                                                         pull.held_configuration);
         started.remaining_bytes = static_cast<double>(size_of(started.objects));
     }
     local.pull = std::move(started);
