Serving, Node: Continue a stream only at servers of its version

Nothing in the selection of a server knew the version.

From the first bytes that go to the caller, the version of their server is required of every further attempt, and of the target of a handover always. A request of which the caller has nothing yet is free. A stream for which no server of its version is left ends at once (other_version in the log); a generation stays as long as its engine serves. A line "routed" names the version.

--- a/libraries/base/error.cpp
+++ b/libraries/base/error.cpp
@@ -45,6 +45,8 @@
                    execution_status::not_run, 1},
     error_response{error_kind::no_server, 503, "no_server", "server_error",
                    execution_status::not_run, 2},
+    error_response{error_kind::stream_not_resumable, 503, "stream_not_resumable", "server_error",
+                   execution_status::not_run, 1},
     error_response{error_kind::request_crashes_servers, 422, "request_crashes_servers",
                    "invalid_request_error", execution_status::unknown, 0},
     error_response{error_kind::server_unreachable, 503, "server_unreachable", "server_error",
--- a/libraries/base/error.hpp
+++ b/libraries/base/error.hpp
@@ -31,6 +31,7 @@
     node_stopping,
     not_ready,
     no_server,
+    stream_not_resumable,
     request_crashes_servers,
     server_unreachable,
     server_failed,
--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -88,6 +88,8 @@
         return "excluded";
     case exclusion_reason::unlisted:
         return "unlisted";
+    case exclusion_reason::other_version:
+        return "other_version";
     }
     return "unknown";
 }
@@ -203,6 +205,9 @@
     if (!is_usable(server.phase) ||
         admit_version(server, query, now) == version_admission::excluded)
         return exclusion_reason::leaving;
+    if (query.required_version &&
+        hash_version(server.entry.service, server.entry.version) != *query.required_version)
+        return exclusion_reason::other_version;
     if (m_evacuated_zones.contains(server.entry.zone))
         return exclusion_reason::zone_evacuated;
     if (std::find(query.excluded_servers.begin(), query.excluded_servers.end(), id) !=
@@ -320,8 +325,12 @@
         query.demand.maximum_event_gap.count() > 0 && m_paces.any() &&
         std::any_of(candidates.begin(), candidates.end(),
                     [&](auto const& item) { return m_paces.knows(item.server->hash); });
-    if (candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated &&
-        m_directory.may_miss_servers(now))
+    bool const has_no_server =
+        candidates.empty() && result.reason == exclusion_reason::leaving && !any_evacuated;
+    // Whether servers of a certain version come back is unknown, so their streams don't wait.
+    if (has_no_server && query.required_version)
+        result.reason = exclusion_reason::other_version;
+    else if (has_no_server && m_directory.may_miss_servers(now))
         result.reason = exclusion_reason::unlisted;
     if (next_permitted_start && result.depends_on_time())
         result.delay =
@@ -357,7 +366,8 @@
         static_cast<double>(best->load.total.reserved_tokens) / cache_tokens,
         m_peer_loads.oldest_report_age(best->server->hash, now),
         m_paces.estimate(best->server->hash, now).percent,
-        estimate_late_streams(*best->server, *target_service, best->load, query, now)};
+        estimate_late_streams(*best->server, *target_service, best->load, query, now),
+        entry.version};
     result.reason = exclusion_reason::none;
     return result;
 }
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "serving/server_load.hpp"
 #include "serving/server_pace.hpp"
 #include "serving/server_rate_limits.hpp"
+#include "serving/version_hash.hpp"
 #include "serving/waiting_table.hpp"
 
 #include <deque>
@@ -70,6 +71,8 @@
     already_tried,
     /// No server of the service is listed, but the list may be incomplete.
     unlisted,
+    /// The stream was begun by another version.
+    other_version,
 };
 
 std::string_view to_string(exclusion_reason reason) noexcept;
@@ -92,6 +95,8 @@
     std::string_view preferred_zone;
     /// Whether late streams count; set for requests with a bounded gap if a server states its pace.
     bool weighs_gaps = false;
+    /// The version that began the stream; versions of a service don't continue each other's.
+    std::optional<version_hash> required_version = std::nullopt;
 };
 
 /// The selected server and the inputs of its score, for the log.
@@ -113,6 +118,8 @@
     double pace_percent = usual_pace_percent;
     /// Streams that are expected to be late because of this selection.
     double expected_late_streams = 0;
+    /// Version of the server's software.
+    std::string version{};
 };
 
 /// Holds either a server or the reason why none was selected.
--- a/services/node/request_admission.cpp
+++ b/services/node/request_admission.cpp
@@ -85,6 +85,7 @@
             serving::selection_query query{service->name, demand, excluded_servers,
                                            serving::selection_purpose::new_work,
                                            tables.nodes.self().zone};
+            query.required_version = stream_version;
             selection = tables.dispatcher.select_server(query, now, tables.random);
             // Fall back to a server that has already failed this request.
             if (!selection.server && !selection.worth_waiting() && !excluded_servers.empty())
@@ -278,6 +279,9 @@
         selection.depends_on_time() ||
         (selection.worth_waiting() && selection.reason != serving::exclusion_reason::unlisted);
     record_admission(selection, start, false);
+    if (selection.reason == serving::exclusion_reason::other_version)
+        return base::fail(error_kind::stream_not_resumable,
+                          "no server of the version that began the stream is listed");
     return base::fail(rejected_for_load ? error_kind::overloaded : error_kind::no_server,
                       "no server has a free slot for the request");
 }
@@ -310,8 +314,9 @@
     auto attempt = state.with(
         [&](node_state::tables& tables) -> std::optional<server_attempt>
         {
-            serving::selection_query const query{service->name, demand, excluded_targets,
-                                                 serving::selection_purpose::handover, source.zone};
+            serving::selection_query query{service->name, demand, excluded_targets,
+                                           serving::selection_purpose::handover, source.zone};
+            query.required_version = serving::hash_version(service->name, source.version);
             auto const selection = tables.dispatcher.select_server(query, now, tables.random);
             if (!selection.server)
                 return std::nullopt;
--- a/services/node/request_context.cpp
+++ b/services/node/request_context.cpp
@@ -42,6 +42,7 @@
     {
     case error_kind::overloaded:
     case error_kind::server_unreachable:
+    case error_kind::stream_not_resumable:
         return overload_retry_delay;
     case error_kind::no_server:
     case error_kind::not_ready:
@@ -238,6 +239,7 @@
         .field("purpose", purpose)
         .field("service", service->name)
         .field("server", server.id)
+        .field("version", server.version)
         .field("score", server.score)
         .field("running", server.running)
         .field("occupancy", server.occupancy)
--- a/services/node/stream_relay.cpp
+++ b/services/node/stream_relay.cpp
@@ -209,8 +209,12 @@
     }
     if (out.empty())
         return true;
-    if (!m_head_sent && !send_head())
-        return false;
+    if (!m_head_sent)
+    {
+        m_context.record_stream_begin(m_attempt->server());
+        if (!send_head())
+            return false;
+    }
     return m_context.caller.send(encode_chunk(out), m_context.send_limits());
 }
 
