Node, Serving: Take up a stream only at the version that began it

Another VM, or the same after a restart, had no way to know which version began the stream.

A node records the version with the first event and reports it to its peers; the zones' summaries carry it on. While one version has been alone for as long as a stream can be taken up, no record is needed and none is sent. A node that starts can't tell from the list which versions have left, so the set of versions is one object per service in the store: read once at the start, written when the set changes. A take-up of unknown version, or whose version has no server, is declined at once (503 stream_not_resumable).

--- a/libraries/inner_protocol/jasminepier.thrift
+++ b/libraries/inner_protocol/jasminepier.thrift
@@ -211,6 +211,12 @@
   4: i64 tokens,                  // engine memory that they need
 }
 
+// A stream whose later events may only come from servers of the version that began it.
+struct stream_origin {
+  1: i64 stream,                  // hash of the id of the request that brought its first event
+  2: i32 version,                 // short hash of the service's name and the version
+}
+
 // Published by each node on the platform for its peers several times a second.
 struct node_report {
   1: string node,
@@ -242,5 +248,6 @@
   21: bool follows_store,         // watches the store; store_reached then tells whether it responds
   28: optional list<version_outcomes> versions,
   29: optional list<waiting_work> waiting,
+  30: optional list<stream_origin> stream_origins,
   20: bool relay,                 // the receiver forwards the report to the nodes of its zone
 }
--- a/libraries/serving/dispatcher.hpp
+++ b/libraries/serving/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "serving/server_load.hpp"
 #include "serving/server_pace.hpp"
 #include "serving/server_rate_limits.hpp"
+#include "serving/service_version_history.hpp"
 #include "serving/version_hash.hpp"
 #include "serving/waiting_table.hpp"
 
@@ -301,6 +302,21 @@
     /// Called several times a second if roll-outs are enabled. Returns what has changed.
     std::vector<rollout_step> advance_rollouts(base::time_point now);
 
+    /// Records the versions of the servers that are listed or may still run.
+    void observe_versions(base::time_point now);
+    /// Returns the version that began every stream of the service which can be taken up; nothing if
+    /// several may have, or if this node can't know.
+    std::optional<version_hash> find_only_version(std::string_view service,
+                                                  base::time_point now) const;
+    /// Returns the route's service of which servers of this version are known; null if there is
+    /// none.
+    service const* find_service_of_version(route const& matched_route, version_hash version) const;
+    /// The versions of the services that have resumable streams.
+    std::map<std::string, service_version_history, std::less<>>& version_histories() noexcept
+    {
+        return m_version_histories;
+    }
+
     /// The requests that wait for room, here and at other nodes.
     waiting_table& waiting() noexcept { return m_waiting; }
     waiting_table const& waiting() const noexcept { return m_waiting; }
@@ -425,6 +441,7 @@
     mutable rollout_table m_rollouts;
     server_pace_table m_paces;
     std::map<std::string, node_retry_budget> m_retry_budgets;
+    std::map<std::string, service_version_history, std::less<>> m_version_histories;
     waiting_table m_waiting;
 };
 
--- a/libraries/serving/fleet_configuration.cpp
+++ b/libraries/serving/fleet_configuration.cpp
@@ -7,6 +7,12 @@
 
 void fleet_configuration::add_route(route new_route)
 {
+    if (new_route.idempotency == request_idempotency::resumable)
+        for (auto const& target : new_route.services)
+        {
+            auto& longest = m_resumable_timeouts[target.service];
+            longest = std::max(longest, new_route.timeout);
+        }
     auto& routes = m_routes[new_route.host];
     auto const replaced = std::find_if(routes.begin(), routes.end(),
                                        [&](route const& existing)
--- a/libraries/serving/fleet_configuration.hpp
+++ b/libraries/serving/fleet_configuration.hpp
@@ -113,11 +113,18 @@
     route const* find_route(std::string_view host, std::string_view path) const;
     service const* find_service(std::string_view name) const;
     std::size_t route_count() const noexcept { return m_route_count; }
+    /// The longest timeouts of the routes whose streams may be resumed, by service.
+    std::map<std::string, base::milliseconds, std::less<>> const&
+    resumable_timeouts() const noexcept
+    {
+        return m_resumable_timeouts;
+    }
 
 private:
     /// Routes by host, longest path prefix first.
     std::map<std::string, std::vector<route>, std::less<>> m_routes;
     std::size_t m_route_count = 0;
+    std::map<std::string, base::milliseconds, std::less<>> m_resumable_timeouts;
 };
 
 } // namespace jasminepier::serving
--- a/libraries/serving/request_metadata.hpp
+++ b/libraries/serving/request_metadata.hpp
@@ -30,6 +30,13 @@
     std::optional<base::milliseconds> timeout;
     /// The caller resumes a stream after this event; empty for a new stream.
     std::string last_event_id;
+    /// Id of the request that brought the first event of the resumed stream; empty if not stated.
+    std::string resumed_request_id;
+
+    bool resumes_stream() const noexcept
+    {
+        return !last_event_id.empty() || !resumed_request_id.empty();
+    }
 };
 
 /// Metadata that a node adds to a request that it forwards to a server.
--- a/services/node/caller_session.cpp
+++ b/services/node/caller_session.cpp
@@ -217,6 +217,9 @@
     context.service = context.configuration->find_service(context.service->name);
     if (context.service == nullptr)
         return base::fail(error_kind::no_server, "the service is not configured");
+    if (route.idempotency == serving::request_idempotency::resumable &&
+        context.metadata.resumes_stream())
+        BOOST_LEAF_CHECK(context.find_stream_version());
     context.fingerprint = request_fingerprint(context);
     BOOST_LEAF_CHECK(context.check_crash_records());
     m_state.with([&](node_state::tables& tables)
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -15,6 +15,7 @@
 #include "services/node/server_prober.hpp"
 #include "services/node/settings_reloader.hpp"
 #include "services/node/store_watcher.hpp"
+#include "services/node/version_recorder.hpp"
 
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
@@ -137,6 +138,7 @@
         .field("caller_connections", caller_limits.connections);
     node::connection_pool pool;
     node::node_registrar registrar(state);
+    node::version_recorder versions(state);
     node::peer_link peers(state);
     node::store_watcher const watcher(state, [&](std::span<store::object const> changes)
                                       { peers.publish_changes(changes); });
@@ -149,6 +151,7 @@
                                             [&]
                                             {
                                                 registrar.run_maintenance();
+                                                versions.run_maintenance();
                                                 node::confirm_server_crashes(state);
                                                 pool.close_expired(
                                                     base::steady_clock_source{}.now());
--- a/services/node/node_state.hpp
+++ b/services/node/node_state.hpp
@@ -13,6 +13,7 @@
 #include "serving/node_directory.hpp"
 #include "serving/object_catch_up.hpp"
 #include "serving/process_shutdown.hpp"
+#include "serving/stream_origin_table.hpp"
 
 #include <atomic>
 #include <memory>
@@ -49,6 +50,8 @@
         /// Decides how this node obtains objects that it has missed.
         serving::object_catch_up catch_up;
         serving::lost_answer_table lost_answers{};
+        /// Which versions began the streams of this node and of its peers.
+        serving::stream_origin_table stream_origins{};
 
         serving::catch_up_view catch_up_view() const
         {
--- a/services/node/peer_link.cpp
+++ b/services/node/peer_link.cpp
@@ -6,6 +6,7 @@
 #include "services/node/node_metrics.hpp"
 #include "services/node/object_updates.hpp"
 #include "services/node/rollout_reports.hpp"
+#include "services/node/stream_origin_messages.hpp"
 #include "services/node/waiting_messages.hpp"
 #include "store/object_version.hpp"
 
@@ -26,6 +27,31 @@
 constexpr std::size_t bytes_per_crash = 60;
 // Sums over a zone take more bytes, and the summary also holds addresses.
 constexpr std::size_t maximum_loads_per_summary = 30;
+constexpr std::size_t maximum_origins_per_summary_part = 40;
+// Streams that a zone begins within the summary's period; more of them are left out.
+constexpr std::size_t maximum_origins_per_summary = 400;
+
+/// Returns the origins of the zone's latest streams, unless other nodes can tell them without.
+std::vector<serving::stream_origin> summarize_stream_origins(node_state::tables& tables,
+                                                             base::time_point now)
+{
+    auto const& histories = tables.dispatcher.version_histories();
+    bool const is_needed = std::any_of(
+        histories.begin(), histories.end(),
+        [&](auto const& item) { return !tables.dispatcher.find_only_version(item.first, now); });
+    return is_needed ? tables.stream_origins.summarize(maximum_origins_per_summary, now)
+                     : std::vector<serving::stream_origin>{};
+}
+
+/// Forgets the streams that can no longer be taken up.
+void expire_stream_origins(node_state::tables& tables, base::time_point now)
+{
+    tables.dispatcher.observe_versions(now);
+    auto window = serving::service_version_history::minimum_window;
+    for (auto const& [service, history] : tables.dispatcher.version_histories())
+        window = std::max(window, history.window());
+    tables.stream_origins.expire(window, now);
+}
 
 void log_departures(std::span<serving::dispatcher::reported_departure const> departures,
                     inner_protocol::node_report const& report)
@@ -140,6 +166,8 @@
                 return tables.nodes.is_large_fleet() ? tables.nodes.pick_relays(tables.random)
                                                      : std::vector<serving::node_entry>{};
             });
+    if (changes.empty())
+        add_stream_origins(report);
     for (auto const& object : changes)
         report.news.push_back(inner_protocol::to_thrift(object));
     auto const bytes = inner_protocol::encode_node_report(report);
@@ -201,6 +229,22 @@
     return known.has_news;
 }
 
+void peer_link::add_stream_origins(inner_protocol::node_report& report)
+{
+    auto const used = inner_protocol::encode_node_report(report).size();
+    auto const room = inner_protocol::maximum_datagram_bytes -
+                      std::min(used, inner_protocol::maximum_datagram_bytes);
+    auto const now = base::steady_clock_source{}.now();
+    auto const origins = m_state.with(
+        [&](node_state::tables& tables)
+        {
+            return tables.stream_origins.take_report(
+                room / bytes_per_stream_origin, [&](std::string const& service)
+                { return !tables.dispatcher.find_only_version(service, now); });
+        });
+    node::add_stream_origins(origins, report);
+}
+
 void peer_link::send_zone_summary()
 {
     auto const now = base::steady_clock_source{}.now();
@@ -212,6 +256,7 @@
             if (!tables.nodes.reports_zone(now))
                 return;
             recipients = tables.nodes.pick_relays(tables.random);
+            auto const shared_origins = summarize_stream_origins(tables, now);
             auto const summary = tables.nodes.summarize_zone(tables.random, now);
             auto const loads = tables.dispatcher.zone_loads(now);
             auto const part_count = std::max<std::size_t>(
@@ -232,18 +277,27 @@
                     add_waiting_work(tables.dispatcher.waiting().zone_reports(now), part);
                 parts.push_back(std::move(part));
             }
-            // A part of their own, so that no loads are lost to make room.
+            // Parts of their own, so that no loads are lost to make room.
+            auto const add_part = [&]() -> inner_protocol::node_report&
+            {
+                auto part = make_report(tables);
+                part.zone_nodes = parts.back().zone_nodes;
+                part.zone_addresses = parts.back().zone_addresses;
+                part.relay = true;
+                part.summary_part = static_cast<std::int32_t>(parts.size());
+                return parts.emplace_back(std::move(part));
+            };
             inner_protocol::node_report entries;
-            if (!add_rollouts(entries, tables.dispatcher.rollouts(), true, m_zone_rollout_position,
-                              now))
-                return;
-            auto part = make_report(tables);
-            part.__set_versions(entries.versions);
-            part.zone_nodes = parts.back().zone_nodes;
-            part.zone_addresses = parts.back().zone_addresses;
-            part.relay = true;
-            part.summary_part = static_cast<std::int32_t>(parts.size());
-            parts.push_back(std::move(part));
+            if (add_rollouts(entries, tables.dispatcher.rollouts(), true, m_zone_rollout_position,
+                             now))
+                add_part().__set_versions(entries.versions);
+            std::span<serving::stream_origin const> origins = shared_origins;
+            while (!origins.empty())
+            {
+                auto const count = std::min(origins.size(), maximum_origins_per_summary_part);
+                node::add_stream_origins(origins.first(count), add_part());
+                origins = origins.subspan(count);
+            }
             for (auto& each : parts)
                 each.summary_parts = static_cast<std::int32_t>(parts.size());
         });
@@ -305,6 +359,7 @@
                                                   tables.nodes.is_large_fleet()});
                 if (tables.dispatcher.expire(now))
                     tables.dispatcher.notify_leaving();
+                expire_stream_origins(tables, now);
                 minimum_gap = tables.nodes.minimum_report_gap();
                 bool const often = tables.nodes.is_large_fleet() && tables.follows_store;
                 return often ? serving::node_directory::follower_report_interval
@@ -368,12 +423,17 @@
     for (auto const& use : report.uses)
         loads.push_back(from_message(use, report.server_revision));
     auto const waiting = read_waiting_work(report);
+    auto const origins = read_stream_origins(report);
     bool is_new = false;
     std::vector<serving::dispatcher::reported_departure> departures;
     m_state.with(
         [&](node_state::tables& tables)
         {
             bool const is_summary = report.summary_parts > 0;
+            // They never change, so late reports are as good as others.
+            tables.stream_origins.merge(
+                origins, !tables.nodes.is_large_fleet() || report.zone == tables.nodes.self().zone,
+                now);
             is_new = tables.nodes.apply_report(peer_state, now);
             if (is_new && report.follows_store)
                 learn_store_state(tables, now);
--- a/services/node/peer_link.hpp
+++ b/services/node/peer_link.hpp
@@ -39,6 +39,8 @@
     /// Adds as many crashes and answered parts as the datagram has room for. Returns true if there
     /// is news among them.
     bool add_crashes(inner_protocol::node_report& report);
+    /// Adds as many streams' origins that peers may need as the datagram has room for.
+    void add_stream_origins(inner_protocol::node_report& report);
     /// Forwards a report from another zone to the nodes of this node's zone.
     void relay(inner_protocol::node_report report);
     /// Takes over what the followers of the store report about it, which decides whether missing
--- a/services/node/request_context.hpp
+++ b/services/node/request_context.hpp
@@ -79,7 +79,8 @@
     std::uint64_t fingerprint = 0;
     /// Fingerprints of `metadata.shared_prompt_parts`.
     std::vector<std::uint64_t> prompt_parts;
-    /// The version that began the stream, from its first event on. Only its servers may continue.
+    /// The version that began the stream, from its first event on, or from the start for a stream
+    /// that the caller takes up. Only its servers may continue.
     std::optional<serving::version_hash> stream_version;
     /// This request has probably crashed a server itself.
     bool crashed_server = false;
@@ -159,6 +160,9 @@
     void record_completed();
     /// Records that a server has begun to answer with a success.
     void record_answered();
+    /// Finds out which version began the stream that the caller takes up, and selects its service.
+    /// Fails with `stream_not_resumable` if the version is unknown or has no servers.
+    base::result<void> find_stream_version();
     /// Records that the first event from `server` goes to the caller. Called before it is sent.
     void record_stream_begin(serving::selected_server const& server);
     /// Fails if the request or a part of its prompt crashes servers.
