Node, Serving: Don't assume one version on a node that is cut off

Without a record it now assumes that one version is alone only while its own calls to the store succeed or it hears more than half of all known nodes; an outage of the store for all nodes therefore changes nothing.

A watch that waits at a silent store takes up to 4.5 s to fail; within that time a node that is cut off may still assume it. That stays open.

The new case of stream_resumption_test fails without the condition: with the store away and the peer stopped, the take-up is answered 200.

--- a/libraries/serving/node_directory.cpp
+++ b/libraries/serving/node_directory.cpp
@@ -202,6 +202,20 @@
     return size;
 }
 
+bool node_directory::hears_majority(base::time_point now) const
+{
+    auto const is_heard = [&](node_record const& node)
+    {
+        if (reports_to_this_node(node))
+            return is_alive(node, now);
+        auto const zone = m_zones.find(node.state.entry.zone);
+        return zone != m_zones.end() && now < zone->second.received + report_timeout;
+    };
+    auto const heard = 1 + std::count_if(m_nodes.begin(), m_nodes.end(),
+                                         [&](auto const& item) { return is_heard(item.second); });
+    return 2 * static_cast<std::size_t>(heard) > m_nodes.size() + 1;
+}
+
 bool node_directory::is_alive(node_record const& node, base::time_point now) const noexcept
 {
     bool const reports_often =
--- a/libraries/serving/node_directory.hpp
+++ b/libraries/serving/node_directory.hpp
@@ -174,6 +174,9 @@
     /// Number of all nodes that may be alive. Zones that stopped reporting count as they were,
     /// since they may only be cut off.
     std::size_t fleet_size(base::time_point now) const;
+    /// True if this node hears more than half of all known nodes, itself included; those of other
+    /// zones through the summaries of a large fleet. What the others know then reaches this node.
+    bool hears_majority(base::time_point now) const;
     /// Addresses for callers of at most `limit` nodes that are alive and ready. In a large fleet
     /// these are the nodes of this node's zone, with a few of other zones for callers that lose the
     /// whole zone.
--- a/services/node/resumed_streams.cpp
+++ b/services/node/resumed_streams.cpp
@@ -20,8 +20,12 @@
             dispatcher.observe_versions(now);
             stream_version = tables.stream_origins.find(metadata.resumed_request_id);
             is_recorded = stream_version.has_value();
+            // A node that is cut off may not have heard of another version.
+            bool const knows_versions =
+                tables.nodes.hears_majority(now) ||
+                (!tables.store_call_failed && !dispatcher.directory().store_lost());
             // Without a record, another service of the route may have begun the stream.
-            if (!is_recorded && route->services.size() == 1)
+            if (!is_recorded && knows_versions && route->services.size() == 1)
                 stream_version = dispatcher.find_only_version(service->name, now);
             if (!stream_version)
                 return;
--- a/tests/node_directory_test.cpp
+++ b/tests/node_directory_test.cpp
@@ -56,6 +56,33 @@
     EXPECT_TRUE(addresses(start + node_directory::report_timeout).empty());
 }
 
+TEST_F(node_directory_test, hears_a_majority_of_all_known_nodes)
+{
+    EXPECT_TRUE(m_directory.hears_majority(start));
+    m_directory.apply_listed({make_node("n1"), make_node("n2"), make_node("n3")}, start);
+    m_directory.apply_report(make_report("n1", 1, 1), start);
+    EXPECT_FALSE(m_directory.hears_majority(start)) << "two of four are no majority";
+    m_directory.apply_report(make_report("n2", 1, 1), start);
+    EXPECT_TRUE(m_directory.hears_majority(start));
+    EXPECT_FALSE(m_directory.hears_majority(start + node_directory::report_timeout));
+}
+
+// Guards against a zone that is cut off as a whole and takes itself for the fleet.
+TEST_F(node_directory_test, hears_other_zones_through_their_summaries)
+{
+    for (int i = 0; i < 15; ++i)
+    {
+        auto node = make_node("n" + std::to_string(i));
+        node.zone = i < 5 ? "a" : i < 10 ? "b" : "c";
+        m_directory.add_listed(node, start);
+        if (i < 5)
+            m_directory.apply_report(make_report(node.name, 1, 1), start);
+    }
+    EXPECT_FALSE(m_directory.hears_majority(start));
+    m_directory.apply_zone_summary("b", {5, {}}, start);
+    EXPECT_TRUE(m_directory.hears_majority(start));
+}
+
 // Guards against never fetching a missed configuration because many servers changed after it.
 TEST(store_followers, pull_start_revision_covers_an_outdated_configuration)
 {
--- a/tests/stream_resumption_test.cpp
+++ b/tests/stream_resumption_test.cpp
@@ -1,6 +1,7 @@
 /// Streams that callers take up again at other nodes, while servers of several versions serve.
 #include "tests/support/node_fixture.hpp"
 
+#include <csignal>
 #include <future>
 #include <thread>
 #include <vector>
@@ -208,6 +209,19 @@
     EXPECT_EQ(take_up_all(m_node, {id, id, id}), 3);
 }
 
+// Guards against a node that is cut off from the store and its peers and therefore has not heard
+// of another version.
+TEST_F(stream_resumption_test, node_that_is_cut_off_declines_streams_that_it_does_not_know)
+{
+    ASSERT_TRUE(wait_until([&] { return has_read_record(m_node); }, seconds(10)));
+    EXPECT_EQ(take_up(m_node, "").status, 200);
+    m_store.set_mode(store_mode::unavailable);
+    m_node_2.program().send_signal(SIGSTOP);
+    EXPECT_TRUE(wait_until([&] { return take_up(m_node, "").status == 503; }, seconds(10)));
+    m_node_2.program().send_signal(SIGCONT);
+    EXPECT_TRUE(wait_until([&] { return take_up(m_node, "").status == 200; }, seconds(10)));
+}
+
 // Guards against a record that lacks a version since the store was restored from a copy.
 TEST_F(stream_resumption_test, record_is_written_again_after_the_store_was_restored)
 {
