--- a/libraries/serving/dispatcher_versions.cpp
+++ b/libraries/serving/dispatcher_versions.cpp
@@ -1,5 +1,7 @@
 #include "serving/dispatcher.hpp"
 
+#include <algorithm>
+
 namespace jasminepier::serving
 {
 
@@ -32,12 +34,13 @@
 {
     for (auto const& [id, server] : m_directory.servers())
     {
+        auto const& entry = server.entry;
         bool const is_target =
             std::any_of(matched_route.services.begin(), matched_route.services.end(),
                         [&](weighted_service const& target)
-                        { return target.weight > 0 && target.service == server.entry.service; });
-        if (is_target && hash_version(server.entry.service, server.entry.version) == version)
-            return m_configuration->find_service(server.entry.service);
+                        { return target.weight > 0 && target.service == entry.service; });
+        if (is_target && hash_version(entry.service, entry.version) == version)
+            return m_configuration->find_service(entry.service);
     }
     return nullptr;
 }
