--- a/libraries/serving/dispatcher.cpp
+++ b/libraries/serving/dispatcher.cpp
@@ -392,21 +392,6 @@
     return id;
 }
 
-std::map<std::string, server_entry> dispatcher::servers_in_use() const
-{
-    std::map<std::string, server_entry> entries;
-    for (auto const& [attempt_key, attempt] : m_attempts)
-    {
-        auto const found = m_directory.servers().find(attempt.server);
-        if (found == m_directory.servers().end())
-            continue;
-        auto const* target_service = m_configuration->find_service(found->second.entry.service);
-        if (target_service != nullptr && target_service->engine)
-            entries[attempt.server] = found->second.entry;
-    }
-    return entries;
-}
-
 void dispatcher::record_first_event(attempt_id id, std::optional<base::time_point> now)
 {
     auto const found = m_attempts.find(id);
--- a/libraries/serving/dispatcher_reports.cpp
+++ b/libraries/serving/dispatcher_reports.cpp
@@ -185,4 +185,19 @@
     return loads;
 }
 
+std::map<std::string, server_entry> dispatcher::servers_in_use() const
+{
+    std::map<std::string, server_entry> entries;
+    for (auto const& [attempt_key, attempt] : m_attempts)
+    {
+        auto const found = m_directory.servers().find(attempt.server);
+        if (found == m_directory.servers().end())
+            continue;
+        auto const* target_service = m_configuration->find_service(found->second.entry.service);
+        if (target_service != nullptr && target_service->engine)
+            entries[attempt.server] = found->second.entry;
+    }
+    return entries;
+}
+
 } // namespace jasminepier::serving
--- a/tests/support/virtual_serving_fleet.hpp
+++ b/tests/support/virtual_serving_fleet.hpp
@@ -183,6 +183,10 @@
         bool runs() const noexcept { return !frozen && !killed; }
     };
 
+    inline static serving::object_kinds const kinds{"config", "evacuations", "servers"};
+    static constexpr base::milliseconds step_length{10};
+    static constexpr base::milliseconds pull_timeout{800};
+
     static std::size_t index(int number) { return static_cast<std::size_t>(number); }
     serving::node_entry make_entry(int number) const;
     int number_of(std::string const& name) const;
